--- /dev/null
+++ b/src/coordination/backend.rs
@@ -0,0 +1,21 @@
+//! Backend server beside this node: what it announces and how it behaves.
+
+use std::sync::Arc;
+
+use crate::coordination::node;
+use crate::protocol::peer;
+
+/// Backend server beside this node.
+#[derive(Debug, Default)]
+pub struct Backend {}
+
+impl Backend {
+    /// Returns the service and state of the backend server, if one has announced itself.
+    #[must_use]
+    pub fn state(&self) -> Option<(String, peer::BackendState)> {
+        None
+    }
+}
+
+/// Watches the backend server.
+pub async fn run(_node: Arc<node::Node>) {}
--- /dev/null
+++ b/src/coordination/node.rs
@@ -0,0 +1,85 @@
+//! Shared state of a node and the start of its tasks.
+
+use std::sync::Arc;
+
+use crate::coordination::{
+    backend, config, coordinator, gate, grants, membership, outcomes, owner, records, router,
+    standby, succession,
+};
+use crate::metrics;
+use crate::state::{ids, settings};
+use crate::transport::{peers, platform};
+
+/// State shared by the tasks of a node.
+#[derive(Debug)]
+pub struct Node {
+    /// This incarnation.
+    pub me: ids::NodeRef,
+    /// Settings read at the start.
+    pub settings: settings::Settings,
+    /// Metrics.
+    pub metrics: metrics::Metrics,
+    /// Connections to other nodes.
+    pub peers: peers::Pool,
+    /// Client of the platform's service.
+    pub platform: platform::Client,
+    /// Known nodes.
+    pub members: membership::Members,
+    /// Newest known partition records.
+    pub records: records::Records,
+    /// Configuration document in force.
+    pub config: config::Config,
+    /// Backend server beside this node.
+    pub backend: backend::Backend,
+    /// Leases that this node holds.
+    pub grants: Arc<grants::Grants>,
+    /// Recent outcomes of requests that ran here.
+    pub outcomes: outcomes::Outcomes,
+    /// Admission to the backend server.
+    pub gate: gate::Gate,
+    /// Routing of requests that entered here.
+    pub router: router::Router,
+    /// Partitions that this node coordinates.
+    pub coordinator: coordinator::Coordinator,
+    /// Promises given by this node.
+    pub standby: standby::Standby,
+}
+
+impl Node {
+    /// Creates the state of a node that starts now.
+    #[must_use]
+    pub fn new(settings: settings::Settings) -> Arc<Self> {
+        let me = ids::NodeRef {
+            addr: settings.peer,
+            incarnation: ids::Incarnation::now(),
+        };
+        Arc::new(Self {
+            me,
+            metrics: metrics::Metrics::default(),
+            peers: peers::Pool::new(me),
+            platform: platform::Client::new(settings.platform),
+            members: membership::Members::new(me, &settings),
+            records: records::Records::default(),
+            config: config::Config::default(),
+            backend: backend::Backend::default(),
+            grants: Arc::new(grants::Grants::new(me)),
+            outcomes: outcomes::Outcomes::default(),
+            gate: gate::Gate::default(),
+            router: router::Router::default(),
+            coordinator: coordinator::Coordinator::default(),
+            standby: standby::Standby::default(),
+            settings,
+        })
+    }
+
+    /// Starts the background tasks.
+    pub fn spawn(self: &Arc<Self>) {
+        tokio::spawn(membership::run(Arc::clone(self)));
+        tokio::spawn(config::run(Arc::clone(self)));
+        tokio::spawn(backend::run(Arc::clone(self)));
+        tokio::spawn(owner::run(Arc::clone(self)));
+        tokio::spawn(coordinator::run(Arc::clone(self)));
+        tokio::spawn(standby::run(Arc::clone(self)));
+        tokio::spawn(succession::run(Arc::clone(self)));
+    }
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,77 @@
+//! Metrics in Prometheus text format.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
+};
+
+/// Upper bounds of the latency histogram, in seconds; 9 ms is the target at the 99th percentile.
+const LATENCY_BUCKETS: [f64; 14] = [
+    0.001, 0.002, 0.004, 0.006, 0.009, 0.015, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0,
+];
+
+/// Metrics of a node.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests that entered here, by service, class, outcome and reason.
+    pub requests: IntCounterVec,
+    /// Time from arrival to answer at the entry, in seconds, by service, class and outcome.
+    pub latency: HistogramVec,
+    /// Messages, answers and requests dropped or refused anywhere, by place and reason.
+    pub dropped: IntCounterVec,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let requests = IntCounterVec::new(
+            Opts::new("filbertflow_requests_total", "Requests by final outcome"),
+            &["service", "class", "outcome", "reason"],
+        )
+        .expect("the metric's name and labels are valid");
+        let latency = HistogramVec::new(
+            HistogramOpts::new("filbertflow_request_seconds", "Time from arrival to answer")
+                .buckets(LATENCY_BUCKETS.to_vec()),
+            &["service", "class", "outcome"],
+        )
+        .expect("the metric's name and labels are valid");
+        let dropped = IntCounterVec::new(
+            Opts::new("filbertflow_dropped_total", "Messages dropped or refused"),
+            &["place", "reason"],
+        )
+        .expect("the metric's name and labels are valid");
+        let metrics = Self {
+            registry: Registry::new(),
+            requests,
+            latency,
+            dropped,
+        };
+        metrics.register(Box::new(metrics.requests.clone()));
+        metrics.register(Box::new(metrics.latency.clone()));
+        metrics.register(Box::new(metrics.dropped.clone()));
+        metrics
+    }
+}
+
+impl Metrics {
+    /// Adds a collector to the registry.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a collector with the same name is registered already.
+    pub fn register(&self, collector: Box<dyn prometheus::core::Collector>) {
+        self.registry
+            .register(collector)
+            .expect("each metric is registered once");
+    }
+
+    /// Writes all metrics in text format.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut buffer = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buffer);
+        if let Err(e) = encoded {
+            tracing::error!(event = 206, error = %e, "can't encode the metrics");
+        }
+        String::from_utf8_lossy(&buffer).into_owned()
+    }
+}
--- /dev/null
+++ b/src/protocol/mod.rs
@@ -0,0 +1,6 @@
+//! Protocol layer: wire types and their conversion to and from the state layer.
+
+pub mod error;
+pub mod peer;
+pub mod platform;
+pub mod record;
--- /dev/null
+++ b/src/state/clock.rs
@@ -0,0 +1,66 @@
+//! Monotonic time that includes suspension.
+//!
+//! `std::time::Instant` stops while a host is suspended, so a lease measured with it would look
+//! valid after a long sleep. `CLOCK_BOOTTIME` keeps counting.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+use nix::time::{ClockId, clock_gettime};
+
+/// Instant on `CLOCK_BOOTTIME` of this host.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Instant(Duration);
+
+impl Instant {
+    /// Reads the clock.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the kernel has no `CLOCK_BOOTTIME`, which Linux has had since 2.6.39.
+    #[must_use]
+    pub fn now() -> Self {
+        let t = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("Linux provides CLOCK_BOOTTIME");
+        Self(Duration::from(t))
+    }
+
+    /// Returns the time since an earlier instant, or zero.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Duration {
+        self.0.saturating_sub(earlier.0)
+    }
+
+    /// Returns the time left until this instant, or zero.
+    #[must_use]
+    pub fn left(self) -> Duration {
+        self.since(Self::now())
+    }
+
+    /// Returns whether the instant is still in the future.
+    #[must_use]
+    pub fn is_ahead(self) -> bool {
+        self > Self::now()
+    }
+
+    /// Returns the time since the host started.
+    #[must_use]
+    pub fn since_boot(self) -> Duration {
+        self.0
+    }
+}
+
+impl Add<Duration> for Instant {
+    type Output = Self;
+
+    fn add(self, d: Duration) -> Self {
+        Self(self.0 + d)
+    }
+}
+
+impl Sub<Duration> for Instant {
+    type Output = Self;
+
+    fn sub(self, d: Duration) -> Self {
+        Self(self.0.saturating_sub(d))
+    }
+}
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,11 @@
+//! State layer: identifiers, time, records, settings and the document.
+//!
+//! Nothing here sends or receives; upper layers decide when state changes.
+
+pub mod clock;
+pub mod document;
+pub mod error;
+pub mod ids;
+pub mod record;
+pub mod settings;
+pub mod timing;
--- /dev/null
+++ b/src/state/record.rs
@@ -0,0 +1,168 @@
+//! Partition records: who owns which slice of a service's hash space.
+//!
+//! The platform's service holds one record for each partition. A record changes only by
+//! compare-and-swap, and nobody acts on a change before the write is known to have happened.
+
+use crate::state::{error, ids};
+
+/// Record of one partition.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PartitionRecord {
+    /// Partition that the record describes.
+    pub id: ids::PartitionId,
+    /// Term of the coordinator.
+    pub epoch: ids::Epoch,
+    /// Number of writes to the record.
+    pub revision: ids::Revision,
+    /// Node that grants leases.
+    pub coordinator: ids::NodeRef,
+    /// Nodes that may succeed the coordinator.
+    pub standbys: Vec<ids::NodeRef>,
+    /// Servers that may own slices.
+    pub servers: Vec<Server>,
+    /// Slices in the order of their start; the first starts at 0.
+    pub slices: Vec<Slice>,
+    /// Pending claim by a node that is not a standby.
+    pub intent: Option<Intent>,
+    /// Last writer, by which an ambiguous write is recognised when it is read back.
+    pub writer: Writer,
+}
+
+/// Server of a partition.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Server {
+    /// Node beside the backend server.
+    pub node: ids::NodeRef,
+    /// Failure domain of the host.
+    pub domain: String,
+    /// Whether the server gets no new slices.
+    pub draining: bool,
+    /// Whether the backend server checks fencing tokens.
+    pub checks: bool,
+}
+
+/// Contiguous range of the hash space, up to the start of the next slice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Slice {
+    /// First hash of the slice.
+    pub start: ids::KeyHash,
+    /// Server that may hold a lease on the slice.
+    pub owner: Option<ids::NodeRef>,
+    /// Number of changes of owner.
+    pub version: ids::SliceVersion,
+    /// Server to which the slice is being moved.
+    pub target: Option<ids::NodeRef>,
+}
+
+/// Announced claim, which takes effect unless the coordinator cancels it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Intent {
+    /// Node that wants to become the coordinator.
+    pub node: ids::NodeRef,
+    /// Record revision at which the claim was announced.
+    pub revision: ids::Revision,
+}
+
+/// Identity of one write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Writer {
+    /// Node that wrote.
+    pub node: ids::NodeRef,
+    /// Number of the write within the node's incarnation.
+    pub number: u64,
+}
+
+impl PartitionRecord {
+    /// Returns the (epoch, revision) pair by which two copies of a record are compared.
+    #[must_use]
+    pub fn stamp(&self) -> (ids::Epoch, ids::Revision) {
+        (self.epoch, self.revision)
+    }
+
+    /// Returns the position of the slice that contains a hash.
+    #[must_use]
+    pub fn index_of(&self, hash: ids::KeyHash) -> usize {
+        self.slices
+            .partition_point(|s| s.start <= hash)
+            .saturating_sub(1)
+    }
+
+    /// Returns the slice that contains a hash.
+    #[must_use]
+    pub fn slice_at(&self, hash: ids::KeyHash) -> Option<&Slice> {
+        self.slices.get(self.index_of(hash))
+    }
+
+    /// Returns the last hash of the slice at a position.
+    #[must_use]
+    pub fn end_of(&self, index: usize) -> ids::KeyHash {
+        self.slices
+            .get(index + 1)
+            .map_or(ids::KeyHash(u64::MAX), |next| {
+                ids::KeyHash(next.start.0 - 1)
+            })
+    }
+
+    /// Returns the fencing token of a slice.
+    #[must_use]
+    pub fn token(&self, slice: &Slice) -> ids::Token {
+        ids::Token {
+            epoch: self.epoch,
+            version: slice.version,
+        }
+    }
+
+    /// Returns the entry of a server.
+    #[must_use]
+    pub fn server(&self, node: ids::NodeRef) -> Option<&Server> {
+        self.servers.iter().find(|s| s.node == node)
+    }
+
+    /// Checks the invariants of the record.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`error::Error::Record`] if slices are missing, unordered or owned by an unknown server.
+    pub fn check(&self) -> Result<(), error::Error> {
+        let first = self.slices.first();
+        if first.is_none_or(|s| s.start != ids::KeyHash(0)) {
+            return Err(error::Error::Record(
+                "first slice does not start at 0".to_owned(),
+            ));
+        }
+        let ordered = self.slices.is_sorted_by(|a, b| a.start < b.start);
+        if !ordered {
+            return Err(error::Error::Record("slices are not in order".to_owned()));
+        }
+        for slice in &self.slices {
+            for node in [slice.owner, slice.target].into_iter().flatten() {
+                if self.server(node).is_none() {
+                    let start = slice.start.0;
+                    return Err(error::Error::Record(format!(
+                        "slice {start:#x} names unknown server {node}"
+                    )));
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Divides the hash space into slices of equal size without owners.
+///
+/// # Panics
+///
+/// Panics if `count` is 0.
+#[must_use]
+pub fn even_slices(count: u64) -> Vec<Slice> {
+    assert!(count > 0, "a partition has at least one slice");
+    let width = u64::MAX / count + u64::from(count > 1);
+    (0..count)
+        .map(|i| Slice {
+            start: ids::KeyHash(i.saturating_mul(width)),
+            owner: None,
+            version: ids::SliceVersion(1),
+            target: None,
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/state/settings.rs
@@ -0,0 +1,24 @@
+//! Settings of one node, read once at its start.
+
+use std::net;
+
+use crate::state::ids;
+
+/// Settings of a node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Region of the host.
+    pub region: String,
+    /// Failure domain of the host.
+    pub domain: String,
+    /// Address for callers.
+    pub caller: net::SocketAddr,
+    /// Address for other nodes; the node's name.
+    pub peer: ids::NodeAddr,
+    /// Address for operators, metrics and the backend server's announcements.
+    pub admin: net::SocketAddr,
+    /// Address of the platform's key-value service.
+    pub platform: net::SocketAddr,
+    /// Nodes to contact first when the platform's service is down.
+    pub peers: Vec<ids::NodeAddr>,
+}
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,6 @@
+//! Transport layer: connections to peers, to the platform's service and to the backend server.
+
+pub mod error;
+pub mod peer_server;
+pub mod peers;
+pub mod platform;
--- /dev/null
+++ b/src/transport/peers.rs
@@ -0,0 +1,346 @@
+//! Connections to peers, with one task for each peer.
+//!
+//! A connection is opened when a call needs it and closed after a time without calls, because a
+//! node of a large fleet can't hold connections to all others. While calls are outstanding and
+//! nothing arrives, the task sends keep-alives; a connection that stays silent is dropped and the
+//! calls on it end as ambiguous, so that their senders can ask for the outcome over a new one.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::{fmt, io, time};
+
+use tarpc::tokio_serde::formats;
+use tarpc::{client, context};
+use tokio::sync::{mpsc, oneshot};
+use tokio::{net, task};
+
+use crate::protocol::peer;
+use crate::state::{clock, ids, timing};
+use crate::transport::{error, peer_server};
+
+/// Time without calls after which a connection is closed.
+const IDLE: time::Duration = time::Duration::from_secs(30);
+
+/// Calls that may be outstanding on one connection.
+const MAX_IN_FLIGHT: usize = 4096;
+
+/// Pool of connections to peers.
+#[derive(Debug, Clone)]
+pub struct Pool {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    me: ids::NodeRef,
+    peers: Mutex<HashMap<ids::NodeAddr, Handle>>,
+}
+
+impl fmt::Debug for Shared {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Shared")
+            .field("me", &self.me)
+            .finish_non_exhaustive()
+    }
+}
+
+#[derive(Clone)]
+struct Handle {
+    asks: mpsc::Sender<Ask>,
+}
+
+type Ask = oneshot::Sender<Result<Connection, error::Error>>;
+
+/// Open connection to a peer.
+#[derive(Debug, Clone)]
+pub struct Connection {
+    client: peer::PeerClient,
+    state: Arc<ConnectionState>,
+}
+
+#[derive(Debug)]
+struct ConnectionState {
+    start: clock::Instant,
+    outstanding: AtomicUsize,
+    heard_ms: AtomicU64,
+    used_ms: AtomicU64,
+}
+
+impl ConnectionState {
+    fn new() -> Self {
+        Self {
+            start: clock::Instant::now(),
+            outstanding: AtomicUsize::new(0),
+            heard_ms: AtomicU64::new(0),
+            used_ms: AtomicU64::new(0),
+        }
+    }
+
+    fn elapsed_ms(&self) -> u64 {
+        let ms = clock::Instant::now().since(self.start).as_millis();
+        u64::try_from(ms).unwrap_or(u64::MAX)
+    }
+
+    fn heard(&self) {
+        self.heard_ms.store(self.elapsed_ms(), Ordering::Relaxed);
+    }
+
+    /// Time since anything arrived, or since the first call after a pause was sent.
+    fn silence(&self) -> time::Duration {
+        let last = self
+            .heard_ms
+            .load(Ordering::Relaxed)
+            .max(self.used_ms.load(Ordering::Relaxed));
+        time::Duration::from_millis(self.elapsed_ms().saturating_sub(last))
+    }
+
+    fn begin(&self) {
+        if self.outstanding.fetch_add(1, Ordering::Relaxed) == 0 {
+            self.used_ms.store(self.elapsed_ms(), Ordering::Relaxed);
+        }
+    }
+
+    fn end(&self) {
+        self.outstanding.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    fn is_busy(&self) -> bool {
+        self.outstanding.load(Ordering::Relaxed) > 0
+    }
+}
+
+struct Outstanding(Arc<ConnectionState>);
+
+impl Drop for Outstanding {
+    fn drop(&mut self) {
+        self.0.end();
+    }
+}
+
+impl Pool {
+    /// Creates a pool without connections.
+    #[must_use]
+    pub fn new(me: ids::NodeRef) -> Self {
+        Self {
+            shared: Arc::new(Shared {
+                me,
+                peers: Mutex::default(),
+            }),
+        }
+    }
+
+    /// Returns an open connection to a peer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`error::Error::Refused`] if no process listens there, which proves that the peer
+    /// has ended, and [`error::Error::Unreachable`] if the attempt got no answer.
+    pub async fn connect(&self, addr: ids::NodeAddr) -> Result<Connection, error::Error> {
+        for _ in 0..2 {
+            let handle = self.handle(addr);
+            let (tx, rx) = oneshot::channel();
+            // The task ends after an idle time; a send that meets its end is repeated once.
+            if handle.asks.send(tx).await.is_ok()
+                && let Ok(result) = rx.await
+            {
+                return result;
+            }
+            self.forget(addr, &handle);
+        }
+        Err(error::Error::Unreachable(format!("no task for {addr}")))
+    }
+
+    /// Calls a peer, opening a connection if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`Pool::connect`], and [`error::Error::Ambiguous`] if the call was
+    /// sent but not answered within the limit.
+    pub async fn call<F, Fut, T>(
+        &self,
+        addr: ids::NodeAddr,
+        limit: time::Duration,
+        f: F,
+    ) -> Result<T, error::Error>
+    where
+        F: FnOnce(peer::PeerClient, context::Context) -> Fut,
+        Fut: Future<Output = Result<T, client::RpcError>>,
+    {
+        self.connect(addr).await?.call(limit, f).await
+    }
+
+    fn handle(&self, addr: ids::NodeAddr) -> Handle {
+        let mut peers = self.lock();
+        peers
+            .entry(addr)
+            .or_insert_with(|| {
+                let (asks, rx) = mpsc::channel(MAX_IN_FLIGHT);
+                tokio::spawn(run(self.shared.me, addr, rx));
+                Handle { asks }
+            })
+            .clone()
+    }
+
+    fn forget(&self, addr: ids::NodeAddr, handle: &Handle) {
+        let mut peers = self.lock();
+        if peers
+            .get(&addr)
+            .is_some_and(|h| h.asks.same_channel(&handle.asks))
+        {
+            peers.remove(&addr);
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<ids::NodeAddr, Handle>> {
+        self.shared
+            .peers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Connection {
+    /// Calls the peer on this connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`error::Error::Ambiguous`] if no answer arrived within the limit or the connection
+    /// was lost.
+    pub async fn call<F, Fut, T>(&self, limit: time::Duration, f: F) -> Result<T, error::Error>
+    where
+        F: FnOnce(peer::PeerClient, context::Context) -> Fut,
+        Fut: Future<Output = Result<T, client::RpcError>>,
+    {
+        let mut context = context::Context::current();
+        context.deadline = time::Instant::now() + limit;
+        self.state.begin();
+        let _outstanding = Outstanding(Arc::clone(&self.state));
+        match f(self.client.clone(), context).await {
+            Ok(answer) => {
+                self.state.heard();
+                Ok(answer)
+            }
+            Err(e) => Err(error::Error::Ambiguous(e.to_string())),
+        }
+    }
+}
+
+async fn run(me: ids::NodeRef, addr: ids::NodeAddr, mut asks: mpsc::Receiver<Ask>) {
+    let mut open: Option<Open> = None;
+    let mut tick = tokio::time::interval(timing::KEEP_ALIVE / 2);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut idle_since = clock::Instant::now();
+    loop {
+        tokio::select! {
+            ask = asks.recv() => {
+                let Some(ask) = ask else { return };
+                idle_since = clock::Instant::now();
+                if open.as_ref().is_some_and(Open::is_lost) {
+                    open = None;
+                }
+                let result = match &open {
+                    Some(o) => Ok(o.connection.clone()),
+                    None => dial(addr).await.map(|o| open.insert(o).connection.clone()),
+                };
+                // The asker may have been cancelled meanwhile; the connection is kept.
+                drop(ask.send(result));
+            }
+            _ = tick.tick() => {
+                match &mut open {
+                    Some(o) if o.is_lost() => open = None,
+                    Some(o) if o.connection.state.is_busy() => {
+                        idle_since = clock::Instant::now();
+                        if o.is_silent() {
+                            tracing::warn!(event = 203, peer = %addr, "peer connection is silent, closing it");
+                            open = None;
+                        } else {
+                            o.keep_alive(me);
+                        }
+                    }
+                    _ if clock::Instant::now().since(idle_since) > IDLE => return,
+                    _ => {}
+                }
+            }
+        }
+    }
+}
+
+struct Open {
+    connection: Connection,
+    dispatch: task::JoinHandle<()>,
+    probe: Option<task::JoinHandle<()>>,
+}
+
+impl Open {
+    fn is_lost(&self) -> bool {
+        self.dispatch.is_finished()
+    }
+
+    fn is_silent(&self) -> bool {
+        self.connection.state.silence() > timing::SILENCE
+    }
+
+    fn keep_alive(&mut self, me: ids::NodeRef) {
+        if self.connection.state.silence() < timing::KEEP_ALIVE
+            || self.probe.as_ref().is_some_and(|p| !p.is_finished())
+        {
+            return;
+        }
+        let connection = self.connection.clone();
+        self.probe = Some(tokio::spawn(async move {
+            let mut context = context::Context::current();
+            context.deadline = time::Instant::now() + timing::SILENCE;
+            let ping = peer::Ping { from: me };
+            if connection.client.ping(context, ping).await.is_ok() {
+                connection.state.heard();
+            }
+        }));
+    }
+}
+
+impl Drop for Open {
+    /// Ends the calls that are still outstanding on the connection.
+    fn drop(&mut self) {
+        self.dispatch.abort();
+        if let Some(probe) = &self.probe {
+            probe.abort();
+        }
+    }
+}
+
+async fn dial(addr: ids::NodeAddr) -> Result<Open, error::Error> {
+    let attempt = tokio::time::timeout(timing::CONNECT_TIMEOUT, net::TcpStream::connect(addr.0));
+    let stream = match attempt.await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
+            return Err(error::Error::Refused);
+        }
+        Ok(Err(e)) => return Err(error::Error::Unreachable(e.to_string())),
+        Err(_) => {
+            return Err(error::Error::Unreachable(
+                "connection attempt timed out".to_owned(),
+            ));
+        }
+    };
+    stream.set_nodelay(true)?;
+    let frames = peer_server::frame_codec().new_framed(stream);
+    let transport = tarpc::serde_transport::new(frames, formats::Bincode::default());
+    let mut config = client::Config::default();
+    config.max_in_flight_requests = MAX_IN_FLIGHT;
+    config.pending_request_buffer = MAX_IN_FLIGHT;
+    let new = peer::PeerClient::new(config, transport);
+    let dispatch = tokio::spawn(async move {
+        if let Err(e) = new.dispatch.await {
+            tracing::debug!(event = 204, peer = %addr, error = %e, "peer connection lost");
+        }
+    });
+    Ok(Open {
+        connection: Connection {
+            client: new.client,
+            state: Arc::new(ConnectionState::new()),
+        },
+        dispatch,
+        probe: None,
+    })
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
