Add stand-ins for the key-value service and a backend server

Cause: the process tests need the platform's service and backend servers, and no third-party server may be used. Measured: nothing measured; each call was exercised by hand with curl. Conclusion: a connection that the client wants to keep open can't be closed by tiny_http without an answer; it gets status 503 instead.

--- /dev/null
+++ b/standins/src/kv/mod.rs
@@ -0,0 +1,7 @@
+//! Stand-in for the platform's key-value service.
+
+pub mod api;
+pub mod cmd;
+pub mod control;
+pub mod fault;
+pub mod store;
