Add the ownership protocol

Change: partition records with compare-and-swap writes that are resolved by reading back, renewals, promises, reassignment, joins, standby claims, moves with handover and release. Running requests are counted by hash and survive the loss of a lease. The value at the platform's service carries the hold time, so that coordinator and claimant use the same one.

--- a/src/coordination/coordinator.rs
+++ b/src/coordination/coordinator.rs
@@ -1,22 +1,486 @@
 //! Coordinator of partitions: grants leases and moves slices.
+//!
+//! Each partition has two tasks: one keeps the authority (promises, contact, proofs that a process
+//! has ended), the other writes the record, one write at a time (R12). The rules are enforced in
+//! [`lead`](crate::coordination::lead), under one lock for each decision.
 
-use std::sync::Arc;
+use std::collections::{BTreeSet, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time;
 
-use crate::coordination::node;
-use crate::protocol::peer;
+use tokio::sync::Notify;
+
+use crate::coordination::{lead, node, store};
+use crate::protocol::{peer, record as wire};
+use crate::state::{clock, ids, record, timing};
+use crate::transport::error as transport;
+
+/// Time for one promise, ping or push; the next tick tries again.
+const CALL_LIMIT: time::Duration = time::Duration::from_millis(200);
+
+/// Interval at which the writer looks for work without being notified.
+const WRITER_TICK: time::Duration = time::Duration::from_millis(100);
+
+/// Pause before an unresolved or failed write is sent again.
+const WRITE_PAUSE: time::Duration = time::Duration::from_millis(200);
+
+/// Longest interval between reads that prove contact to the platform's service.
+const CONTACT: time::Duration = time::Duration::from_secs(2);
 
 /// Partitions that this node coordinates.
 #[derive(Debug, Default)]
-pub struct Coordinator {}
+pub struct Coordinator {
+    led: Mutex<HashMap<ids::PartitionId, lead::Led>>,
+    wake: Notify,
+}
+
+impl Coordinator {
+    /// Returns the record of a partition that this node coordinates.
+    #[must_use]
+    pub fn leads(&self, id: &ids::PartitionId) -> Option<Arc<record::PartitionRecord>> {
+        self.lock().get(id).map(|l| Arc::clone(l.record()))
+    }
+
+    /// Returns whether this node may grant leases on a partition now.
+    #[must_use]
+    pub fn has_authority(&self, id: &ids::PartitionId) -> bool {
+        let now = clock::Instant::now();
+        self.lock().get(id).is_some_and(|l| l.authority(now))
+    }
+
+    /// Returns the partitions that this node coordinates.
+    #[must_use]
+    pub fn partitions(&self) -> Vec<ids::PartitionId> {
+        self.lock().keys().cloned().collect()
+    }
+
+    /// Runs a function on the state of a partition, if this node coordinates it.
+    pub fn with<T>(&self, id: &ids::PartitionId, f: impl FnOnce(&mut lead::Led) -> T) -> Option<T> {
+        self.lock().get_mut(id).map(f)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<ids::PartitionId, lead::Led>> {
+        self.led.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
 
 /// Answers an owner that asks for its lease.
-pub async fn renew(_node: &Arc<node::Node>, _req: peer::Renew) -> peer::RenewReply {
-    peer::RenewReply::NotCoordinator(None)
+pub async fn renew(node: &Arc<node::Node>, req: peer::Renew) -> peer::RenewReply {
+    let mut led = node.coordinator.lock();
+    let known = node.records.get(&req.partition);
+    let led = led.get_mut(&req.partition).filter(|l| {
+        let superseded = known.as_ref().is_some_and(|k| k.epoch > l.record().epoch);
+        !superseded && req.to == node.me.incarnation
+    });
+    let Some(led) = led else {
+        return peer::RenewReply::NotCoordinator(known.map(|r| boxed(&r)));
+    };
+    if req.stamp.0 > led.record().epoch {
+        led.recheck = true;
+        return peer::RenewReply::NotCoordinator(None);
+    }
+    led.report(&req);
+    if !led.grant(req.from) {
+        tracing::debug!(event = 402, partition = %req.partition, owner = %req.from, "renewal refused");
+        return peer::RenewReply::NoAuthority;
+    }
+    let record = led.record();
+    let stamp = record.stamp();
+    peer::RenewReply::Granted {
+        stamp,
+        record: (req.stamp != stamp).then(|| boxed(record)),
+    }
 }
 
 /// Takes back slices that an owner has stopped serving.
-pub async fn release(_node: &Arc<node::Node>, _req: peer::Release) -> peer::ReleaseReply {
-    peer::ReleaseReply::Again
+pub async fn release(node: &Arc<node::Node>, req: peer::Release) -> peer::ReleaseReply {
+    let done = node.coordinator.with(&req.partition, |led| {
+        if req.to != node.me.incarnation {
+            return None;
+        }
+        let mut open = false;
+        for (start, version) in &req.slices {
+            led.release(req.from, *start, *version);
+            open |= led.moving(req.from, *start, *version);
+        }
+        (!open).then(|| boxed(led.record()))
+    });
+    node.coordinator.wake.notify_waiters();
+    match done.flatten() {
+        Some(record) => peer::ReleaseReply::Done(record),
+        None => peer::ReleaseReply::Again,
+    }
+}
+
+/// Coordinates a partition from now on; the record names this node and is confirmed.
+///
+/// `sent` is the time at which the call was sent that confirmed it.
+pub fn take(node: &Arc<node::Node>, stored: store::Stored, sent: clock::Instant) {
+    let id = stored.record.id.clone();
+    let record = Arc::clone(&stored.record);
+    {
+        let mut led = node.coordinator.lock();
+        if led
+            .get(&id)
+            .is_some_and(|l| l.record().stamp() >= record.stamp())
+        {
+            return;
+        }
+        led.insert(id.clone(), lead::Led::new(node.me, stored, sent));
+    }
+    tracing::info!(event = 403, partition = %id, epoch = %record.epoch, "coordinating the partition");
+    node.records.offer((*record).clone());
+    push(node, &record);
+    let epoch = record.epoch;
+    tokio::spawn(keep_authority(Arc::clone(node), id.clone(), epoch));
+    tokio::spawn(write_changes(Arc::clone(node), id, epoch));
+}
+
+fn step_down(node: &Arc<node::Node>, id: &ids::PartitionId, epoch: ids::Epoch) {
+    let mut led = node.coordinator.lock();
+    if led.get(id).is_some_and(|l| l.record().epoch == epoch) {
+        led.remove(id);
+        tracing::warn!(event = 404, partition = %id, epoch = %epoch, "no longer coordinating the partition");
+    }
+}
+
+fn boxed(record: &record::PartitionRecord) -> Box<wire::Record> {
+    Box::new(wire::Record::from(record))
+}
+
+fn env(node: &node::Node) -> lead::Env {
+    let document = node.config.current();
+    let candidates = node.members.live().into_iter().filter(|m| !m.left);
+    lead::Env {
+        domain: node.settings.domain.clone(),
+        drain: document
+            .as_ref()
+            .map(|c| c.document.drain.clone())
+            .unwrap_or_default(),
+        hold: document.map(|c| c.document.hold),
+        candidates: candidates
+            .map(|m| lead::Candidate {
+                node: m.node,
+                domain: m.domain,
+            })
+            .collect(),
+    }
+}
+
+/// Returns whether this node still coordinates the partition in this epoch.
+fn continues(node: &Arc<node::Node>, id: &ids::PartitionId, epoch: ids::Epoch) -> bool {
+    if node.records.get(id).is_some_and(|k| k.epoch > epoch) {
+        step_down(node, id, epoch);
+    }
+    let led = node.coordinator.lock();
+    led.get(id).is_some_and(|l| l.record().epoch == epoch)
+}
+
+async fn keep_authority(node: Arc<node::Node>, id: ids::PartitionId, epoch: ids::Epoch) {
+    let mut tick = tokio::time::interval(timing::PROMISE_RENEWAL);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let busy: Arc<Mutex<BTreeSet<ids::NodeRef>>> = Arc::default();
+    while continues(&node, &id, epoch) {
+        let now = clock::Instant::now();
+        let env = env(&node);
+        let work = node.coordinator.with(&id, |led| {
+            led.tick(now);
+            for server in led.record().servers.clone() {
+                let newest = node.members.incarnation(server.node.addr);
+                if newest.is_some_and(|i| i > server.node.incarnation) {
+                    led.ended(server.node);
+                }
+            }
+            (led.asked(&env, now), led.quiet(now))
+        });
+        let Some((asked, quiet)) = work else { return };
+        for standby in asked {
+            start(
+                &node,
+                &busy,
+                standby,
+                ask(Arc::clone(&node), id.clone(), standby),
+            );
+        }
+        for server in quiet {
+            start(
+                &node,
+                &busy,
+                server,
+                probe(Arc::clone(&node), id.clone(), server),
+            );
+        }
+        tick.tick().await;
+    }
+}
+
+/// Runs a call to a node unless one is outstanding.
+fn start(
+    node: &Arc<node::Node>,
+    busy: &Arc<Mutex<BTreeSet<ids::NodeRef>>>,
+    to: ids::NodeRef,
+    call: impl Future<Output = ()> + Send + 'static,
+) {
+    let lock = |busy: &Mutex<BTreeSet<ids::NodeRef>>, f: &dyn Fn(&mut BTreeSet<_>) -> bool| {
+        f(&mut busy.lock().unwrap_or_else(PoisonError::into_inner))
+    };
+    if to.addr == node.me.addr || !lock(busy, &|b| b.insert(to)) {
+        return;
+    }
+    let busy = Arc::clone(busy);
+    tokio::spawn(async move {
+        call.await;
+        lock(&busy, &|b| b.remove(&to));
+    });
+}
+
+async fn ask(node: Arc<node::Node>, id: ids::PartitionId, standby: ids::NodeRef) {
+    let reply = ask_once(&node, &id, standby, false).await;
+    let reply = match reply {
+        Ok((_, peer::PromiseReply::NeedRecord)) => ask_once(&node, &id, standby, true).await,
+        other => other,
+    };
+    let superseded = node.coordinator.with(&id, |led| match reply {
+        Ok((sent, peer::PromiseReply::Given { .. })) => {
+            led.promise(standby, sent);
+            None
+        }
+        Ok((_, peer::PromiseReply::Superseded(newer))) => Some(newer),
+        Ok((_, peer::PromiseReply::Incarnation(newer))) if newer > standby.incarnation => {
+            led.ended(standby);
+            None
+        }
+        Err(transport::Error::Refused) => {
+            led.ended(standby);
+            None
+        }
+        Ok(_) | Err(_) => {
+            led.refuse(standby);
+            None
+        }
+    });
+    if let Some(Some(newer)) = superseded
+        && let Ok(newer) = record::PartitionRecord::try_from(*newer)
+    {
+        node.records.offer(newer);
+    }
+}
+
+async fn ask_once(
+    node: &Arc<node::Node>,
+    id: &ids::PartitionId,
+    standby: ids::NodeRef,
+    full: bool,
+) -> Result<(clock::Instant, peer::PromiseReply), transport::Error> {
+    let Some(record) = node.coordinator.leads(id) else {
+        return Err(transport::Error::Unreachable("not coordinating".to_owned()));
+    };
+    let req = peer::Promise {
+        from: node.me,
+        to: standby.incarnation,
+        partition: id.clone(),
+        stamp: record.stamp(),
+        record: full.then(|| boxed(&record)),
+    };
+    let sent = clock::Instant::now();
+    let call = node
+        .peers
+        .call(standby.addr, CALL_LIMIT, |client, context| async move {
+            client.promise(context, req).await
+        });
+    Ok((sent, call.await?))
+}
+
+/// Looks for proof that a server's process has ended.
+async fn probe(node: Arc<node::Node>, id: ids::PartitionId, server: ids::NodeRef) {
+    if has_ended(&node, server).await {
+        let new = node.coordinator.with(&id, |led| led.ended(server));
+        if new == Some(true) {
+            tracing::warn!(event = 405, partition = %id, server = %server, "process of the server has ended");
+            node.coordinator.wake.notify_waiters();
+        }
+    }
+}
+
+/// Returns whether there is proof that a process has ended.
+pub async fn has_ended(node: &Arc<node::Node>, process: ids::NodeRef) -> bool {
+    match ping(node, process).await {
+        Ok(answering) => answering > process.incarnation,
+        Err(transport::Error::Refused) => true,
+        Err(_) => false,
+    }
+}
+
+/// Returns the incarnation that answers at an address.
+///
+/// # Errors
+///
+/// Returns the error of the call.
+pub async fn ping(
+    node: &Arc<node::Node>,
+    to: ids::NodeRef,
+) -> Result<ids::Incarnation, transport::Error> {
+    let ping = peer::Ping { from: node.me };
+    let call = node
+        .peers
+        .call(to.addr, CALL_LIMIT, |client, context| async move {
+            client.ping(context, ping).await
+        });
+    Ok(call.await?.from.incarnation)
+}
+
+async fn write_changes(node: Arc<node::Node>, id: ids::PartitionId, epoch: ids::Epoch) {
+    let mut read_at = clock::Instant::now();
+    while continues(&node, &id, epoch) {
+        let env = env(&node);
+        let job = node.coordinator.with(&id, |led| {
+            if led.pending.is_none() {
+                led.plan(&env);
+            }
+            let due = led.recheck || now_since(read_at) > CONTACT.min(led.stored.hold / 4);
+            (led.pending.clone(), due)
+        });
+        let Some((pending, due)) = job else { return };
+        match pending {
+            Some(pending) => settle(&node, &id, &pending).await,
+            None if due => {
+                read_at = clock::Instant::now();
+                refresh(&node, &id).await;
+            }
+            None => {
+                let woken = node.coordinator.wake.notified();
+                drop(tokio::time::timeout(WRITER_TICK, woken).await);
+            }
+        }
+    }
+}
+
+fn now_since(at: clock::Instant) -> time::Duration {
+    clock::Instant::now().since(at)
+}
+
+async fn settle(node: &Arc<node::Node>, id: &ids::PartitionId, pending: &lead::Pending) {
+    let sent = clock::Instant::now();
+    let result = store::write(&node.platform, &pending.write).await;
+    match result {
+        Ok(store::Written::Done(stored)) => adopt(node, id, stored, sent),
+        Ok(store::Written::Lost(Some(stored))) => adopt_other(node, id, stored, sent),
+        Ok(store::Written::Lost(None)) => step_down(node, id, pending.write.record.epoch),
+        Ok(store::Written::Unresolved) => {
+            node.coordinator.with(id, |led| {
+                if let Some(p) = &mut led.pending {
+                    p.ambiguous = true;
+                }
+            });
+            tracing::warn!(event = 406, partition = %id, "write of the record is unresolved");
+            tokio::time::sleep(WRITE_PAUSE).await;
+        }
+        Err(e) => {
+            tracing::warn!(event = 407, partition = %id, error = %e, "can't write the record");
+            node.coordinator.with(id, |led| {
+                led.pending.take_if(|p| !p.ambiguous);
+            });
+            tokio::time::sleep(WRITE_PAUSE).await;
+        }
+    }
+}
+
+async fn refresh(node: &Arc<node::Node>, id: &ids::PartitionId) {
+    let sent = clock::Instant::now();
+    match store::read(&node.platform, id).await {
+        Ok(Some(stored)) => {
+            let same = node.coordinator.with(id, |led| {
+                let same = led.stored.at == stored.at;
+                if same {
+                    led.confirm(sent);
+                }
+                same
+            });
+            if same == Some(false) {
+                adopt_other(node, id, stored, sent);
+            }
+        }
+        Ok(None) => tracing::error!(event = 408, partition = %id, "the record is missing"),
+        Err(e) => {
+            tracing::debug!(event = 409, partition = %id, error = %e, "no contact to the platform's service");
+        }
+    }
+}
+
+/// Takes a record that someone else wrote: keeps the role if it still names this node.
+fn adopt_other(
+    node: &Arc<node::Node>,
+    id: &ids::PartitionId,
+    stored: store::Stored,
+    sent: clock::Instant,
+) {
+    let epoch = node.coordinator.leads(id).map(|r| r.epoch);
+    let mine = stored.record.coordinator == node.me && Some(stored.record.epoch) == epoch;
+    if mine {
+        adopt(node, id, stored, sent);
+        return;
+    }
+    node.records.offer((*stored.record).clone());
+    if let Some(epoch) = epoch.filter(|e| *e < stored.record.epoch) {
+        step_down(node, id, epoch);
+    }
+}
+
+fn adopt(
+    node: &Arc<node::Node>,
+    id: &ids::PartitionId,
+    stored: store::Stored,
+    sent: clock::Instant,
+) {
+    let record = Arc::clone(&stored.record);
+    let old = node.coordinator.with(id, |led| {
+        let old = Arc::clone(led.record());
+        led.adopt(stored, sent);
+        old
+    });
+    if let Some(old) = old {
+        log_changes(&old, &record);
+    }
+    node.records.offer((*record).clone());
+    push(node, &record);
+}
+
+fn log_changes(old: &record::PartitionRecord, new: &record::PartitionRecord) {
+    let id = &new.id;
+    if old.standbys != new.standbys {
+        tracing::info!(event = 410, partition = %id, revision = %new.revision, standbys = ?new.standbys, "standbys changed");
+    }
+    for slice in &new.slices {
+        let Some(before) = old.slice_at(slice.start) else {
+            continue;
+        };
+        let start = slice.start.0;
+        if before.owner != slice.owner {
+            tracing::info!(event = 411, partition = %id, start, from = ?before.owner, to = ?slice.owner, version = %slice.version, "slice has a new owner");
+        } else if before.target != slice.target {
+            tracing::info!(event = 412, partition = %id, start, owner = ?slice.owner, target = ?slice.target, "move of the slice changed");
+        }
+    }
+}
+
+/// Sends a record to the nodes that it names, so that they act on it without delay.
+fn push(node: &Arc<node::Node>, record: &Arc<record::PartitionRecord>) {
+    let servers = record.servers.iter().map(|s| s.node);
+    let named: BTreeSet<_> = servers.chain(record.standbys.iter().copied()).collect();
+    for to in named.into_iter().filter(|n| n.addr != node.me.addr) {
+        let node = Arc::clone(node);
+        let wire = boxed(record);
+        tokio::spawn(async move {
+            let call = node
+                .peers
+                .call(to.addr, CALL_LIMIT, |client, context| async move {
+                    client.record(context, wire).await
+                });
+            if let Err(e) = call.await {
+                tracing::debug!(event = 413, peer = %to, error = %e, "record not delivered");
+            }
+        });
+    }
 }
 
 /// Runs the partitions that this node coordinates.
--- a/src/coordination/grants.rs
+++ b/src/coordination/grants.rs
@@ -1,10 +1,14 @@
 //! Leases that this node holds on slices.
 //!
 //! The owner task replaces the lease of a partition with each renewal; the gate admits a request
-//! only under a live lease, and counts it against its slice until it has finished, so that a slice
-//! is released only after its last request.
+//! only under a live lease (R9), and the request counts as running until it has finished, so that
+//! a slice is released only after its last request.
+//!
+//! Running requests are counted by hash and slices that are being released are remembered by
+//! (start, version). Neither is lost with the lease, and the count follows the hash when a slice
+//! is split or merged.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time;
 
@@ -12,27 +16,36 @@
 
 use crate::state::{clock, ids, record, timing};
 
+/// Horizon of slices that their previous owner has handed over.
+pub type Horizons = HashMap<(ids::KeyHash, ids::SliceVersion), time::Duration>;
+
 /// Leases held by this node.
 #[derive(Debug)]
 pub struct Grants {
     me: ids::NodeRef,
-    table: Mutex<HashMap<ids::PartitionId, Lease>>,
+    table: Mutex<HashMap<ids::PartitionId, Part>>,
     finished: watch::Sender<u64>,
 }
 
+#[derive(Debug, Default)]
+struct Part {
+    lease: Option<Lease>,
+    running: BTreeMap<ids::KeyHash, usize>,
+    stopped: Vec<Stopped>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Stopped {
+    from: ids::KeyHash,
+    to: ids::KeyHash,
+    version: ids::SliceVersion,
+}
+
 #[derive(Debug)]
 struct Lease {
     record: Arc<record::PartitionRecord>,
     until: clock::Instant,
-    held: HashMap<ids::KeyHash, Held>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Held {
-    version: ids::SliceVersion,
-    horizon: time::Duration,
-    stopped: bool,
-    running: usize,
+    horizons: HashMap<ids::KeyHash, time::Duration>,
 }
 
 /// Why a request is not admitted.
@@ -49,7 +62,7 @@
 pub struct Ticket {
     grants: Arc<Grants>,
     partition: ids::PartitionId,
-    start: ids::KeyHash,
+    hash: ids::KeyHash,
     /// Fencing token of the slice.
     pub token: ids::Token,
     /// Identifiers created before this time may have run under an earlier owner.
@@ -70,74 +83,76 @@
     /// Takes a renewed lease on all slices that the record assigns to this node.
     ///
     /// The caller has checked that the record is not older than the one applied before.
-    /// `horizons` gives the horizon of slices that were handed over by their previous owner.
     pub fn renew(
         &self,
         record: Arc<record::PartitionRecord>,
         until: clock::Instant,
-        horizons: &HashMap<(ids::KeyHash, ids::SliceVersion), time::Duration>,
+        handed: &Horizons,
     ) {
         let mut table = self.lock();
-        let old = table.remove(&record.id);
-        let held = record
-            .slices
-            .iter()
-            .filter(|s| s.owner == Some(self.me))
-            .map(|s| {
-                let known = old.as_ref().and_then(|l| l.covering(s));
-                (s.start, Self::held(s, known, horizons))
-            })
-            .collect();
-        let lease = Lease {
+        let part = table.entry(record.id.clone()).or_default();
+        let fresh = ids::wall_time() + timing::CLOCK_SKEW;
+        let mut horizons = HashMap::new();
+        for (i, slice) in record.slices.iter().enumerate() {
+            if slice.owner != Some(self.me) {
+                continue;
+            }
+            let kept = part
+                .lease
+                .as_ref()
+                .and_then(|l| l.continued(self.me, slice, record.end_of(i)));
+            let handed = handed.get(&(slice.start, slice.version)).copied();
+            horizons.insert(slice.start, kept.or(handed).unwrap_or(fresh));
+        }
+        part.stopped
+            .retain(|s| record.slice_at(s.from).map(|now| now.version) == Some(s.version));
+        part.lease = Some(Lease {
             record,
             until,
-            held,
-        };
-        table.insert(lease.record.id.clone(), lease);
-    }
-
-    fn held(
-        slice: &record::Slice,
-        known: Option<Held>,
-        horizons: &HashMap<(ids::KeyHash, ids::SliceVersion), time::Duration>,
-    ) -> Held {
-        if let Some(known) = known {
-            return Held {
-                stopped: known.stopped && slice.target.is_some(),
-                ..known
-            };
-        }
-        let handed = horizons.get(&(slice.start, slice.version)).copied();
-        Held {
-            version: slice.version,
-            horizon: handed.unwrap_or_else(|| ids::wall_time() + timing::CLOCK_SKEW),
-            stopped: false,
-            running: 0,
-        }
+            horizons,
+        });
     }
 
-    /// Drops the lease on a partition at once.
+    /// Ends the lease on a partition at once.
     pub fn drop_lease(&self, partition: &ids::PartitionId) {
-        self.lock().remove(partition);
-    }
-
-    /// Refuses new requests for a slice; running ones go on.
-    pub fn stop(&self, partition: &ids::PartitionId, start: ids::KeyHash) {
-        if let Some(held) = self
+        if let Some(lease) = self
             .lock()
             .get_mut(partition)
-            .and_then(|l| l.held.get_mut(&start))
+            .and_then(|p| p.lease.as_mut())
         {
-            held.stopped = true;
+            lease.until = clock::Instant::default();
         }
     }
 
-    /// Returns the number of running requests of a slice.
+    /// Refuses new requests in a range of hashes, both ends included, for as long as it has this
+    /// version; running ones go on.
+    pub fn stop(
+        &self,
+        partition: &ids::PartitionId,
+        from: ids::KeyHash,
+        to: ids::KeyHash,
+        version: ids::SliceVersion,
+    ) {
+        let mut table = self.lock();
+        let part = table.entry(partition.clone()).or_default();
+        let stopped = Stopped { from, to, version };
+        if !part.stopped.contains(&stopped) {
+            part.stopped.push(stopped);
+        }
+    }
+
+    /// Returns the number of running requests in a range of hashes, both ends included.
     #[must_use]
-    pub fn running(&self, partition: &ids::PartitionId, start: ids::KeyHash) -> usize {
+    pub fn running(
+        &self,
+        partition: &ids::PartitionId,
+        from: ids::KeyHash,
+        to: ids::KeyHash,
+    ) -> usize {
         let table = self.lock();
-        let held = table.get(partition).and_then(|l| l.held.get(&start));
-        held.map_or(0, |h| h.running)
+        table
+            .get(partition)
+            .map_or(0, |p| p.running.range(from..=to).map(|(_, n)| n).sum())
     }
 
     /// Returns the horizon of a held slice.
@@ -148,8 +163,8 @@
         start: ids::KeyHash,
     ) -> Option<time::Duration> {
         let table = self.lock();
-        let held = table.get(partition)?.held.get(&start)?;
-        Some(held.horizon)
+        let lease = table.get(partition)?.lease.as_ref()?;
+        lease.horizons.get(&start).copied()
     }
 
     /// Returns a receiver that is notified when a request finishes.
@@ -169,23 +184,23 @@
         hash: ids::KeyHash,
     ) -> Result<Ticket, Refusal> {
         let mut table = self.lock();
-        let lease = table.get_mut(partition).ok_or(Refusal::NotOwner)?;
+        let part = table.get_mut(partition).ok_or(Refusal::NotOwner)?;
+        let lease = part.lease.as_ref().ok_or(Refusal::NotOwner)?;
         if !lease.until.is_ahead() {
             return Err(Refusal::NotOwner);
         }
-        let slice = *lease.record.slice_at(hash).ok_or(Refusal::NotOwner)?;
-        let token = lease.record.token(&slice);
-        let held = lease.held.get_mut(&slice.start).ok_or(Refusal::NotOwner)?;
-        if held.stopped {
+        let slice = lease.record.slice_at(hash).ok_or(Refusal::NotOwner)?;
+        let horizon = *lease.horizons.get(&slice.start).ok_or(Refusal::NotOwner)?;
+        if part.stopped.iter().any(|s| s.covers(hash, slice.version)) {
             return Err(Refusal::Moving);
         }
-        held.running += 1;
+        *part.running.entry(hash).or_default() += 1;
         Ok(Ticket {
             grants: Arc::clone(self),
             partition: partition.clone(),
-            start: slice.start,
-            token,
-            horizon: held.horizon,
+            hash,
+            token: lease.record.token(slice),
+            horizon,
         })
     }
 
@@ -195,21 +210,46 @@
         let table = self.lock();
         table
             .values()
+            .filter_map(|p| p.lease.as_ref())
             .filter(|l| l.until.is_ahead())
             .map(|l| (Arc::clone(&l.record), l.until))
             .collect()
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<ids::PartitionId, Lease>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<ids::PartitionId, Part>> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+impl Stopped {
+    fn covers(&self, hash: ids::KeyHash, version: ids::SliceVersion) -> bool {
+        self.version == version && self.from <= hash && hash <= self.to
+    }
+}
+
 impl Lease {
-    /// Returns what was held of a slice under the same version.
-    fn covering(&self, slice: &record::Slice) -> Option<Held> {
-        let held = self.held.get(&slice.start)?;
-        (held.version == slice.version).then_some(*held)
+    /// Returns the horizon of a range that this node has held without a break.
+    ///
+    /// The version of a hash never decreases and changes with its owner, so an equal version
+    /// proves that nobody else held the hash in between.
+    fn continued(
+        &self,
+        me: ids::NodeRef,
+        new: &record::Slice,
+        end: ids::KeyHash,
+    ) -> Option<time::Duration> {
+        let first = self.record.index_of(new.start);
+        let parts = self.record.slices[first..]
+            .iter()
+            .take_while(|s| s.start <= end);
+        let mut horizon = None;
+        for part in parts {
+            if part.owner != Some(me) || part.version != new.version {
+                return None;
+            }
+            horizon = horizon.max(self.horizons.get(&part.start).copied());
+        }
+        horizon
     }
 }
 
@@ -218,9 +258,11 @@
     #[must_use]
     pub fn valid_until(&self) -> Option<clock::Instant> {
         let table = self.grants.lock();
-        let lease = table.get(&self.partition)?;
-        let held = lease.held.get(&self.start)?;
-        let live = held.version == self.token.version && lease.until.is_ahead();
+        let lease = table.get(&self.partition)?.lease.as_ref()?;
+        let slice = lease.record.slice_at(self.hash)?;
+        let live = slice.owner == Some(self.grants.me)
+            && slice.version == self.token.version
+            && lease.until.is_ahead();
         live.then_some(lease.until)
     }
 }
@@ -229,13 +271,13 @@
     fn drop(&mut self) {
         {
             let mut table = self.grants.lock();
-            let held = table
-                .get_mut(&self.partition)
-                .and_then(|l| l.held.get_mut(&self.start));
-            if let Some(held) = held
-                && held.version == self.token.version
+            if let Some(part) = table.get_mut(&self.partition)
+                && let Some(n) = part.running.get_mut(&self.hash)
             {
-                held.running = held.running.saturating_sub(1);
+                *n -= 1;
+                if *n == 0 {
+                    part.running.remove(&self.hash);
+                }
             }
         }
         self.grants.finished.send_modify(|n| *n += 1);
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -43,6 +43,8 @@
     pub coordinator: coordinator::Coordinator,
     /// Promises given by this node.
     pub standby: standby::Standby,
+    /// Renewals and moves of this node's own slices.
+    pub owner: owner::Owner,
 }
 
 impl Node {
@@ -68,6 +70,7 @@
             router: router::Router::default(),
             coordinator: coordinator::Coordinator::default(),
             standby: standby::Standby::default(),
+            owner: owner::Owner::default(),
             settings,
         })
     }
--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -1,14 +1,444 @@
 //! Owner of slices: renews leases, passes grants to the backend server, releases moving slices.
+//!
+//! Enforces the owner's side of these rules:
+//! - R1: a lease counts from the moment its request was sent.
+//! - R2: the owner asks; nothing that is pushed to it extends a lease.
+//! - R5: a reply of a lower epoch than the newest known record is discarded.
+//! - R7: a reply is discarded if its request was sent before the last release, or if its record is
+//!   older than the one applied ([`Owner::accept`]).
+//! - R8: the backend server gets each grant with its tokens and with the end of the node's lease.
 
-use std::sync::Arc;
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time;
 
-use crate::coordination::node;
+use crate::coordination::{coordinator, grants, node, succession};
 use crate::protocol::peer;
+use crate::state::{clock, ids, record, timing};
+use crate::transport::error as transport;
+
+/// Time for one renewal; a later answer leaves too little of the lease to be useful.
+const RENEWAL_LIMIT: time::Duration = time::Duration::from_millis(400);
+
+/// Pause after a renewal that brought no lease.
+const RETRY: time::Duration = time::Duration::from_millis(50);
+
+/// Renewals and moves of this node's own slices.
+#[derive(Debug, Default)]
+pub struct Owner {
+    table: Mutex<HashMap<ids::PartitionId, Owned>>,
+}
+
+#[derive(Debug, Default)]
+struct Owned {
+    applied: Option<Arc<record::PartitionRecord>>,
+    released: clock::Instant,
+    renewed: clock::Instant,
+    handed: grants::Horizons,
+    moving: HashSet<(ids::KeyHash, ids::SliceVersion)>,
+}
+
+/// Result of one renewal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Renewal {
+    /// A lease was granted and applied.
+    Applied,
+    /// The answer was discarded or brought no lease.
+    Refused,
+}
+
+impl Owner {
+    /// Returns the stamp of the record applied last.
+    #[must_use]
+    pub fn stamp(&self, id: &ids::PartitionId) -> (ids::Epoch, ids::Revision) {
+        let table = self.lock();
+        let applied = table.get(id).and_then(|o| o.applied.as_ref());
+        applied.map(|r| r.stamp()).unwrap_or_default()
+    }
+
+    /// Returns when the last applied renewal was sent.
+    #[must_use]
+    pub fn renewed(&self, id: &ids::PartitionId) -> clock::Instant {
+        self.lock().get(id).map(|o| o.renewed).unwrap_or_default()
+    }
+
+    /// Returns the record of a reply if the reply may be applied (R5, R7), and notes it.
+    #[must_use]
+    pub fn accept(
+        &self,
+        id: &ids::PartitionId,
+        sent: clock::Instant,
+        stamp: (ids::Epoch, ids::Revision),
+        record: Option<record::PartitionRecord>,
+        newest: ids::Epoch,
+    ) -> Option<Arc<record::PartitionRecord>> {
+        let mut table = self.lock();
+        let owned = table.entry(id.clone()).or_default();
+        let applied = owned
+            .applied
+            .as_ref()
+            .map(|r| r.stamp())
+            .unwrap_or_default();
+        if sent <= owned.released || stamp < applied || stamp.0 < newest {
+            return None;
+        }
+        let record = record.map(Arc::new).or_else(|| owned.applied.clone())?;
+        if record.stamp() != stamp || record.id != *id {
+            return None;
+        }
+        owned.applied = Some(Arc::clone(&record));
+        owned.renewed = owned.renewed.max(sent);
+        Some(record)
+    }
+
+    /// Notes that slices stop being served: replies to earlier requests are discarded.
+    pub fn release(&self, id: &ids::PartitionId) {
+        let mut table = self.lock();
+        table.entry(id.clone()).or_default().released = clock::Instant::now();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<ids::PartitionId, Owned>> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
 
 /// Keeps the outcomes of a slice that is about to be granted to this node.
-pub async fn handover(node: &Arc<node::Node>, _req: peer::Handover) -> peer::HandoverReply {
-    peer::HandoverReply::Incarnation(node.me.incarnation)
+pub async fn handover(node: &Arc<node::Node>, req: peer::Handover) -> peer::HandoverReply {
+    if req.to != node.me.incarnation {
+        return peer::HandoverReply::Incarnation(node.me.incarnation);
+    }
+    node.outcomes.keep(&req.partition, req.outcomes);
+    // Only the last of several messages carries the horizon; without it the slice counts as not
+    // handed over.
+    if req.horizon < time::Duration::MAX {
+        let mut table = node.owner.lock();
+        let owned = table.entry(req.partition).or_default();
+        owned
+            .handed
+            .insert((req.start, req.version.next()), req.horizon);
+    }
+    peer::HandoverReply::Taken
 }
 
 /// Renews the leases of this node.
-pub async fn run(_node: Arc<node::Node>) {}
+pub async fn run(node: Arc<node::Node>) {
+    let state = Arc::clone(&node);
+    run_with(node, move || state.backend.state()).await;
+}
+
+/// Renews the leases of this node for a backend server whose state is given.
+pub async fn run_with<F>(node: Arc<node::Node>, backend: F)
+where
+    F: Fn() -> Option<(String, peer::BackendState)> + Send,
+{
+    let mut changes = node.records.changes();
+    let mut was = None;
+    loop {
+        let start = clock::Instant::now();
+        let state = backend();
+        let id = state.as_ref().map(|(s, _)| ids::PartitionId::first(s));
+        if let Some(old) = was.take_if(|old| Some(&*old) != id.as_ref()) {
+            surrender(&node, &old);
+        }
+        was.clone_from(&id);
+        let mut pause = timing::LEASE_RENEWAL;
+        if let (Some(id), Some((_, state))) = (id, state) {
+            if !state.up {
+                surrender(&node, &id);
+            }
+            if renew(&node, &id, state).await == Renewal::Refused {
+                pause = RETRY;
+            }
+        }
+        let wait = (start + pause).left().max(RETRY / 2);
+        // A new record may assign slices to this node, or name another coordinator.
+        drop(tokio::time::timeout(wait, changes.changed()).await);
+    }
+}
+
+/// Stops serving a partition at once.
+fn surrender(node: &Arc<node::Node>, id: &ids::PartitionId) {
+    node.grants.drop_lease(id);
+    node.owner.release(id);
+}
+
+/// Asks the coordinator once for a lease and applies it.
+pub async fn renew(
+    node: &Arc<node::Node>,
+    id: &ids::PartitionId,
+    state: peer::BackendState,
+) -> Renewal {
+    let Some(known) = node.records.get(id) else {
+        succession::look_up(node, id).await;
+        return Renewal::Refused;
+    };
+    let to = known.coordinator;
+    let req = peer::Renew {
+        from: node.me,
+        to: to.incarnation,
+        partition: id.clone(),
+        stamp: node.owner.stamp(id),
+        domain: node.settings.domain.clone(),
+        backend: state,
+        load: peer::Load::default(),
+    };
+    let sent = clock::Instant::now();
+    let reply = match call(node, to, req).await {
+        Ok(reply) => reply,
+        Err(e) => {
+            tracing::debug!(event = 420, partition = %id, coordinator = %to, error = %e, "renewal failed");
+            return Renewal::Refused;
+        }
+    };
+    apply(node, id, state, sent, reply)
+}
+
+async fn call(
+    node: &Arc<node::Node>,
+    to: ids::NodeRef,
+    req: peer::Renew,
+) -> Result<peer::RenewReply, transport::Error> {
+    if to == node.me {
+        return Ok(coordinator::renew(node, req).await);
+    }
+    let call = node
+        .peers
+        .call(to.addr, RENEWAL_LIMIT, |client, context| async move {
+            client.renew(context, req).await
+        });
+    call.await
+}
+
+/// Applies the answer to a renewal that was sent at `sent`.
+pub fn apply(
+    node: &Arc<node::Node>,
+    id: &ids::PartitionId,
+    state: peer::BackendState,
+    sent: clock::Instant,
+    reply: peer::RenewReply,
+) -> Renewal {
+    let (stamp, record) = match reply {
+        peer::RenewReply::Granted { stamp, record } => (stamp, record),
+        peer::RenewReply::NotCoordinator(Some(newer)) => {
+            if let Ok(newer) = record::PartitionRecord::try_from(*newer) {
+                node.records.offer(newer);
+            }
+            return Renewal::Refused;
+        }
+        peer::RenewReply::NotCoordinator(None) | peer::RenewReply::NoAuthority => {
+            return Renewal::Refused;
+        }
+    };
+    let Ok(record) = record
+        .map(|r| record::PartitionRecord::try_from(*r))
+        .transpose()
+    else {
+        tracing::warn!(event = 421, partition = %id, "coordinator sent an invalid record");
+        return Renewal::Refused;
+    };
+    let newest = node.records.get(id).map(|r| r.epoch).unwrap_or_default();
+    let Some(record) = node.owner.accept(id, sent, stamp, record, newest) else {
+        tracing::info!(event = 422, partition = %id, epoch = %stamp.0, revision = %stamp.1, "renewal discarded");
+        return Renewal::Refused;
+    };
+    node.records.offer((*record).clone());
+    if !state.up {
+        return Renewal::Refused;
+    }
+    let until = sent + timing::LEASE;
+    let handed = handed(node, &record);
+    node.grants.renew(Arc::clone(&record), until, &handed);
+    start_moves(node, &record);
+    Renewal::Applied
+}
+
+/// Returns the horizons that were handed over, and forgets those of slices that moved on.
+fn handed(node: &Arc<node::Node>, record: &record::PartitionRecord) -> grants::Horizons {
+    let mut table = node.owner.lock();
+    let owned = table.entry(record.id.clone()).or_default();
+    owned.handed.retain(|(start, version), _| {
+        record
+            .slice_at(*start)
+            .is_some_and(|s| s.version <= *version)
+    });
+    owned.handed.clone()
+}
+
+fn start_moves(node: &Arc<node::Node>, record: &Arc<record::PartitionRecord>) {
+    for (i, slice) in record.slices.iter().enumerate() {
+        let (Some(target), true) = (slice.target, slice.owner == Some(node.me)) else {
+            continue;
+        };
+        let new = {
+            let mut table = node.owner.lock();
+            let owned = table.entry(record.id.clone()).or_default();
+            owned.moving.insert((slice.start, slice.version))
+        };
+        if new {
+            let leaving = Leaving {
+                id: record.id.clone(),
+                start: slice.start,
+                end: record.end_of(i),
+                version: slice.version,
+                target,
+            };
+            node.grants
+                .stop(&leaving.id, leaving.start, leaving.end, leaving.version);
+            tokio::spawn(leave(Arc::clone(node), leaving));
+        }
+    }
+}
+
+/// Slice that this node is handing to another.
+#[derive(Debug, Clone)]
+struct Leaving {
+    id: ids::PartitionId,
+    start: ids::KeyHash,
+    end: ids::KeyHash,
+    version: ids::SliceVersion,
+    target: ids::NodeRef,
+}
+
+async fn leave(node: Arc<node::Node>, leaving: Leaving) {
+    tracing::info!(event = 423, partition = %leaving.id, start = leaving.start.0, target = %leaving.target, "releasing the slice");
+    drained(&node, &leaving).await;
+    while leaving.is_current(&node) && !hand_over(&node, &leaving).await {
+        tokio::time::sleep(RETRY).await;
+    }
+    node.owner.release(&leaving.id);
+    while leaving.is_current(&node) {
+        give_up(&node, &leaving).await;
+        tokio::time::sleep(RETRY).await;
+    }
+    let mut table = node.owner.lock();
+    if let Some(owned) = table.get_mut(&leaving.id) {
+        owned.moving.remove(&(leaving.start, leaving.version));
+    }
+}
+
+/// Waits until no request of the slice is running.
+async fn drained(node: &Arc<node::Node>, leaving: &Leaving) {
+    let mut finished = node.grants.finished();
+    while node.grants.running(&leaving.id, leaving.start, leaving.end) > 0 {
+        // The sender lives as long as the node.
+        drop(finished.changed().await);
+    }
+}
+
+impl Leaving {
+    /// Returns whether the newest record still moves the slice away from this node.
+    fn is_current(&self, node: &Arc<node::Node>) -> bool {
+        let record = node.records.get(&self.id);
+        let slice = record.as_ref().and_then(|r| r.slice_at(self.start));
+        slice.is_some_and(|s| {
+            s.start == self.start
+                && s.version == self.version
+                && s.owner == Some(node.me)
+                && s.target == Some(self.target)
+        })
+    }
+}
+
+/// Sends recent outcomes to the next owner; returns whether it has taken all of them.
+async fn hand_over(node: &Arc<node::Node>, leaving: &Leaving) -> bool {
+    let outcomes = node
+        .outcomes
+        .collect(&leaving.id, leaving.start, leaving.end);
+    let held = node.grants.horizon(&leaving.id, leaving.start);
+    let Some(held) = held else { return false };
+    let horizon = held.max(node.outcomes.evicted_before());
+    let mut parts = chunks(outcomes);
+    let last = parts.pop().unwrap_or_default();
+    for part in parts {
+        if !send_part(node, leaving, part, time::Duration::MAX).await {
+            return false;
+        }
+    }
+    send_part(node, leaving, last, horizon).await
+}
+
+/// Divides outcomes so that each part fits well into a frame.
+fn chunks(outcomes: Vec<peer::Finished>) -> Vec<Vec<peer::Finished>> {
+    let mut parts = vec![Vec::new()];
+    let mut size = 0;
+    for finished in outcomes {
+        let body = match &finished.outcome {
+            peer::Outcome::Answered(answer) => answer.body.len(),
+            peer::Outcome::NotRun(_) | peer::Outcome::Unknown(_) => 0,
+        };
+        size += body + OUTCOME_OVERHEAD;
+        if size > PART {
+            parts.push(Vec::new());
+            size = body + OUTCOME_OVERHEAD;
+        }
+        if let Some(part) = parts.last_mut() {
+            part.push(finished);
+        }
+    }
+    parts
+}
+
+/// Encoded size of an outcome without its body, in bytes, rounded up.
+const OUTCOME_OVERHEAD: usize = 256;
+
+/// Size of one handover message, in bytes; an answer's body has at most 1 MiB.
+const PART: usize = peer::MAX_FRAME / 2;
+
+async fn send_part(
+    node: &Arc<node::Node>,
+    leaving: &Leaving,
+    outcomes: Vec<peer::Finished>,
+    horizon: time::Duration,
+) -> bool {
+    let req = peer::Handover {
+        from: node.me,
+        to: leaving.target.incarnation,
+        partition: leaving.id.clone(),
+        start: leaving.start,
+        version: leaving.version,
+        horizon,
+        outcomes,
+    };
+    let to = leaving.target.addr;
+    let call = node
+        .peers
+        .call(to, RENEWAL_LIMIT, |client, context| async move {
+            client.handover(context, req).await
+        });
+    match call.await {
+        Ok(reply) => reply == peer::HandoverReply::Taken,
+        Err(e) => {
+            tracing::warn!(event = 424, partition = %leaving.id, target = %leaving.target, error = %e, "handover failed");
+            false
+        }
+    }
+}
+
+/// Tells the coordinator that the slice is no longer served here.
+async fn give_up(node: &Arc<node::Node>, leaving: &Leaving) {
+    let Some(record) = node.records.get(&leaving.id) else {
+        return;
+    };
+    let to = record.coordinator;
+    let req = peer::Release {
+        from: node.me,
+        to: to.incarnation,
+        partition: leaving.id.clone(),
+        slices: vec![(leaving.start, leaving.version)],
+    };
+    let reply = if to == node.me {
+        Ok(coordinator::release(node, req).await)
+    } else {
+        let call = node
+            .peers
+            .call(to.addr, RENEWAL_LIMIT, |client, context| async move {
+                client.release(context, req).await
+            });
+        call.await
+    };
+    if let Ok(peer::ReleaseReply::Done(record)) = reply
+        && let Ok(record) = record::PartitionRecord::try_from(*record)
+    {
+        node.records.offer(record);
+    }
+}
--- a/src/protocol/record.rs
+++ b/src/protocol/record.rs
@@ -21,6 +21,19 @@
     writer: Writer,
 }
 
+/// Value at the platform's service: the record, and the hold time under which it was written.
+///
+/// The hold time is stored with the record because the coordinator and a node that claims must
+/// use the same value, even while they have different documents.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stored {
+    /// Hold time of a claim by a node that is not a standby, in milliseconds.
+    pub hold_ms: u64,
+    /// Record.
+    #[serde(flatten)]
+    pub record: Record,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Server {
     node: ids::NodeRef,
--- a/src/state/record.rs
+++ b/src/state/record.rs
@@ -3,6 +3,8 @@
 //! The platform's service holds one record for each partition. A record changes only by
 //! compare-and-swap, and nobody acts on a change before the write is known to have happened.
 
+use std::collections::BTreeSet;
+
 use crate::state::{error, ids};
 
 /// Record of one partition.
@@ -118,6 +120,66 @@
         self.servers.iter().find(|s| s.node == node)
     }
 
+    /// Returns the servers that own at least one slice, each once.
+    #[must_use]
+    pub fn owners(&self) -> BTreeSet<ids::NodeRef> {
+        self.slices.iter().filter_map(|s| s.owner).collect()
+    }
+
+    /// Returns the number of slices that a server owns or is to get.
+    #[must_use]
+    pub fn count(&self, node: ids::NodeRef) -> usize {
+        self.slices
+            .iter()
+            .filter(|s| s.target.or(s.owner) == Some(node))
+            .count()
+    }
+
+    /// Assigns the slice at a position to a server and ends its move.
+    ///
+    /// The version is increased even if the owner stays the same, so that a release of the ended
+    /// move that is still under way has no effect.
+    pub fn assign(&mut self, index: usize, owner: ids::NodeRef) {
+        let slice = &mut self.slices[index];
+        slice.owner = Some(owner);
+        slice.target = None;
+        slice.version = slice.version.next();
+    }
+
+    /// Splits the slice that contains a hash, so that one starts there, and returns whether it did.
+    ///
+    /// Both parts keep owner and version. A slice that is being moved is not split, because its
+    /// owner releases it as a whole.
+    pub fn split(&mut self, at: ids::KeyHash) -> bool {
+        let index = self.index_of(at);
+        let slice = self.slices[index];
+        if slice.start == at || slice.target.is_some() {
+            return false;
+        }
+        self.slices.insert(index + 1, Slice { start: at, ..slice });
+        true
+    }
+
+    /// Merges the slice at a position with the one that follows, and returns whether it did.
+    ///
+    /// Both must have the same owner and not be moving. The version becomes the higher of the two,
+    /// so that no hash sees its version decrease.
+    pub fn merge(&mut self, index: usize) -> bool {
+        let Some(&[left, right]) = self
+            .slices
+            .get(index..index + 2)
+            .and_then(|s| s.first_chunk())
+        else {
+            return false;
+        };
+        if left.owner != right.owner || left.target.is_some() || right.target.is_some() {
+            return false;
+        }
+        self.slices[index].version = left.version.max(right.version);
+        self.slices.remove(index + 1);
+        true
+    }
+
     /// Checks the invariants of the record.
     ///
     /// # Errors
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,6 +1,7 @@
 //! Transport layer: connections to peers, to the platform's service and to the backend server.
 
 pub mod error;
+pub mod grant;
 pub mod peer_server;
 pub mod peers;
 pub mod platform;
