Add the node's command and count peer traffic at the socket

Cause: the budget for control traffic is stated in bytes per second. Change: node command with settings, signals and drain; a counting stream.

--- /dev/null
+++ b/src/cmd/node.rs
@@ -0,0 +1,131 @@
+//! `filbertflow-node`: runs one node until it is told to stop.
+
+use std::sync::Arc;
+use std::{fs, time};
+
+use eyre::WrapErr;
+use gumdrop::Options;
+use tokio::signal::unix;
+
+use crate::cmd::{exit, logging};
+use crate::coordination::{membership, node, service};
+use crate::protocol::source;
+use crate::state::settings;
+use crate::transport::{counted, peer_server};
+
+const USAGE: &str = "\
+Runs one filbertflow node beside a backend server.
+
+Usage:
+    filbertflow-node --settings FILE [--check]
+
+The node accepts callers, other nodes and operators at the addresses in its
+settings. On SIGTERM or SIGINT it hands its slices over, finishes what is in
+flight and exits; a second signal ends it at once.
+
+Example:
+    filbertflow-node --settings node.jsonc
+
+Exit codes: 0 stopped as told, 1 failure at run time, 2 invalid settings.
+
+Options:";
+
+/// Longest time for handing over slices after a signal.
+const DRAIN_LIMIT: time::Duration = time::Duration::from_secs(30);
+
+/// Interval at which a draining node looks whether it still holds slices.
+const DRAIN_POLL: time::Duration = time::Duration::from_millis(50);
+
+#[derive(Debug, Default, Options)]
+struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print the version", short = "V")]
+    version: bool,
+    #[options(help = "settings file, JSON with comments", meta = "FILE")]
+    settings: Option<String>,
+    #[options(help = "check the settings and exit")]
+    check: bool,
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Returns an error with its exit code if the settings are invalid or an address can't be bound.
+pub fn run(args: &[String]) -> eyre::Result<()> {
+    let args = Args::parse_args_default(args)
+        .map_err(|e| exit::Failure::new(exit::Exit::BadInput, format!("{e}\n\n{USAGE}")))?;
+    if args.help {
+        println!("{USAGE}\n{}", Args::usage());
+        return Ok(());
+    }
+    if args.version {
+        println!("filbertflow-node {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    let settings = load(args.settings.as_deref())?;
+    if args.check {
+        return Ok(());
+    }
+    logging::start();
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .wrap_err("can't start the runtime")?
+        .block_on(serve(settings))
+}
+
+fn load(file: Option<&str>) -> eyre::Result<settings::Settings> {
+    let bad = |message: String| exit::Failure::new(exit::Exit::BadInput, message);
+    let file = file.ok_or_else(|| bad(format!("--settings is required\n\n{USAGE}")))?;
+    let text = fs::read_to_string(file).map_err(|e| bad(format!("{file}: {e}")))?;
+    Ok(source::settings(file, &text).map_err(|e| bad(e.to_string()))?)
+}
+
+async fn serve(settings: settings::Settings) -> eyre::Result<()> {
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
+    let peer_addr = settings.peer;
+    let listener = peer_server::bind(peer_addr.0)
+        .await
+        .wrap_err_with(|| format!("can't listen for peers at {peer_addr}"))?;
+    let node = node::Node::new(settings);
+    let shared = Arc::clone(&node);
+    let traffic = counted::Traffic::from(&node.metrics.traffic);
+    tokio::spawn(peer_server::serve(listener, traffic, move |accepted| {
+        service::connection(Arc::clone(&shared), accepted)
+    }));
+    node.spawn();
+    tracing::info!(event = 101, node = %node.me, "node started");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    tracing::info!(event = 102, node = %node.me, "stopping: handing over slices");
+    tokio::select! {
+        () = drain(&node) => {}
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    tracing::info!(event = 103, node = %node.me, "node stopped");
+    Ok(())
+}
+
+async fn drain(node: &Arc<node::Node>) {
+    let handed_over = async {
+        while !node.grants.live().is_empty() {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    };
+    if tokio::time::timeout(DRAIN_LIMIT, handed_over)
+        .await
+        .is_err()
+    {
+        tracing::warn!(
+            event = 104,
+            "slices are still held at the end of the drain limit"
+        );
+    }
+    membership::leave(node).await;
+}
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -8,7 +8,7 @@
 };
 use crate::metrics;
 use crate::state::{ids, settings};
-use crate::transport::{peers, platform};
+use crate::transport::{counted, peers, platform};
 
 /// State shared by the tasks of a node.
 #[derive(Debug)]
@@ -53,10 +53,12 @@
             addr: settings.peer,
             incarnation: ids::Incarnation::now(),
         };
+        let metrics = metrics::Metrics::default();
+        let traffic = counted::Traffic::from(&metrics.traffic);
         Arc::new(Self {
             me,
-            metrics: metrics::Metrics::default(),
-            peers: peers::Pool::new(me),
+            peers: peers::Pool::new(me, traffic),
+            metrics,
             platform: platform::Client::new(settings.platform),
             members: membership::Members::new(me, &settings),
             records: records::Records::default(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The layers are `state`, `protocol`, `transport`, `coordination` and `cmd`; a lower one never
 //! depends on a higher one. `docs/design.md` describes the whole.
 
+pub mod cmd;
 pub mod coordination;
 pub mod metrics;
 pub mod protocol;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -17,6 +17,8 @@
     pub requests: IntCounterVec,
     /// Time from arrival to answer at the entry, in seconds, by service, class and outcome.
     pub latency: HistogramVec,
+    /// Traffic with peers, by direction.
+    pub traffic: IntCounterVec,
     /// Messages, answers and requests dropped or refused anywhere, by place and reason.
     pub dropped: IntCounterVec,
 }
@@ -39,14 +41,21 @@
             &["place", "reason"],
         )
         .expect("the metric's name and labels are valid");
+        let traffic = IntCounterVec::new(
+            Opts::new("filbertflow_peer_traffic_total", "Traffic with peers"),
+            &["direction"],
+        )
+        .expect("the metric's name and labels are valid");
         let metrics = Self {
             registry: Registry::new(),
             requests,
             latency,
+            traffic,
             dropped,
         };
         metrics.register(Box::new(metrics.requests.clone()));
         metrics.register(Box::new(metrics.latency.clone()));
+        metrics.register(Box::new(metrics.traffic.clone()));
         metrics.register(Box::new(metrics.dropped.clone()));
         metrics
     }
--- /dev/null
+++ b/src/transport/counted.rs
@@ -0,0 +1,81 @@
+//! Stream that counts what crosses the socket.
+//!
+//! The budget for control traffic is stated in bytes per second at the network, so bytes are
+//! counted below the codec. Each successful write is counted as one packet, to add the headers.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use prometheus::{IntCounter, IntCounterVec};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Counters of the traffic with all peers.
+#[derive(Debug, Clone)]
+pub struct Traffic {
+    sent: IntCounter,
+    received: IntCounter,
+    writes: IntCounter,
+}
+
+impl From<&IntCounterVec> for Traffic {
+    /// Takes the counters from a vector with the one label `direction`.
+    fn from(counters: &IntCounterVec) -> Self {
+        Self {
+            sent: counters.with_label_values(&["sent_bytes"]),
+            received: counters.with_label_values(&["received_bytes"]),
+            writes: counters.with_label_values(&["writes"]),
+        }
+    }
+}
+
+/// Counting stream.
+#[derive(Debug)]
+pub struct Counted<S> {
+    inner: S,
+    traffic: Traffic,
+}
+
+impl<S> Counted<S> {
+    /// Wraps a stream.
+    pub const fn new(inner: S, traffic: Traffic) -> Self {
+        Self { inner, traffic }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Counted<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let result = Pin::new(&mut self.inner).poll_read(cx, buf);
+        let read = buf.filled().len() - before;
+        self.traffic.received.inc_by(read as u64);
+        result
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Counted<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.inner).poll_write(cx, buf);
+        if let Poll::Ready(Ok(written)) = result {
+            self.traffic.sent.inc_by(written as u64);
+            self.traffic.writes.inc();
+        }
+        result
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- a/src/transport/peer_server.rs
+++ b/src/transport/peer_server.rs
@@ -9,6 +9,7 @@
 use tokio_util::codec;
 
 use crate::protocol::peer;
+use crate::transport::counted;
 
 /// Requests that one peer connection may have in progress.
 const MAX_IN_PROGRESS: usize = 4096;
@@ -30,7 +31,7 @@
     peer::PeerRequest,
     peer::PeerResponse,
     serde_transport::Transport<
-        tokio_net::TcpStream,
+        counted::Counted<tokio_net::TcpStream>,
         tarpc::ClientMessage<peer::PeerRequest>,
         tarpc::Response<peer::PeerResponse>,
         formats::Bincode<
@@ -41,15 +42,18 @@
 >;
 
 /// Accepts peer connections until the task is aborted, and runs `connection` in a task for each.
-pub async fn serve<F, Fut>(listener: tokio_net::TcpListener, connection: F)
-where
+pub async fn serve<F, Fut>(
+    listener: tokio_net::TcpListener,
+    traffic: counted::Traffic,
+    connection: F,
+) where
     F: Fn(Accepted) -> Fut,
     Fut: Future<Output = ()> + Send + 'static,
 {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(connection(accept(stream)));
+                tokio::spawn(connection(accept(stream, traffic.clone())));
             }
             Err(e) => {
                 tracing::warn!(event = 201, error = %e, "can't accept a peer connection");
@@ -60,11 +64,11 @@
     }
 }
 
-fn accept(stream: tokio_net::TcpStream) -> Accepted {
+fn accept(stream: tokio_net::TcpStream, traffic: counted::Traffic) -> Accepted {
     if let Err(e) = stream.set_nodelay(true) {
         tracing::debug!(event = 202, error = %e, "can't disable delayed sends");
     }
-    let frames = frame_codec().new_framed(stream);
+    let frames = frame_codec().new_framed(counted::Counted::new(stream, traffic));
     let transport = serde_transport::new(frames, formats::Bincode::default());
     let config = server::Config {
         pending_response_buffer: MAX_IN_PROGRESS,
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -18,7 +18,7 @@
 
 use crate::protocol::peer;
 use crate::state::{clock, ids, timing};
-use crate::transport::{error, peer_server};
+use crate::transport::{counted, error, peer_server};
 
 /// Time without calls after which a connection is closed.
 const IDLE: time::Duration = time::Duration::from_secs(30);
@@ -34,6 +34,7 @@
 
 struct Shared {
     me: ids::NodeRef,
+    traffic: counted::Traffic,
     peers: Mutex<HashMap<ids::NodeAddr, Handle>>,
 }
 
@@ -121,10 +122,11 @@
 impl Pool {
     /// Creates a pool without connections.
     #[must_use]
-    pub fn new(me: ids::NodeRef) -> Self {
+    pub fn new(me: ids::NodeRef, traffic: counted::Traffic) -> Self {
         Self {
             shared: Arc::new(Shared {
                 me,
+                traffic,
                 peers: Mutex::default(),
             }),
         }
@@ -176,7 +178,8 @@
             .entry(addr)
             .or_insert_with(|| {
                 let (asks, rx) = mpsc::channel(MAX_IN_FLIGHT);
-                tokio::spawn(run(self.shared.me, addr, rx));
+                let traffic = self.shared.traffic.clone();
+                tokio::spawn(run(self.shared.me, addr, traffic, rx));
                 Handle { asks }
             })
             .clone()
@@ -226,7 +229,12 @@
     }
 }
 
-async fn run(me: ids::NodeRef, addr: ids::NodeAddr, mut asks: mpsc::Receiver<Ask>) {
+async fn run(
+    me: ids::NodeRef,
+    addr: ids::NodeAddr,
+    traffic: counted::Traffic,
+    mut asks: mpsc::Receiver<Ask>,
+) {
     let mut open: Option<Open> = None;
     let mut tick = tokio::time::interval(timing::KEEP_ALIVE / 2);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -241,7 +249,7 @@
                 }
                 let result = match &open {
                     Some(o) => Ok(o.connection.clone()),
-                    None => dial(addr).await.map(|o| open.insert(o).connection.clone()),
+                    None => dial(addr, traffic.clone()).await.map(|o| open.insert(o).connection.clone()),
                 };
                 // The asker may have been cancelled meanwhile; the connection is kept.
                 drop(ask.send(result));
@@ -309,7 +317,7 @@
     }
 }
 
-async fn dial(addr: ids::NodeAddr) -> Result<Open, error::Error> {
+async fn dial(addr: ids::NodeAddr, traffic: counted::Traffic) -> Result<Open, error::Error> {
     let attempt = tokio::time::timeout(timing::CONNECT_TIMEOUT, net::TcpStream::connect(addr.0));
     let stream = match attempt.await {
         Ok(Ok(stream)) => stream,
@@ -324,7 +332,7 @@
         }
     };
     stream.set_nodelay(true)?;
-    let frames = peer_server::frame_codec().new_framed(stream);
+    let frames = peer_server::frame_codec().new_framed(counted::Counted::new(stream, traffic));
     let transport = tarpc::serde_transport::new(frames, formats::Bincode::default());
     let mut config = client::Config::default();
     config.max_in_flight_requests = MAX_IN_FLIGHT;
