Add messages of callers and of the backend server

Cause: the request path needs its wire types. Measured: nothing measured. Conclusion: entry, gate and admin listener can be written against these types.

--- /dev/null
+++ b/src/protocol/backend.rs
@@ -0,0 +1,123 @@
+//! Messages to and from the backend server beside a node: JSON and headers over HTTP.
+
+use serde::{Deserialize, Serialize};
+
+use crate::protocol::peer;
+
+/// Header with the identifier of a request, in requests and responses.
+pub const ID: &str = "filbert-id";
+
+/// Header with the identifier of an attempt.
+pub const ATTEMPT: &str = "filbert-attempt";
+
+/// Header with the key, percent-encoded.
+pub const KEY: &str = "filbert-key";
+
+/// Header with the fencing token, `EPOCH.VERSION`.
+pub const TOKEN: &str = "filbert-token";
+
+/// Header with the time left, in milliseconds.
+pub const DEADLINE_MS: &str = "filbert-deadline-ms";
+
+/// Header of a response that proves that the request did not run.
+pub const REFUSED: &str = "filbert-refused";
+
+/// Largest body of a response, in bytes; a peer message with it must fit a frame.
+pub const MAX_BODY: u64 = 3 << 20;
+
+/// Notice by which a backend server makes itself known to its node.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announcement {
+    /// Service that it belongs to.
+    pub service: String,
+    /// Address for requests.
+    pub address: std::net::SocketAddr,
+    /// Start of the server's process.
+    pub incarnation: u64,
+    /// Concurrent requests that it runs.
+    pub slots: u32,
+    /// Connections that it accepts.
+    pub connections: u32,
+    /// Whether it checks fencing tokens.
+    #[serde(default)]
+    pub checks_tokens: bool,
+    /// Whether it wants no more work.
+    #[serde(default)]
+    pub draining: bool,
+    /// Time that it needs from its start until it is at full speed, in milliseconds.
+    #[serde(default)]
+    pub cold_start_ms: u64,
+}
+
+/// Proof of a backend server that a request did not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// The token is older than one that it has seen.
+    StaleToken,
+    /// It holds no live grant on the slice.
+    NoGrant,
+    /// It has too much work.
+    Shed,
+    /// It is leaving.
+    Draining,
+    /// It is not ready yet.
+    Cold,
+    /// The request was cancelled before it started.
+    Cancelled,
+    /// The deadline passed before the request started.
+    Expired,
+}
+
+impl Refusal {
+    /// Reads the value of the header `filbert-refused`.
+    #[must_use]
+    pub fn parse(s: &str) -> Option<Self> {
+        match s {
+            "stale-token" => Some(Self::StaleToken),
+            "no-grant" => Some(Self::NoGrant),
+            "shed" => Some(Self::Shed),
+            "draining" => Some(Self::Draining),
+            "cold" => Some(Self::Cold),
+            "cancelled" => Some(Self::Cancelled),
+            "expired" => Some(Self::Expired),
+            _ => None,
+        }
+    }
+}
+
+impl From<Refusal> for peer::NotRunReason {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::StaleToken | Refusal::NoGrant => Self::Fenced,
+            Refusal::Shed => Self::Shed,
+            Refusal::Draining => Self::Draining,
+            Refusal::Cold => Self::Cold,
+            Refusal::Cancelled => Self::Cancelled,
+            Refusal::Expired => Self::Expired,
+        }
+    }
+}
+
+/// Answer to a cancel.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cancelled {
+    /// The request will no longer start.
+    NotStarted,
+    /// The request is running.
+    Running,
+    /// The request has finished.
+    Finished,
+}
+
+impl Cancelled {
+    /// Reads the body of the answer.
+    #[must_use]
+    pub fn parse(s: &str) -> Option<Self> {
+        match s.trim() {
+            "not-started" => Some(Self::NotStarted),
+            "running" => Some(Self::Running),
+            "finished" => Some(Self::Finished),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/protocol/caller.rs
@@ -0,0 +1,278 @@
+//! Requests of callers and the responses to them.
+
+use std::time;
+
+use crate::protocol::peer;
+use crate::state::{document, ids};
+
+/// Header with the identifier of a request.
+pub const ID: &str = "filbert-id";
+
+/// Header with the time left until the caller's deadline, in milliseconds.
+pub const DEADLINE_MS: &str = "filbert-deadline-ms";
+
+/// Header with the class of the caller.
+pub const CLASS: &str = "filbert-class";
+
+/// Response header with the outcome.
+pub const OUTCOME: &str = "filbert-outcome";
+
+/// Response header with the reason of the outcome.
+pub const REASON: &str = "filbert-reason";
+
+/// Response header with the time after which a new attempt makes sense, in whole seconds.
+pub const RETRY_AFTER: &str = "Retry-After";
+
+/// Response header with the time after which a new attempt makes sense, in milliseconds.
+pub const RETRY_AFTER_MS: &str = "filbert-retry-after-ms";
+
+/// Largest body of a request, in bytes.
+pub const MAX_BODY: usize = 1 << 20;
+
+/// Request of a caller.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub url: String,
+    /// Headers, names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// Whole body.
+    pub body: Vec<u8>,
+}
+
+/// Response to a caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Response {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers besides the length of the body.
+    pub headers: Vec<(&'static str, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// Request that can't be accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Invalid {
+    /// HTTP status.
+    pub status: u16,
+    /// Why.
+    pub reason: &'static str,
+}
+
+impl Invalid {
+    /// Creates a refusal of a malformed request.
+    #[must_use]
+    pub const fn malformed(reason: &'static str) -> Self {
+        Self {
+            status: 400,
+            reason,
+        }
+    }
+
+    /// Creates a refusal of a request whose body is too large.
+    #[must_use]
+    pub const fn too_large() -> Self {
+        Self {
+            status: 413,
+            reason: "body-too-large",
+        }
+    }
+}
+
+impl Request {
+    /// Returns the value of a header, if it is given.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name))
+            .map(|(_, v)| v.as_str())
+    }
+
+    /// Returns the identifier that the caller gave.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is not a version 7 UUID.
+    pub fn id(&self) -> Result<Option<ids::RequestId>, Invalid> {
+        let parsed = self.header(ID).map(str::parse).transpose();
+        parsed.map_err(|_| Invalid::malformed("id-malformed"))
+    }
+
+    /// Returns the time that the caller gives.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is not a whole number of milliseconds.
+    pub fn deadline(&self) -> Result<Option<time::Duration>, Invalid> {
+        let parsed = self.header(DEADLINE_MS).map(str::parse).transpose();
+        parsed
+            .map(|ms| ms.map(time::Duration::from_millis))
+            .map_err(|_| Invalid::malformed("deadline-malformed"))
+    }
+
+    /// Divides the URL into the name of the service and the rest, which starts with a slash.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the path names no service.
+    pub fn target(&self) -> Result<(&str, String), Invalid> {
+        let path = self
+            .url
+            .strip_prefix('/')
+            .ok_or(Invalid::malformed("path-malformed"))?;
+        let end = path.find(['/', '?']).unwrap_or(path.len());
+        let (service, rest) = path.split_at(end);
+        if service.is_empty() {
+            return Err(Invalid::malformed("service-missing"));
+        }
+        if rest.starts_with('/') {
+            return Ok((service, rest.to_owned()));
+        }
+        Ok((service, format!("/{rest}")))
+    }
+
+    /// Returns the key of the request, percent-decoded.
+    #[must_use]
+    pub fn key(&self, source: &document::KeySource, rest: &str) -> Option<String> {
+        let (path, query) = rest.split_once('?').unwrap_or((rest, ""));
+        let raw = match source {
+            document::KeySource::Header(name) => self.header(name)?,
+            document::KeySource::Segment(n) => path.split('/').skip(1).nth(*n)?,
+            document::KeySource::Query(name) => query
+                .split('&')
+                .filter_map(|pair| pair.split_once('='))
+                .find(|(n, _)| n == name)
+                .map(|(_, v)| v)?,
+        };
+        let key = percent_encoding::percent_decode_str(raw).decode_utf8();
+        key.ok().map(String::from).filter(|k| !k.is_empty())
+    }
+}
+
+impl Response {
+    /// Builds the response to a request that can't be accepted.
+    #[must_use]
+    pub fn invalid(invalid: Invalid) -> Self {
+        Self {
+            status: invalid.status,
+            headers: vec![
+                (OUTCOME, "not-run".to_owned()),
+                (REASON, invalid.reason.to_owned()),
+            ],
+            body: invalid.reason.as_bytes().to_vec(),
+        }
+    }
+
+    /// Builds the response for an outcome.
+    #[must_use]
+    pub fn outcome(id: ids::RequestId, outcome: peer::Outcome) -> Self {
+        let status = status(&outcome);
+        let mut headers = vec![(ID, id.to_string()), (OUTCOME, name(&outcome).to_owned())];
+        let reason = reason(&outcome);
+        if let Some(reason) = reason {
+            headers.push((REASON, reason.to_owned()));
+        }
+        match outcome {
+            peer::Outcome::Answered(answer) => {
+                if let Some(content_type) = answer.content_type {
+                    headers.push(("Content-Type", content_type));
+                }
+                return Self {
+                    status,
+                    headers,
+                    body: answer.body,
+                };
+            }
+            peer::Outcome::NotRun(refusal) => {
+                let after = refusal.retry_after;
+                headers.push((RETRY_AFTER, whole_seconds(after).to_string()));
+                headers.push((RETRY_AFTER_MS, after.as_millis().to_string()));
+            }
+            peer::Outcome::Unknown(_) => {}
+        }
+        Self {
+            status,
+            headers,
+            body: reason.unwrap_or_default().as_bytes().to_vec(),
+        }
+    }
+}
+
+/// Rounds up to whole seconds, because a caller that comes back too early is refused again.
+#[must_use]
+pub fn whole_seconds(d: time::Duration) -> u64 {
+    d.as_secs() + u64::from(d.subsec_nanos() > 0)
+}
+
+/// Returns the HTTP status of an outcome.
+#[must_use]
+pub fn status(outcome: &peer::Outcome) -> u16 {
+    match outcome {
+        peer::Outcome::Answered(answer) => answer.status,
+        peer::Outcome::NotRun(refusal) => match refusal.reason {
+            peer::NotRunReason::Overloaded
+            | peer::NotRunReason::Shed
+            | peer::NotRunReason::RetryBudget => 429,
+            _ => 503,
+        },
+        peer::Outcome::Unknown(_) => 504,
+    }
+}
+
+/// Returns the name of an outcome.
+#[must_use]
+pub const fn name(outcome: &peer::Outcome) -> &'static str {
+    match outcome {
+        peer::Outcome::Answered(_) => "answered",
+        peer::Outcome::NotRun(_) => "not-run",
+        peer::Outcome::Unknown(_) => "unknown",
+    }
+}
+
+/// Returns the reason of an outcome.
+#[must_use]
+pub const fn reason(outcome: &peer::Outcome) -> Option<&'static str> {
+    match outcome {
+        peer::Outcome::Answered(_) => None,
+        peer::Outcome::NotRun(refusal) => Some(not_run(refusal.reason)),
+        peer::Outcome::Unknown(why) => Some(unknown(*why)),
+    }
+}
+
+/// Returns the name of a reason why a request did not run.
+#[must_use]
+pub const fn not_run(reason: peer::NotRunReason) -> &'static str {
+    match reason {
+        peer::NotRunReason::NotOwner => "not-owner",
+        peer::NotRunReason::Moving => "moving",
+        peer::NotRunReason::NoOwner => "no-owner",
+        peer::NotRunReason::Overloaded => "overloaded",
+        peer::NotRunReason::Shed => "shed",
+        peer::NotRunReason::Draining => "draining",
+        peer::NotRunReason::Cold => "cold",
+        peer::NotRunReason::Unreachable => "unreachable",
+        peer::NotRunReason::Fenced => "fenced",
+        peer::NotRunReason::Expired => "expired",
+        peer::NotRunReason::Cancelled => "cancelled",
+        peer::NotRunReason::Barred => "barred",
+        peer::NotRunReason::RetryBudget => "retry-budget",
+        peer::NotRunReason::Incarnation => "incarnation",
+    }
+}
+
+/// Returns the name of a reason why an outcome is unknown.
+#[must_use]
+pub const fn unknown(reason: peer::UnknownReason) -> &'static str {
+    match reason {
+        peer::UnknownReason::Timeout => "timeout",
+        peer::UnknownReason::Broken => "broken",
+        peer::UnknownReason::Mismatch => "mismatch",
+        peer::UnknownReason::OwnerLost => "owner-lost",
+        peer::UnknownReason::Horizon => "horizon",
+        peer::UnknownReason::Cancelled => "cancelled",
+    }
+}
