Read settings and documents from JSON with comments

Cause: nodes and commands need validated settings and documents, and operators need all problems of a text at once. serde stops at the first, so a faulty value is reported, replaced by null and the text decoded again; checks of the state rules follow. Change: add protocol::source with settings, document and render, the text forms, and the example documents of both users. Numbers are read by the standard library.

--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,6 +1,10 @@
 //! Protocol layer: wire types and their conversion to and from the state layer.
 
+pub mod check;
+pub mod document;
 pub mod error;
 pub mod peer;
 pub mod platform;
 pub mod record;
+pub mod settings;
+pub mod source;
--- /dev/null
+++ b/src/protocol/settings.rs
@@ -0,0 +1,107 @@
+//! Text form of a node's settings.
+
+use std::net;
+
+use serde::{Deserialize, Serialize};
+
+use crate::protocol::check;
+use crate::state::{ids, settings};
+
+/// Text form of [`settings::Settings`].
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields, expecting = "an object with settings")]
+pub struct Settings {
+    region: Option<String>,
+    failure_domain: Option<String>,
+    caller: Option<String>,
+    peer: Option<String>,
+    admin: Option<String>,
+    platform: Option<String>,
+    peers: Option<Vec<Option<String>>>,
+}
+
+impl From<&settings::Settings> for Settings {
+    fn from(s: &settings::Settings) -> Self {
+        Self {
+            region: Some(s.region.clone()),
+            failure_domain: Some(s.domain.clone()),
+            caller: Some(s.caller.to_string()),
+            peer: Some(s.peer.to_string()),
+            admin: Some(s.admin.to_string()),
+            platform: Some(s.platform.to_string()),
+            peers: Some(s.peers.iter().map(|p| Some(p.to_string())).collect()),
+        }
+    }
+}
+
+impl TryFrom<Settings> for settings::Settings {
+    type Error = Vec<check::Violation>;
+
+    fn try_from(s: Settings) -> Result<Self, Self::Error> {
+        let mut checks = check::Checks::default();
+        let region = checks.name("region", s.region);
+        let domain = checks.name("failure_domain", s.failure_domain);
+        let caller = address(&mut checks, "caller", s.caller);
+        let peer = address(&mut checks, "peer", s.peer);
+        let admin = address(&mut checks, "admin", s.admin);
+        let platform = address(&mut checks, "platform", s.platform);
+        let peers = addresses(&mut checks, "peers", s.peers);
+        let mut used: Vec<_> = [
+            ("caller", caller),
+            ("peer", peer),
+            ("admin", admin),
+            ("platform", platform),
+        ]
+        .into_iter()
+        .filter_map(|(path, a)| Some((path.to_owned(), a?)))
+        .collect();
+        used.extend(peers.iter().map(|(path, a)| (path.clone(), *a)));
+        checks.distinct(&used);
+        let settings = (|| {
+            Some(Self {
+                region: region?,
+                domain: domain?,
+                caller: caller?,
+                peer: ids::NodeAddr(peer?),
+                admin: admin?,
+                platform: platform?,
+                peers: peers.into_iter().map(|(_, a)| ids::NodeAddr(a)).collect(),
+            })
+        })();
+        checks.finish(settings)
+    }
+}
+
+/// Returns a required address that other processes can connect to.
+pub(super) fn address(
+    checks: &mut check::Checks,
+    path: &str,
+    value: Option<String>,
+) -> Option<net::SocketAddr> {
+    let expected = "an IP address with a port, such as 127.0.0.1:7101";
+    let addr: net::SocketAddr = checks.parsed(path, value, expected)?;
+    if addr.port() == 0 || addr.ip().is_unspecified() {
+        checks.refuse(
+            path,
+            format!("expected an address that others can connect to, found {addr}"),
+        );
+        return None;
+    }
+    Some(addr)
+}
+
+/// Returns an optional list of addresses, each with its path.
+pub(super) fn addresses(
+    checks: &mut check::Checks,
+    path: &str,
+    values: Option<Vec<Option<String>>>,
+) -> Vec<(String, net::SocketAddr)> {
+    let mut found = Vec::new();
+    for (i, value) in values.unwrap_or_default().into_iter().enumerate() {
+        let path = format!("{path}[{i}]");
+        if let Some(addr) = address(checks, &path, value) {
+            found.push((path, addr));
+        }
+    }
+    found
+}
