--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -2,7 +2,11 @@
 
 pub mod backend;
 pub mod caller;
+pub mod check;
+pub mod document;
 pub mod error;
 pub mod peer;
 pub mod platform;
 pub mod record;
+pub mod settings;
+pub mod source;
