--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -5,6 +5,7 @@
 pub mod check;
 pub mod document;
 pub mod error;
+pub mod member;
 pub mod peer;
 pub mod platform;
 pub mod record;
