--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -1,11 +1,13 @@
 //! Gossip between nodes over loopback connections.
 
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 use std::sync::Arc;
 use std::{net, thread, time};
 
 use filbertflow::coordination::{membership, node, service};
 use filbertflow::state::{ids, record, settings};
-use filbertflow::transport::peer_server;
+use filbertflow::transport::{counted, peer_server};
 use tokio::runtime;
 
 /// Time after which a condition that does not hold counts as a failure.
@@ -36,7 +38,8 @@
         });
         let listener = runtime.block_on(peer_server::bind(addr)).unwrap();
         let served = Arc::clone(&node);
-        runtime.spawn(peer_server::serve(listener, move |accepted| {
+        let traffic = counted::Traffic::from(&node.metrics.traffic);
+        runtime.spawn(peer_server::serve(listener, traffic, move |accepted| {
             service::connection(Arc::clone(&served), accepted)
         }));
         runtime.spawn(membership::run(Arc::clone(&node)));
