--- a/src/coordination/coordinator.rs
+++ b/src/coordination/coordinator.rs
@@ -27,6 +27,9 @@
 /// Longest interval between reads that prove contact to the platform's service.
 const CONTACT: time::Duration = time::Duration::from_secs(2);
 
+/// Age at which the environment of a partition is collected again.
+const SURROUNDINGS: time::Duration = time::Duration::from_millis(500);
+
 /// Partitions that this node coordinates.
 #[derive(Debug, Default)]
 pub struct Coordinator {
@@ -148,9 +151,10 @@
     Box::new(wire::Record::from(record))
 }
 
-fn env(node: &node::Node) -> lead::Env {
+/// Collects what the decisions about a partition need from the rest of the node.
+fn env(node: &node::Node, id: &ids::PartitionId) -> lead::Env {
     let document = node.config.current();
-    let candidates = node.members.live().into_iter().filter(|m| !m.left);
+    let candidates = node.members.serving(&id.service).into_iter();
     lead::Env {
         domain: node.settings.domain.clone(),
         drain: document
@@ -167,6 +171,30 @@
     }
 }
 
+/// Environment of a partition, collected again only now and then: the member table of a large
+/// fleet is too long for every tick.
+#[derive(Debug)]
+struct Surroundings {
+    env: lead::Env,
+    at: clock::Instant,
+}
+
+impl Surroundings {
+    fn new(node: &node::Node, id: &ids::PartitionId) -> Self {
+        Self {
+            env: env(node, id),
+            at: clock::Instant::now(),
+        }
+    }
+
+    fn get(&mut self, node: &node::Node, id: &ids::PartitionId) -> &lead::Env {
+        if now_since(self.at) > SURROUNDINGS {
+            *self = Self::new(node, id);
+        }
+        &self.env
+    }
+}
+
 /// Returns whether this node still coordinates the partition in this epoch.
 fn continues(node: &Arc<node::Node>, id: &ids::PartitionId, epoch: ids::Epoch) -> bool {
     if node.records.get(id).is_some_and(|k| k.epoch > epoch) {
@@ -180,9 +208,10 @@
     let mut tick = tokio::time::interval(timing::PROMISE_RENEWAL);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let busy: Arc<Mutex<BTreeSet<ids::NodeRef>>> = Arc::default();
+    let mut around = Surroundings::new(&node, &id);
     while continues(&node, &id, epoch) {
         let now = clock::Instant::now();
-        let env = env(&node);
+        let env = around.get(&node, &id);
         let work = node.coordinator.with(&id, |led| {
             led.tick(now);
             for server in led.record().servers.clone() {
@@ -191,7 +220,7 @@
                     led.ended(server.node);
                 }
             }
-            (led.asked(&env, now), led.quiet(now))
+            (led.asked(env, now), led.quiet(now))
         });
         let Some((asked, quiet)) = work else { return };
         for standby in asked {
@@ -331,11 +360,12 @@
 
 async fn write_changes(node: Arc<node::Node>, id: ids::PartitionId, epoch: ids::Epoch) {
     let mut read_at = clock::Instant::now();
+    let mut around = Surroundings::new(&node, &id);
     while continues(&node, &id, epoch) {
-        let env = env(&node);
+        let env = around.get(&node, &id);
         let job = node.coordinator.with(&id, |led| {
             if led.pending.is_none() {
-                led.plan(&env);
+                led.plan(env);
             }
             let due = led.recheck || now_since(read_at) > CONTACT.min(led.stored.hold / 4);
             (led.pending.clone(), due)
--- a/src/coordination/grants.rs
+++ b/src/coordination/grants.rs
@@ -204,14 +204,15 @@
         })
     }
 
-    /// Returns the live lease of each partition: its record and its end.
+    /// Returns the live lease of each partition of which this node holds slices: its record and its
+    /// end.
     #[must_use]
     pub fn live(&self) -> Vec<(Arc<record::PartitionRecord>, clock::Instant)> {
         let table = self.lock();
         table
             .values()
             .filter_map(|p| p.lease.as_ref())
-            .filter(|l| l.until.is_ahead())
+            .filter(|l| l.until.is_ahead() && !l.horizons.is_empty())
             .map(|l| (Arc::clone(&l.record), l.until))
             .collect()
     }
--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -9,6 +9,7 @@
 //! - R8: the backend server gets each grant with its tokens and with the end of the node's lease.
 
 use std::collections::{HashMap, HashSet};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time;
 
@@ -27,6 +28,7 @@
 #[derive(Debug, Default)]
 pub struct Owner {
     table: Mutex<HashMap<ids::PartitionId, Owned>>,
+    draining: AtomicBool,
 }
 
 #[derive(Debug, Default)]
@@ -48,6 +50,11 @@
 }
 
 impl Owner {
+    /// Asks the coordinator, with each renewal from now on, to move all slices away.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
     /// Returns the stamp of the record applied last.
     #[must_use]
     pub fn stamp(&self, id: &ids::PartitionId) -> (ids::Epoch, ids::Revision) {
@@ -179,7 +186,10 @@
         partition: id.clone(),
         stamp: node.owner.stamp(id),
         domain: node.settings.domain.clone(),
-        backend: state,
+        backend: peer::BackendState {
+            draining: state.draining || node.owner.draining.load(Ordering::Relaxed),
+            ..state
+        },
         load: peer::Load::default(),
     };
     let sent = clock::Instant::now();
--- a/tests/ownership/cluster.rs
+++ b/tests/ownership/cluster.rs
@@ -11,7 +11,7 @@
 use filbertflow::coordination::{coordinator, node, owner, service, standby, succession};
 use filbertflow::protocol::peer;
 use filbertflow::state::{ids, record, settings};
-use filbertflow::transport::peer_server;
+use filbertflow::transport::{counted, peer_server};
 
 use crate::fake;
 
@@ -161,7 +161,8 @@
 
 fn spawn(node: &Arc<node::Node>, listener: tokio::net::TcpListener, announced: Announced) {
     let server = Arc::clone(node);
-    tokio::spawn(peer_server::serve(listener, move |accepted| {
+    let traffic = counted::Traffic::from(&node.metrics.traffic);
+    tokio::spawn(peer_server::serve(listener, traffic, move |accepted| {
         service::connection(Arc::clone(&server), accepted)
     }));
     let state = move || announced.lock().unwrap().clone();
