Add transport of callers and of the backend server, queue and outcome log

Cause: the request path needs its parts before they are joined. Change: caller listener, pooled client of the backend server, queue, outcome log; not yet joined. Measured: nothing measured.

--- /dev/null
+++ b/src/coordination/gate/queue.rs
@@ -0,0 +1,308 @@
+//! Queue before the backend server and the slots behind it.
+//!
+//! Waiting requests are ordered by priority, then by deadline. A request that can't finish in time
+//! is refused on arrival, and again whenever the estimate grows, so that nobody waits in vain.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time;
+
+use tokio::sync::oneshot;
+
+use crate::coordination::gate::limit;
+use crate::protocol::peer;
+use crate::state::clock;
+
+/// Shortest advice when to retry.
+const MIN_RETRY: time::Duration = time::Duration::from_millis(10);
+
+/// Longest advice when to retry.
+const MAX_RETRY: time::Duration = time::Duration::from_secs(10);
+
+/// Position in the queue; a smaller one goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// Priority of the request.
+    pub priority: u8,
+    /// Deadline of the request.
+    pub deadline: clock::Instant,
+    /// Order of arrival.
+    pub arrival: u64,
+}
+
+/// Bounds that hold when a request arrives.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Requests that the server can run at once.
+    pub capacity: usize,
+    /// Requests that may wait.
+    pub queue: usize,
+}
+
+/// Queue and slots.
+#[derive(Debug, Default)]
+pub struct Queue {
+    shared: Arc<Mutex<State>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    waiting: BTreeMap<Rank, oneshot::Sender<Result<Slot, peer::NotRun>>>,
+    running: usize,
+    arrivals: u64,
+    capacity: usize,
+    limit: limit::Limit,
+    progress: clock::Instant,
+}
+
+/// Slot at the backend server, free again when dropped.
+#[derive(Debug)]
+pub struct Slot {
+    shared: Option<Arc<Mutex<State>>>,
+}
+
+/// Place in the queue, given up when dropped.
+#[derive(Debug)]
+pub struct Place {
+    shared: Arc<Mutex<State>>,
+    rank: Rank,
+    granted: oneshot::Receiver<Result<Slot, peer::NotRun>>,
+}
+
+impl Queue {
+    /// Takes a place for a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the request can't finish before its deadline or the queue is full.
+    pub fn enter(
+        &self,
+        priority: u8,
+        deadline: clock::Instant,
+        bounds: Bounds,
+    ) -> Result<Place, peer::NotRun> {
+        let (grant, granted) = oneshot::channel();
+        let now = clock::Instant::now();
+        let mut state = self.lock();
+        state.capacity = bounds.capacity;
+        state.arrivals += 1;
+        let rank = Rank {
+            priority,
+            deadline,
+            arrival: state.arrivals,
+        };
+        if state.waiting.is_empty() && state.has_room() {
+            if !state.can_finish(deadline, now) {
+                return Err(state.refusal(now));
+            }
+            state.start(&self.shared, grant, now);
+        } else {
+            let ahead = state.waiting.range(..rank).count();
+            if now + state.wait(ahead, now) > deadline {
+                return Err(state.refusal(now));
+            }
+            if state.waiting.len() >= bounds.queue && !state.displace(rank, now) {
+                return Err(state.refusal(now));
+            }
+            state.waiting.insert(rank, grant);
+        }
+        drop(state);
+        Ok(Place {
+            shared: Arc::clone(&self.shared),
+            rank,
+            granted,
+        })
+    }
+
+    /// Returns the number of requests that run or wait.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        let state = self.lock();
+        state.running + state.waiting.len()
+    }
+
+    /// Returns the mean service time.
+    #[must_use]
+    pub fn service_time(&self) -> time::Duration {
+        self.lock().limit.service_time()
+    }
+
+    /// Takes the latency of an answered request.
+    pub fn sample(&self, latency: time::Duration) {
+        let mut state = self.lock();
+        let (running, capacity) = (state.running, state.capacity);
+        state.limit.sample(latency, running, capacity);
+        state.progress = clock::Instant::now();
+    }
+
+    /// Takes a request that the server shed or did not answer in time.
+    pub fn overload(&self) {
+        let mut state = self.lock();
+        let capacity = state.capacity;
+        state.limit.overload(capacity);
+    }
+
+    /// Refuses the waiting requests that can no longer finish in time, and starts those for which
+    /// there is room.
+    pub fn sweep(&self, capacity: usize) {
+        let now = clock::Instant::now();
+        let mut state = self.lock();
+        state.capacity = capacity;
+        let mut late = Vec::new();
+        for (position, rank) in state.waiting.keys().enumerate() {
+            let ahead = position - late.len();
+            if now + state.wait(ahead, now) > rank.deadline {
+                late.push(*rank);
+            }
+        }
+        for rank in late {
+            state.refuse(rank, now);
+        }
+        state.advance(&self.shared, now);
+    }
+
+    /// Refuses all waiting requests.
+    pub fn refuse_all(&self, refusal: peer::NotRun) {
+        let waiting = std::mem::take(&mut self.lock().waiting);
+        for (_, grant) in waiting {
+            drop(grant.send(Err(refusal)));
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        lock(&self.shared)
+    }
+}
+
+fn lock(shared: &Mutex<State>) -> MutexGuard<'_, State> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl State {
+    fn allowed(&self) -> usize {
+        self.limit.allowed(self.capacity)
+    }
+
+    fn has_room(&self) -> bool {
+        self.running < self.allowed()
+    }
+
+    /// Returns whether a request that starts now can finish in time. With nothing running the
+    /// estimate may be out of date, and the request is let through to correct it.
+    fn can_finish(&self, deadline: clock::Instant, now: clock::Instant) -> bool {
+        let needed = if self.running == 0 {
+            time::Duration::ZERO
+        } else {
+            self.limit.service_time()
+        };
+        now + needed < deadline
+    }
+
+    /// Estimates the time until a request behind `ahead` others has finished. While all slots are
+    /// taken and nothing finishes, the next slot is at least as far away as the last answer.
+    fn wait(&self, ahead: usize, now: clock::Instant) -> time::Duration {
+        let service = self.limit.service_time();
+        let queued = service.mul_f64((ahead + 1) as f64 / self.allowed() as f64);
+        let stalled = if self.has_room() {
+            time::Duration::ZERO
+        } else {
+            now.since(self.progress)
+        };
+        queued.max(stalled) + service
+    }
+
+    /// Builds a refusal that tells when the present queue will have been served.
+    fn refusal(&self, now: clock::Instant) -> peer::NotRun {
+        let wait = self.wait(self.waiting.len(), now);
+        peer::NotRun {
+            reason: peer::NotRunReason::Overloaded,
+            retry_after: wait.clamp(MIN_RETRY, MAX_RETRY),
+        }
+    }
+
+    /// Refuses the last request of a full queue in favour of a more important one.
+    fn displace(&mut self, rank: Rank, now: clock::Instant) -> bool {
+        let last = self.waiting.keys().next_back().copied();
+        match last {
+            Some(last) if last > rank => {
+                self.refuse(last, now);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn refuse(&mut self, rank: Rank, now: clock::Instant) {
+        let refusal = self.refusal(now);
+        if let Some(grant) = self.waiting.remove(&rank) {
+            drop(grant.send(Err(refusal)));
+        }
+    }
+
+    fn start(
+        &mut self,
+        shared: &Arc<Mutex<Self>>,
+        grant: oneshot::Sender<Result<Slot, peer::NotRun>>,
+        now: clock::Instant,
+    ) {
+        if self.running == 0 {
+            self.progress = now;
+        }
+        self.running += 1;
+        let slot = Slot {
+            shared: Some(Arc::clone(shared)),
+        };
+        // A place that was given up meanwhile returns its slot here, under the lock.
+        if let Err(Ok(mut slot)) = grant.send(Ok(slot)) {
+            slot.shared = None;
+            self.running -= 1;
+        }
+    }
+
+    /// Starts waiting requests while there is room.
+    fn advance(&mut self, shared: &Arc<Mutex<Self>>, now: clock::Instant) {
+        while self.has_room() {
+            let Some((rank, grant)) = self.waiting.pop_first() else {
+                return;
+            };
+            if self.can_finish(rank.deadline, now) {
+                self.start(shared, grant, now);
+            } else {
+                drop(grant.send(Err(self.refusal(now))));
+            }
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let Some(shared) = &self.shared else { return };
+        let mut state = lock(shared);
+        state.running -= 1;
+        state.advance(shared, clock::Instant::now());
+    }
+}
+
+impl Place {
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the request can no longer finish before its deadline.
+    pub async fn slot(mut self) -> Result<Slot, peer::NotRun> {
+        match (&mut self.granted).await {
+            Ok(granted) => granted,
+            Err(_) => Err(peer::NotRun {
+                reason: peer::NotRunReason::Overloaded,
+                retry_after: MIN_RETRY,
+            }),
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let waiting = lock(&self.shared).waiting.remove(&self.rank);
+        drop(waiting);
+    }
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,5 +1,7 @@
 //! Transport layer: connections to peers, to the platform's service and to the backend server.
 
+pub mod backend;
+pub mod entry;
 pub mod error;
 pub mod peer_server;
 pub mod peers;
