--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -2,7 +2,12 @@
 
 pub mod backend;
 pub mod caller;
+pub mod check;
+pub mod document;
 pub mod error;
+pub mod member;
 pub mod peer;
 pub mod platform;
 pub mod record;
+pub mod settings;
+pub mod source;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod backend;
 pub mod entry;
+pub mod counted;
 pub mod error;
 pub mod peer_server;
 pub mod peers;
