--- a/src/coordination/backend.rs
+++ b/src/coordination/backend.rs
@@ -123,7 +123,8 @@
     #[must_use]
     pub fn server(&self) -> Option<Server> {
         let slot = self.lock();
-        slot.as_ref().map(|known| known.server(clock::Instant::now()))
+        slot.as_ref()
+            .map(|known| known.server(clock::Instant::now()))
     }
 
     /// Returns a receiver that is notified when the state changes.
@@ -166,7 +167,11 @@
             }
         };
         if changed {
-            tracing::warn!(event = 502, incarnation, "backend server fails, taking no requests until it answers a probe");
+            tracing::warn!(
+                event = 502,
+                incarnation,
+                "backend server fails, taking no requests until it answers a probe"
+            );
             self.changes.send_modify(|n| *n += 1);
         }
     }
@@ -194,10 +199,9 @@
         let mut slot = self.lock();
         let known = slot.as_mut()?;
         let silent = now.since(known.heard) > timing::ANNOUNCEMENT_EXPIRY;
-        let probe = known.down.then_some((
-            known.announcement.incarnation,
-            known.announcement.address,
-        ));
+        let probe = known
+            .down
+            .then_some((known.announcement.incarnation, known.announcement.address));
         if silent && !known.silent {
             known.silent = true;
             tracing::warn!(event = 504, service = %known.announcement.service, "backend server is silent, withdrawing it");
--- /dev/null
+++ b/src/coordination/gate/run.rs
@@ -0,0 +1,272 @@
+//! Run of one admitted request: queue, lease check, call of the backend server, outcome.
+
+use std::sync::Arc;
+use std::time;
+
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+
+use crate::coordination::gate::{DEFAULT_QUEUE, DOWN_RETRY, MOVE_RETRY, queue, refuse};
+use crate::coordination::{backend, grants, node};
+use crate::protocol::{backend as wire, peer};
+use crate::state::{clock, ids};
+use crate::transport::backend as http;
+
+/// Time for which the answer of the backend server is awaited beyond the deadline sent to it, so
+/// that its refusal of an expired request arrives.
+const ANSWER_GRACE: time::Duration = time::Duration::from_millis(10);
+
+/// Time for a cancel.
+const CANCEL_TIMEOUT: time::Duration = time::Duration::from_millis(200);
+
+/// Time in multiples of the mean service time after which a missing answer speaks against the
+/// server and not against the caller's deadline.
+const TIMEOUT_FACTOR: u32 = 4;
+
+/// Shortest time after which a missing answer speaks against the server.
+const MIN_TIMEOUT: time::Duration = time::Duration::from_millis(20);
+
+type Pending = oneshot::Receiver<Result<http::Received, http::Failure>>;
+
+/// Runs a request once it has a slot.
+pub async fn run(
+    node: &Arc<node::Node>,
+    req: peer::Forward,
+    ticket: Option<Arc<grants::Ticket>>,
+    deadline: clock::Instant,
+    cancel: &CancellationToken,
+) -> peer::Outcome {
+    let server = match server(node, &req.service) {
+        Ok(server) => server,
+        Err(outcome) => return outcome,
+    };
+    if !deadline.is_ahead() {
+        return refuse(peer::NotRunReason::Expired, time::Duration::ZERO);
+    }
+    let bounds = queue::Bounds {
+        capacity: server.limit,
+        queue: queue_bound(node, &req.service),
+    };
+    let place = match node.gate.queue.enter(req.priority, deadline, bounds) {
+        Ok(place) => place,
+        Err(refusal) => return peer::Outcome::NotRun(refusal),
+    };
+    let slot = tokio::select! {
+        slot = place.slot() => slot,
+        () = cancel.cancelled() => {
+            return refuse(peer::NotRunReason::Cancelled, time::Duration::ZERO);
+        }
+    };
+    let slot = match slot {
+        Ok(slot) => slot,
+        Err(refusal) => return peer::Outcome::NotRun(refusal),
+    };
+    let outcome = call(node, req, &server, ticket, deadline, cancel).await;
+    drop(slot);
+    outcome
+}
+
+fn server(node: &node::Node, service: &str) -> Result<backend::Server, peer::Outcome> {
+    let server = node
+        .backend
+        .server()
+        .filter(|s| s.service == service)
+        .ok_or_else(|| refuse(peer::NotRunReason::NotOwner, MOVE_RETRY))?;
+    if !server.up {
+        return Err(refuse(peer::NotRunReason::Unreachable, DOWN_RETRY));
+    }
+    if !server.open {
+        return Err(refuse(peer::NotRunReason::Draining, MOVE_RETRY));
+    }
+    Ok(server)
+}
+
+fn queue_bound(node: &node::Node, service: &str) -> usize {
+    let current = node.config.current();
+    current
+        .and_then(|c| c.document.service(service).map(|s| s.queue))
+        .unwrap_or(DEFAULT_QUEUE)
+}
+
+/// Calls the backend server and turns what comes back into an outcome.
+async fn call(
+    node: &Arc<node::Node>,
+    req: peer::Forward,
+    server: &backend::Server,
+    ticket: Option<Arc<grants::Ticket>>,
+    deadline: clock::Instant,
+    cancel: &CancellationToken,
+) -> peer::Outcome {
+    if let (Some(ticket), Some(hash)) = (&ticket, req.hash) {
+        node.gate.load.count(ticket.slice(), hash);
+    }
+    let id = req.id;
+    let call = request(server, req, ticket.as_deref());
+    let check = check(ticket, deadline, cancel.clone());
+    let started = clock::Instant::now();
+    let pending = node.gate.workers.submit(call, check);
+    let (result, proof) = receive(node, server, id, pending, cancel).await;
+    let elapsed = clock::Instant::now().since(started);
+    observe(node, server, &result, elapsed);
+    match (translate(node, server, result), proof) {
+        // The server has promised not to start a request whose answer did not come.
+        (peer::Outcome::Unknown(_), Some(wire::Cancelled::NotStarted)) => {
+            refuse(peer::NotRunReason::Cancelled, time::Duration::ZERO)
+        }
+        (outcome, _) => outcome,
+    }
+}
+
+fn request(
+    server: &backend::Server,
+    req: peer::Forward,
+    ticket: Option<&grants::Ticket>,
+) -> http::Call {
+    let mut headers = vec![(wire::ATTEMPT, req.attempt.to_string())];
+    if let Some(key) = &req.key {
+        headers.push((wire::KEY, wire::encode_key(key)));
+    }
+    if let Some(ticket) = ticket {
+        headers.push((wire::TOKEN, ticket.token.to_string()));
+    }
+    http::Call {
+        addr: server.addr,
+        method: req.method,
+        path: req.path,
+        id: req.id.to_string(),
+        headers,
+        content_type: req.content_type,
+        body: req.body,
+    }
+}
+
+/// Builds the check that runs on the worker just before the write. The deadline sent ends within
+/// the lease, less the time that opening a connection may take after the check.
+fn check(
+    ticket: Option<Arc<grants::Ticket>>,
+    deadline: clock::Instant,
+    cancel: CancellationToken,
+) -> http::Check {
+    Box::new(move |call| {
+        if cancel.is_cancelled() {
+            return Err(peer::NotRunReason::Cancelled);
+        }
+        let mut left = deadline.left();
+        if let Some(ticket) = &ticket {
+            let until = ticket.valid_until().ok_or(peer::NotRunReason::NotOwner)?;
+            left = left.min(until.left().saturating_sub(http::CONNECT_TIMEOUT));
+        }
+        let ms = left.as_millis();
+        if ms == 0 {
+            return Err(peer::NotRunReason::Expired);
+        }
+        call.headers.push((wire::DEADLINE_MS, ms.to_string()));
+        Ok(left + ANSWER_GRACE)
+    })
+}
+
+/// Waits for the result; a cancelled request is cancelled at the backend server, and the result is
+/// still awaited, because it alone tells whether the request ran.
+async fn receive(
+    node: &Arc<node::Node>,
+    server: &backend::Server,
+    id: ids::RequestId,
+    mut pending: Pending,
+    cancel: &CancellationToken,
+) -> (
+    Result<http::Received, http::Failure>,
+    Option<wire::Cancelled>,
+) {
+    let lost = || Err(http::Failure::Broken("the worker is gone".to_owned()));
+    tokio::select! {
+        result = &mut pending => return (result.unwrap_or_else(|_| lost()), None),
+        () = cancel.cancelled() => {}
+    }
+    tracing::debug!(event = 511, %id, "cancelling a request at the backend server");
+    let client = node.gate.client();
+    let addr = server.addr;
+    let path = format!("/-/cancel/{id}");
+    let asked =
+        tokio::task::spawn_blocking(move || client.control("POST", addr, &path, CANCEL_TIMEOUT));
+    let proof = match asked.await {
+        Ok(Ok((200, text))) => wire::Cancelled::parse(&text),
+        _ => None,
+    };
+    (pending.await.unwrap_or_else(|_| lost()), proof)
+}
+
+/// Learns from the result how the backend server behaves.
+fn observe(
+    node: &node::Node,
+    server: &backend::Server,
+    result: &Result<http::Received, http::Failure>,
+    elapsed: time::Duration,
+) {
+    match result {
+        Ok(http::Received::Answer(_)) => {
+            node.gate.queue.sample(elapsed);
+            node.backend.answered(server.incarnation);
+        }
+        Ok(http::Received::Refused(refusal)) => {
+            if *refusal == wire::Refusal::Shed {
+                node.gate.queue.overload();
+            }
+            node.backend.answered(server.incarnation);
+        }
+        Err(http::Failure::Timeout) => {
+            let enough = (node.gate.queue.service_time() * TIMEOUT_FACTOR).max(MIN_TIMEOUT);
+            if elapsed >= enough {
+                node.gate.queue.overload();
+                node.backend.timed_out(server.incarnation);
+            }
+        }
+        Err(http::Failure::NotSent(why)) => {
+            tracing::debug!(event = 512, error = %why, "backend server can't be reached");
+            node.backend.refused_connection(server.incarnation);
+        }
+        Err(http::Failure::Mismatch(why)) => {
+            tracing::warn!(event = 513, error = %why, "response of the backend server dropped");
+        }
+        Err(http::Failure::Broken(why)) => {
+            tracing::debug!(event = 514, error = %why, "connection to the backend server lost");
+        }
+        Err(http::Failure::Withheld(_)) => {}
+    }
+}
+
+fn translate(
+    node: &node::Node,
+    server: &backend::Server,
+    result: Result<http::Received, http::Failure>,
+) -> peer::Outcome {
+    let unknown = peer::Outcome::Unknown;
+    match result {
+        Ok(http::Received::Answer(answer)) => peer::Outcome::Answered(answer),
+        Ok(http::Received::Refused(refusal)) => {
+            refuse(refusal.into(), retry_after(node, server, refusal))
+        }
+        Err(http::Failure::NotSent(_)) => refuse(peer::NotRunReason::Unreachable, DOWN_RETRY),
+        Err(http::Failure::Withheld(reason)) => refuse(reason, MOVE_RETRY),
+        Err(http::Failure::Timeout) => unknown(peer::UnknownReason::Timeout),
+        Err(http::Failure::Broken(_)) => unknown(peer::UnknownReason::Broken),
+        Err(http::Failure::Mismatch(_)) => unknown(peer::UnknownReason::Mismatch),
+    }
+}
+
+/// Advises when a request that the backend server refused may be tried again.
+fn retry_after(
+    node: &node::Node,
+    server: &backend::Server,
+    refusal: wire::Refusal,
+) -> time::Duration {
+    match refusal {
+        wire::Refusal::Shed => {
+            let rounds = node.gate.queue.in_flight() / server.limit.max(1) + 1;
+            let rounds = u32::try_from(rounds).unwrap_or(u32::MAX);
+            node.gate.queue.service_time().saturating_mul(rounds)
+        }
+        wire::Refusal::Cold => DOWN_RETRY,
+        wire::Refusal::StaleToken | wire::Refusal::NoGrant | wire::Refusal::Draining => MOVE_RETRY,
+        wire::Refusal::Cancelled | wire::Refusal::Expired => time::Duration::ZERO,
+    }
+}
--- a/src/coordination/grants.rs
+++ b/src/coordination/grants.rs
@@ -214,6 +214,12 @@
 }
 
 impl Ticket {
+    /// Returns the first hash of the slice.
+    #[must_use]
+    pub const fn slice(&self) -> ids::KeyHash {
+        self.start
+    }
+
     /// Returns the end of the newest lease on the slice, or `None` if it was lost or has ended.
     #[must_use]
     pub fn valid_until(&self) -> Option<clock::Instant> {
--- a/src/protocol/backend.rs
+++ b/src/protocol/backend.rs
@@ -25,6 +25,15 @@
 /// Largest body of a response, in bytes; a peer message with it must fit a frame.
 pub const MAX_BODY: u64 = 3 << 20;
 
+/// Bytes of a key that a header can't carry, and the escape character itself.
+const ESCAPED: &percent_encoding::AsciiSet = &percent_encoding::CONTROLS.add(b'%').add(b' ');
+
+/// Encodes a key for the header `filbert-key`.
+#[must_use]
+pub fn encode_key(key: &str) -> String {
+    percent_encoding::utf8_percent_encode(key, ESCAPED).to_string()
+}
+
 /// Notice by which a backend server makes itself known to its node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
--- a/src/transport/entry.rs
+++ b/src/transport/entry.rs
@@ -139,7 +139,9 @@
         spawn("caller-refuse", move || shared.write(&queue))?;
     }
     let server = serve(&listener, &shared)?;
-    spawn("caller-listen", move || supervise(&listener, &shared, server))?;
+    spawn("caller-listen", move || {
+        supervise(&listener, &shared, server)
+    })?;
     Ok(Entry {
         addr,
         requests: requests_out,
@@ -181,7 +183,7 @@
                     Err(e) => {
                         // Only `accept` has ended; connections that are open go on.
                         tracing::warn!(event = 211, error = %e, "caller listener ended, opening it again");
-                        drop(report.send(()));
+                        report.send(()).ok();
                     }
                 }
             }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,8 +1,8 @@
 //! Transport layer: connections to peers, to the platform's service and to the backend server.
 
 pub mod backend;
-pub mod entry;
 pub mod counted;
+pub mod entry;
 pub mod error;
 pub mod peer_server;
 pub mod peers;
