--- a/src/coordination/backend.rs
+++ b/src/coordination/backend.rs
@@ -3,13 +3,16 @@
 use std::sync::Arc;
 
 use crate::coordination::node;
-use crate::protocol::peer;
+use crate::protocol::{backend as wire, peer};
 
 /// Backend server beside this node.
 #[derive(Debug, Default)]
 pub struct Backend {}
 
 impl Backend {
+    /// Takes an announcement.
+    pub fn announce(&self, _announcement: wire::Announcement) {}
+
     /// Returns the service and state of the backend server, if one has announced itself.
     #[must_use]
     pub fn state(&self) -> Option<(String, peer::BackendState)> {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,5 +1,6 @@
 //! Coordination layer: who owns what, where a request goes, and what is agreed.
 
+pub mod admin;
 pub mod backend;
 pub mod config;
 pub mod coordinator;
@@ -7,6 +8,7 @@
 pub mod error;
 pub mod gate;
 pub mod grants;
+pub mod history;
 pub mod membership;
 pub mod node;
 pub mod outcomes;
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,8 +1,10 @@
 //! Protocol layer: wire types and their conversion to and from the state layer.
 
+pub mod admin;
 pub mod backend;
 pub mod caller;
 pub mod check;
+pub mod config;
 pub mod document;
 pub mod error;
 pub mod member;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,5 +1,6 @@
 //! Transport layer: connections to peers, to the platform's service and to the backend server.
 
+pub mod admin;
 pub mod counted;
 pub mod error;
 pub mod peer_server;
