--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,5 +1,6 @@
 //! Coordination layer: who owns what, where a request goes, and what is agreed.
 
+pub mod admin;
 pub mod backend;
 pub mod config;
 pub mod coordinator;
@@ -9,6 +10,7 @@
 pub mod grants;
 pub mod lead;
 pub mod load;
+pub mod history;
 pub mod membership;
 pub mod node;
 pub mod outcomes;
