Add balance plans and the load sketch

Cause: nothing decided which slices move, and no load was measured per key. Change: add a SpaceSaving sketch with decay, weighted greedy moves under the churn budget with hysteresis, splits of hot keys and merges of cold neighbours; consistent hashing and rendezvous hashing with bounded loads for comparison.

--- /dev/null
+++ b/src/coordination/balance.rs
@@ -0,0 +1,491 @@
+//! Balance: which slices should move, be split or be merged.
+//!
+//! The plan is a plain function of its input. Slices of lost or draining servers always move.
+//! Everything else is optional and counts towards the churn budget: the most loaded server gives
+//! slices to the least loaded one while it exceeds its share by more than the hysteresis, and a
+//! server that has much less than its share, such as one that joins, is filled the same way.
+//!
+//! A hot key is split off first, because a slice that contains it can't be balanced by moving the
+//! slice as a whole. Splits come without optional moves, since the load of the parts is measured
+//! only after the split. Cold neighbours are merged when nothing else is to be done.
+
+use std::collections::{BTreeMap, HashSet};
+
+use crate::coordination::{placement, weight};
+use crate::protocol::peer;
+use crate::state::{document, ids, record};
+
+/// Share of the mean load of a server from which a key gets a slice of its own.
+const HOT: f64 = 0.1;
+
+/// Share of the mean load of a server below which a key is no longer kept apart.
+const COOL: f64 = 0.03;
+
+/// Share of its fair part below which a server is filled even if no other is overloaded.
+const UNDERUSED: f64 = 0.5;
+
+/// Share of its fair part up to which such a server is filled at least.
+const FILLED: f64 = 0.75;
+
+/// Reduction of the difference between two servers, as a share of a fair part, that justifies a
+/// move at equal weights.
+const MIN_GAIN: f64 = 0.02;
+
+/// Hysteresis at equal weights of imbalance and of churn and unavailable time.
+const HYSTERESIS: f64 = 0.1;
+
+/// Bounds of the hysteresis.
+const HYSTERESIS_RANGE: (f64, f64) = (0.05, 0.5);
+
+/// Share of the width of a slice below which it counts as a single key.
+const SINGLE: f64 = 1e-6;
+
+/// Keys split off by one plan.
+const MAX_SPLITS: usize = 8;
+
+/// Slices of a partition, so that its record stays far below the platform's limit of 1 MB.
+const MAX_SLICES: usize = 2048;
+
+/// What a plan depends on.
+#[derive(Debug, Clone)]
+pub struct Input<'a> {
+    /// Record of the partition.
+    pub record: &'a record::PartitionRecord,
+    /// Servers; one that is in the record but not listed here counts as lost.
+    pub servers: Vec<Server>,
+    /// Weights of the service.
+    pub weights: document::Weights,
+    /// Share of the slices that may move in a minute, in percent.
+    pub churn_budget: f64,
+    /// Number of slices that the document asks for.
+    pub base_slices: u64,
+    /// Starts of the slices that moved within the last minute.
+    pub moved: Vec<ids::KeyHash>,
+}
+
+/// Server as the plan sees it.
+#[derive(Debug, Clone)]
+pub struct Server {
+    /// Node beside the backend server.
+    pub node: ids::NodeRef,
+    /// Failure domain of the host.
+    pub domain: String,
+    /// Whether it can own slices; if not, its last load report still tells their weight.
+    pub live: bool,
+    /// Whether it must give up its slices.
+    pub draining: bool,
+    /// Concurrent requests that it runs; its fair part is in proportion.
+    pub slots: u32,
+    /// Last load report.
+    pub load: peer::Load,
+}
+
+/// What should change; splits are applied first, then merges, then moves.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Plan {
+    /// Starts of new slices, each cut off from the slice that contains it.
+    pub splits: Vec<ids::KeyHash>,
+    /// Starts of slices that become part of their predecessor.
+    pub merges: Vec<ids::KeyHash>,
+    /// Changes of owner.
+    pub moves: Vec<Move>,
+}
+
+/// Change of owner of one slice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Move {
+    /// First hash of the slice.
+    pub start: ids::KeyHash,
+    /// Present owner, which may be lost.
+    pub from: Option<ids::NodeRef>,
+    /// New owner.
+    pub to: ids::NodeRef,
+}
+
+/// Way to place slices.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// Ring of virtual nodes; for comparison.
+    Consistent,
+    /// Rendezvous hashing with bounded loads; for comparison.
+    Rendezvous,
+    /// Weighted moves, the one in use.
+    Weighted,
+}
+
+impl Policy {
+    /// All policies.
+    pub const ALL: [Self; 3] = [Self::Consistent, Self::Rendezvous, Self::Weighted];
+
+    /// Returns the name of the policy.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Consistent => "consistent hashing",
+            Self::Rendezvous => "rendezvous, bounded",
+            Self::Weighted => "weighted moves",
+        }
+    }
+
+    /// Plans by this policy.
+    #[must_use]
+    pub fn plan(self, input: &Input<'_>) -> Plan {
+        match self {
+            Self::Consistent => placement::consistent(input),
+            Self::Rendezvous => placement::rendezvous(input),
+            Self::Weighted => plan(input),
+        }
+    }
+}
+
+/// Plans weighted moves.
+#[must_use]
+pub fn plan(input: &Input<'_>) -> Plan {
+    let mut state = State::new(input);
+    let mut plan = Plan {
+        moves: state.evacuate(),
+        ..Plan::default()
+    };
+    plan.splits = state.splits();
+    if !plan.splits.is_empty() {
+        return plan;
+    }
+    let budget = state.budget_left(plan.moves.len());
+    plan.moves.extend(state.rebalance(budget));
+    if plan.moves.is_empty() {
+        plan.merges = state.merges();
+    }
+    if plan.moves.is_empty() && plan.merges.is_empty() {
+        plan.moves = state.returns(budget);
+    }
+    plan
+}
+
+/// Applies the splits and merges of a plan.
+///
+/// Both parts of a split keep owner and version. A merged slice gets the higher version, so that no
+/// fencing token of its hashes goes back.
+#[must_use]
+pub fn reshape(slices: &[record::Slice], plan: &Plan) -> Vec<record::Slice> {
+    let mut by_start: BTreeMap<_, _> = slices.iter().map(|s| (s.start, *s)).collect();
+    for start in &plan.splits {
+        let whole = by_start.range(..=*start).next_back().map(|(_, s)| *s);
+        if let Some(whole) = whole {
+            let part = record::Slice {
+                start: *start,
+                ..whole
+            };
+            by_start.insert(*start, part);
+        }
+    }
+    for start in &plan.merges {
+        let Some(gone) = by_start.remove(start) else {
+            continue;
+        };
+        if let Some((_, before)) = by_start.range_mut(..*start).next_back() {
+            before.version = before.version.max(gone.version);
+        }
+    }
+    by_start.into_values().collect()
+}
+
+/// Slice while a plan is made.
+#[derive(Debug, Clone, Copy)]
+struct Item {
+    weight: f64,
+    /// Position of the server that has the slice, or will have it.
+    holder: Option<usize>,
+    /// Whether the slice may move for the sake of balance.
+    free: bool,
+}
+
+/// Server while a plan is made.
+#[derive(Debug, Clone, Copy)]
+struct Bin {
+    /// Fair part of all weights; 0 for a server that takes no slices.
+    fair: f64,
+    load: f64,
+}
+
+impl Bin {
+    fn takes(&self) -> bool {
+        self.fair > 0.0
+    }
+
+    fn level(&self) -> f64 {
+        self.load / self.fair
+    }
+}
+
+struct State<'a> {
+    input: &'a Input<'a>,
+    items: Vec<Item>,
+    bins: Vec<Bin>,
+    hysteresis: f64,
+    min_gain: f64,
+}
+
+impl<'a> State<'a> {
+    fn new(input: &'a Input<'a>) -> Self {
+        let w = input.weights;
+        let ratio = (w.churn + w.unavailable) / (2.0 * w.imbalance.max(f64::MIN_POSITIVE));
+        let (low, high) = HYSTERESIS_RANGE;
+        let mut state = Self {
+            input,
+            items: Vec::new(),
+            bins: bins(input),
+            hysteresis: (HYSTERESIS * ratio).clamp(low, high),
+            min_gain: (MIN_GAIN * ratio).clamp(MIN_GAIN / 4.0, MIN_GAIN * 4.0),
+        };
+        let moved: HashSet<_> = input.moved.iter().copied().collect();
+        let weights = weight::of_slices(input);
+        for (slice, weight) in input.record.slices.iter().zip(weights) {
+            let holder = state.holder(slice);
+            if let Some(h) = holder {
+                state.bins[h].load += weight;
+            }
+            state.items.push(Item {
+                weight,
+                holder,
+                free: slice.target.is_none() && !moved.contains(&slice.start),
+            });
+        }
+        state
+    }
+
+    fn holder(&self, slice: &record::Slice) -> Option<usize> {
+        let find = |node: ids::NodeRef| {
+            let position = self.input.servers.iter().position(|s| s.node == node)?;
+            self.bins[position].takes().then_some(position)
+        };
+        slice.target.and_then(find).or(slice.owner.and_then(find))
+    }
+
+    /// Places the slices whose holder is lost or draining, the heaviest first.
+    fn evacuate(&mut self) -> Vec<Move> {
+        let mut homeless: Vec<_> = (0..self.items.len())
+            .filter(|i| self.items[*i].holder.is_none())
+            .collect();
+        homeless.sort_by(|a, b| self.items[*b].weight.total_cmp(&self.items[*a].weight));
+        let mut moves = Vec::new();
+        for i in homeless {
+            if let Some(to) = self.coldest() {
+                moves.push(self.place(i, to));
+            }
+        }
+        moves
+    }
+
+    /// Finds hot keys that share their slice with others.
+    fn splits(&self) -> Vec<ids::KeyHash> {
+        let record = self.input.record;
+        let mut cuts = Vec::new();
+        let mut hot = self.keys_above(HOT);
+        hot.truncate(MAX_SPLITS);
+        for key in hot {
+            let index = record.index_of(key);
+            if !self.is_settled(index) {
+                continue;
+            }
+            if record.slices[index].start != key {
+                cuts.push(key);
+            }
+            if record.end_of(index) != key {
+                cuts.push(ids::KeyHash(key.0 + 1));
+            }
+        }
+        cuts.sort_unstable();
+        cuts.dedup();
+        let room = MAX_SLICES.saturating_sub(record.slices.len());
+        cuts.truncate(room);
+        cuts
+    }
+
+    /// Moves slices from the most to the least loaded servers.
+    fn rebalance(&mut self, budget: usize) -> Vec<Move> {
+        let mut moves = Vec::new();
+        let mut highest = 1.0 + self.hysteresis;
+        let mut lowest = UNDERUSED;
+        while moves.len() < budget {
+            let (Some(from), Some(to)) = (self.hottest(), self.coldest()) else {
+                break;
+            };
+            // Once begun, moves go on past the limit, so that they don't start again soon.
+            if self.bins[from].level() > highest {
+                highest = 1.0 + self.hysteresis / 2.0;
+            } else if self.bins[to].level() < lowest {
+                lowest = (1.0 - self.hysteresis).max(FILLED);
+            } else {
+                break;
+            }
+            let Some(i) = self.best_slice(from, to) else {
+                break;
+            };
+            self.items[i].free = false;
+            moves.push(self.place(i, to));
+        }
+        moves
+    }
+
+    /// Finds the slice whose move lowers the higher of the two levels most.
+    fn best_slice(&self, from: usize, to: usize) -> Option<usize> {
+        let (a, b) = (self.bins[from], self.bins[to]);
+        let after = |w: f64| ((a.load - w) / a.fair).max((b.load + w) / b.fair);
+        let candidates = self.items.iter().enumerate();
+        let (best, level) = candidates
+            .filter(|(_, item)| item.holder == Some(from) && item.free)
+            .map(|(i, item)| (i, after(item.weight)))
+            .min_by(|x, y| x.1.total_cmp(&y.1))?;
+        (level <= a.level() - self.min_gain).then_some(best)
+    }
+
+    /// Finds neighbours that one owner holds and that are cold enough to be one slice again.
+    fn merges(&self) -> Vec<ids::KeyHash> {
+        let record = self.input.record;
+        let mut excess = self.excess();
+        let hot = self.warm_slices();
+        let limit = self.base_width();
+        // Rounding of widths must not keep the parts of a slice apart.
+        let limit = limit * (1.0 + 1e-9);
+        let mut merges = Vec::new();
+        let mut merged = 0.0;
+        for i in 1..record.slices.len() {
+            let whole = if merged > 0.0 {
+                merged
+            } else {
+                weight::width(record, i - 1)
+            };
+            let both = whole + weight::width(record, i);
+            let same = record.slices[i].owner == record.slices[i - 1].owner;
+            let settled = self.is_settled(i) && self.is_settled(i - 1);
+            let cold = !hot.contains(&i) && !hot.contains(&(i - 1));
+            if excess > 0 && same && settled && cold && both <= limit {
+                merges.push(record.slices[i].start);
+                merged = both;
+                excess -= 1;
+            } else {
+                merged = 0.0;
+            }
+        }
+        merges
+    }
+
+    /// Moves single keys that are no longer hot to the owner of both neighbours, so that they can be
+    /// merged; without it, each key that was ever hot would stay in the record.
+    fn returns(&mut self, budget: usize) -> Vec<Move> {
+        let warm = self.warm_slices();
+        let record = self.input.record;
+        let most = budget.min(self.excess());
+        let mut moves = Vec::new();
+        for i in 1..record.slices.len().saturating_sub(1) {
+            let (before, after) = (self.items[i - 1].holder, self.items[i + 1].holder);
+            let apart = before == after && before != self.items[i].holder;
+            let single = weight::width(record, i) < self.base_width() * SINGLE;
+            let settled = (i - 1..=i + 1).all(|n| self.is_settled(n)) && self.items[i].free;
+            if moves.len() < most && apart && single && settled && !warm.contains(&i) {
+                moves.extend(before.map(|to| self.place(i, to)));
+            }
+        }
+        moves
+    }
+
+    fn excess(&self) -> usize {
+        let base = usize::try_from(self.input.base_slices).unwrap_or(usize::MAX);
+        self.input.record.slices.len().saturating_sub(base)
+    }
+
+    fn base_width(&self) -> f64 {
+        1.0 / self.input.base_slices.max(1) as f64
+    }
+
+    fn warm_slices(&self) -> HashSet<usize> {
+        let keys = self.keys_above(COOL).into_iter();
+        keys.map(|key| self.input.record.index_of(key)).collect()
+    }
+
+    /// Returns the keys with at least this share of a server's mean load, the hottest first.
+    fn keys_above(&self, share: f64) -> Vec<ids::KeyHash> {
+        let total: f64 = weight::rates(self.input).iter().sum();
+        let servers = self.takers().count();
+        let live = self.input.servers.iter().filter(|s| s.live);
+        let mut keys: Vec<_> = live.flat_map(|s| s.load.hot.iter().copied()).collect();
+        if servers == 0 || total < weight::NOISE_RATE {
+            return Vec::new();
+        }
+        keys.retain(|(_, rate)| *rate >= share * total / servers as f64);
+        keys.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
+        let mut seen = HashSet::new();
+        keys.retain(|(key, _)| seen.insert(*key));
+        keys.into_iter().map(|(key, _)| key).collect()
+    }
+
+    /// Returns whether a slice stays with its present owner in this plan.
+    fn is_settled(&self, index: usize) -> bool {
+        let slice = &self.input.record.slices[index];
+        let holder = self.items[index].holder.map(|h| self.input.servers[h].node);
+        slice.target.is_none() && slice.owner.is_some() && slice.owner == holder
+    }
+
+    fn budget_left(&self, forced: usize) -> usize {
+        let slices = self.input.record.slices.len();
+        budget(self.input.churn_budget, slices)
+            .saturating_sub(self.input.moved.len())
+            .saturating_sub(forced)
+    }
+
+    fn hottest(&self) -> Option<usize> {
+        self.takers()
+            .max_by(|a, b| self.bins[*a].level().total_cmp(&self.bins[*b].level()))
+    }
+
+    fn coldest(&self) -> Option<usize> {
+        self.takers()
+            .min_by(|a, b| self.bins[*a].level().total_cmp(&self.bins[*b].level()))
+    }
+
+    fn takers(&self) -> impl Iterator<Item = usize> {
+        (0..self.bins.len()).filter(|i| self.bins[*i].takes())
+    }
+
+    fn place(&mut self, index: usize, to: usize) -> Move {
+        let item = &mut self.items[index];
+        if let Some(from) = item.holder {
+            self.bins[from].load -= item.weight;
+        }
+        self.bins[to].load += item.weight;
+        item.holder = Some(to);
+        Move {
+            start: self.input.record.slices[index].start,
+            from: self.input.record.slices[index].owner,
+            to: self.input.servers[to].node,
+        }
+    }
+}
+
+/// Returns the number of slices that may move in a minute.
+#[must_use]
+pub fn budget(percent: f64, slices: usize) -> usize {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the product is clamped to the number of slices"
+    )]
+    let count = (slices as f64 * percent / 100.0).clamp(0.0, slices as f64) as usize;
+    count
+}
+
+/// Returns the servers with their fair parts; draining ones take part only if no other is live.
+fn bins(input: &Input<'_>) -> Vec<Bin> {
+    let any = input.servers.iter().any(|s| s.live && !s.draining);
+    let takes = |s: &Server| s.live && (!s.draining || !any);
+    let slots = |s: &Server| f64::from(s.slots.max(1));
+    let all = input.servers.iter().filter(|s| takes(s));
+    let total: f64 = all.map(slots).sum();
+    let servers = input.servers.iter();
+    servers
+        .map(|s| Bin {
+            fair: if takes(s) { slots(s) / total } else { 0.0 },
+            load: 0.0,
+        })
+        .collect()
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -9,4 +9,5 @@
 pub mod members;
 pub mod record;
 pub mod settings;
+pub mod sketch;
 pub mod timing;
--- /dev/null
+++ b/src/state/sketch.rs
@@ -0,0 +1,128 @@
+//! Heavy hitters among key hashes: the SpaceSaving algorithm with exponential decay.
+//!
+//! Counts are kept as if all were observed at the sketch's start: a later observation weighs more
+//! instead of every earlier one being reduced, so an addition touches one counter only.
+
+use std::collections::HashMap;
+use std::time;
+
+use crate::state::{clock, ids};
+
+/// Weight of one observation at which all counts are scaled down, long before they overflow.
+const RESCALE: f64 = 1e12;
+
+/// Counts of the most frequent keys, and of all.
+#[derive(Debug, Clone)]
+pub struct Sketch {
+    capacity: usize,
+    half_life: time::Duration,
+    start: clock::Instant,
+    total: f64,
+    counters: HashMap<ids::KeyHash, Counter>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Counter {
+    count: f64,
+    /// Part of the count that may belong to keys evicted earlier.
+    error: f64,
+}
+
+impl Sketch {
+    /// Creates an empty sketch that counts at most `capacity` keys.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the capacity or the half-life is zero.
+    #[must_use]
+    pub fn new(capacity: usize, half_life: time::Duration, now: clock::Instant) -> Self {
+        assert!(capacity > 0, "a sketch counts at least one key");
+        assert!(!half_life.is_zero(), "counts decay over some time");
+        Self {
+            capacity,
+            half_life,
+            start: now,
+            total: 0.0,
+            counters: HashMap::with_capacity(capacity),
+        }
+    }
+
+    /// Counts one request.
+    pub fn add(&mut self, key: ids::KeyHash, now: clock::Instant) {
+        let weight = self.weight(now);
+        let weight = if weight > RESCALE {
+            self.rescale(now, weight);
+            1.0
+        } else {
+            weight
+        };
+        self.total += weight;
+        if let Some(counter) = self.counters.get_mut(&key) {
+            counter.count += weight;
+            return;
+        }
+        let error = self.make_room();
+        let counter = Counter {
+            count: error + weight,
+            error,
+        };
+        self.counters.insert(key, counter);
+    }
+
+    /// Returns the rate of all requests, per second.
+    #[must_use]
+    pub fn rate(&self, now: clock::Instant) -> f64 {
+        self.total * self.scale(now)
+    }
+
+    /// Returns the most frequent keys and the rate that each has at least, the highest first.
+    #[must_use]
+    pub fn top(&self, count: usize, now: clock::Instant) -> Vec<(ids::KeyHash, f64)> {
+        let scale = self.scale(now);
+        let mut all: Vec<_> = self
+            .counters
+            .iter()
+            .map(|(key, c)| (*key, (c.count - c.error) * scale))
+            .filter(|(_, rate)| *rate > 0.0)
+            .collect();
+        all.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
+        all.truncate(count);
+        all
+    }
+
+    /// Evicts the least frequent key if the sketch is full, and returns its count.
+    fn make_room(&mut self) -> f64 {
+        if self.counters.len() < self.capacity {
+            return 0.0;
+        }
+        let least = self
+            .counters
+            .iter()
+            .min_by(|a, b| a.1.count.total_cmp(&b.1.count));
+        let Some((&key, &counter)) = least else {
+            return 0.0;
+        };
+        self.counters.remove(&key);
+        counter.count
+    }
+
+    fn weight(&self, now: clock::Instant) -> f64 {
+        let half_lives = now.since(self.start).as_secs_f64() / self.half_life.as_secs_f64();
+        half_lives.exp2()
+    }
+
+    /// Factor from a count to a rate: a steady rate r accumulates r times the mean lifetime.
+    fn scale(&self, now: clock::Instant) -> f64 {
+        let lifetime = self.half_life.as_secs_f64() / std::f64::consts::LN_2;
+        1.0 / (self.weight(now) * lifetime)
+    }
+
+    fn rescale(&mut self, now: clock::Instant, weight: f64) {
+        self.start = now;
+        self.total /= weight;
+        for counter in self.counters.values_mut() {
+            counter.count /= weight;
+            counter.error /= weight;
+        }
+    }
+}
