--- a/src/coordination/balance.rs
+++ b/src/coordination/balance.rs
@@ -347,11 +347,11 @@
         let limit = self.base_width();
         // Rounding of widths must not keep the parts of a slice apart.
         let limit = limit * (1.0 + 1e-9);
-        let mut merges = Vec::new();
-        let mut merged = 0.0;
+        let mut starts = Vec::new();
+        let mut joined = 0.0;
         for i in 1..record.slices.len() {
-            let whole = if merged > 0.0 {
-                merged
+            let whole = if joined > 0.0 {
+                joined
             } else {
                 weight::width(record, i - 1)
             };
@@ -360,14 +360,14 @@
             let settled = self.is_settled(i) && self.is_settled(i - 1);
             let cold = !hot.contains(&i) && !hot.contains(&(i - 1));
             if excess > 0 && same && settled && cold && both <= limit {
-                merges.push(record.slices[i].start);
-                merged = both;
+                starts.push(record.slices[i].start);
+                joined = both;
                 excess -= 1;
             } else {
-                merged = 0.0;
+                joined = 0.0;
             }
         }
-        merges
+        starts
     }
 
     /// Moves single keys that are no longer hot to the owner of both neighbours, so that they can be
@@ -463,6 +463,9 @@
 }
 
 /// Returns the number of slices that may move in a minute.
+///
+/// A budget of less than one slice allows one; otherwise a service with few slices could never fill
+/// a server that joins.
 #[must_use]
 pub fn budget(percent: f64, slices: usize) -> usize {
     #[expect(
@@ -471,7 +474,7 @@
         reason = "the product is clamped to the number of slices"
     )]
     let count = (slices as f64 * percent / 100.0).clamp(0.0, slices as f64) as usize;
-    count
+    count.max(usize::from(percent > 0.0))
 }
 
 /// Returns the servers with their fair parts; draining ones take part only if no other is live.
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,7 +1,13 @@
 //! Protocol layer: wire types and their conversion to and from the state layer.
 
+pub mod backend;
+pub mod caller;
+pub mod check;
+pub mod document;
 pub mod error;
 pub mod member;
 pub mod peer;
 pub mod platform;
 pub mod record;
+pub mod settings;
+pub mod source;
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -1,11 +1,13 @@
 //! Gossip between nodes over loopback connections.
 
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 use std::sync::Arc;
 use std::{net, thread, time};
 
 use filbertflow::coordination::{membership, node, service};
 use filbertflow::state::{ids, record, settings};
-use filbertflow::transport::peer_server;
+use filbertflow::transport::{counted, peer_server};
 use tokio::runtime;
 
 /// Time after which a condition that does not hold counts as a failure.
@@ -23,7 +25,7 @@
             .worker_threads(2)
             .enable_all()
             .build()
-            .expect("a runtime can be built");
+            .unwrap();
         let nowhere = free_addr();
         let node = node::Node::new(settings::Settings {
             region: "ie-east".to_owned(),
@@ -34,10 +36,10 @@
             platform: nowhere,
             peers,
         });
-        let listener = runtime.block_on(peer_server::bind(addr));
-        let listener = listener.expect("the address is free");
+        let listener = runtime.block_on(peer_server::bind(addr)).unwrap();
         let served = Arc::clone(&node);
-        runtime.spawn(peer_server::serve(listener, move |accepted| {
+        let traffic = counted::Traffic::from(&node.metrics.traffic);
+        runtime.spawn(peer_server::serve(listener, traffic, move |accepted| {
             service::connection(Arc::clone(&served), accepted)
         }));
         runtime.spawn(membership::run(Arc::clone(&node)));
@@ -71,8 +73,8 @@
 }
 
 fn free_addr() -> net::SocketAddr {
-    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("the socket is bound")
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
 }
 
 fn start(count: usize) -> Vec<Running> {
