Start callers' and operators' listeners from the node's command

Cause: the node had no entry; its process could not serve. Change: the command opens both listeners, and marks its backend server as draining when it is told to stop.

--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -8,7 +8,7 @@
 use tokio::signal::unix;
 
 use crate::cmd::{exit, logging};
-use crate::coordination::{membership, node, service};
+use crate::coordination::{admin, membership, node, router, service};
 use crate::protocol::source;
 use crate::state::settings;
 use crate::transport::{counted, peer_server};
@@ -97,6 +97,11 @@
         service::connection(Arc::clone(&shared), accepted)
     }));
     node.spawn();
+    let caller_addr = node.settings.caller;
+    router::start(&node).wrap_err_with(|| format!("can't listen for callers at {caller_addr}"))?;
+    let admin_addr = node.settings.admin;
+    let _admin = admin::start(Arc::clone(&node))
+        .wrap_err_with(|| format!("can't listen for operators at {admin_addr}"))?;
     tracing::info!(event = 101, node = %node.me, "node started");
     tokio::select! {
         _ = terminate.recv() => {}
@@ -114,6 +119,7 @@
 
 async fn drain(node: &Arc<node::Node>) {
     node.owner.drain();
+    node.backend.drain();
     let handed_over = async {
         while !node.grants.live().is_empty() {
             tokio::time::sleep(DRAIN_POLL).await;
--- a/src/coordination/backend.rs
+++ b/src/coordination/backend.rs
@@ -5,6 +5,7 @@
 //! in a row, or a refused connection, the server is down until it answers a probe; it then starts
 //! slowly and is down again after one further timeout.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::{net, time};
 
@@ -40,6 +41,7 @@
 #[derive(Debug)]
 pub struct Backend {
     known: Mutex<Option<Known>>,
+    leaving: AtomicBool,
     changes: watch::Sender<u64>,
 }
 
@@ -76,6 +78,7 @@
     fn default() -> Self {
         Self {
             known: Mutex::default(),
+            leaving: AtomicBool::new(false),
             changes: watch::Sender::new(0),
         }
     }
@@ -104,6 +107,12 @@
         }
     }
 
+    /// Marks the server as draining from now on, because its node is about to stop.
+    pub fn drain(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+        self.changes.send_modify(|n| *n += 1);
+    }
+
     /// Returns the service and state of the backend server, if one has announced itself.
     #[must_use]
     pub fn state(&self) -> Option<(String, peer::BackendState)> {
@@ -112,7 +121,7 @@
         let a = &known.announcement;
         let state = peer::BackendState {
             up: known.is_up(),
-            draining: a.draining,
+            draining: a.draining || self.leaving.load(Ordering::Relaxed),
             checks: a.checks_tokens,
             slots: a.slots,
         };
