--- a/src/coordination/lead.rs
+++ b/src/coordination/lead.rs
@@ -46,7 +46,7 @@
     pub recheck: bool,
     adopted: clock::Instant,
     ticked: clock::Instant,
-    contact: clock::Instant,
+    contact: Option<clock::Instant>,
     promises: HashMap<ids::NodeRef, clock::Instant>,
     failed: HashMap<ids::NodeRef, clock::Instant>,
     leases: HashMap<ids::NodeRef, clock::Instant>,
@@ -121,17 +121,18 @@
 impl Led {
     /// Takes over a partition whose record names this node as coordinator.
     ///
-    /// `sent` is the time at which the call was sent that confirmed the record.
+    /// `sent` is the time at which the call was sent that confirmed the record. A record with a
+    /// claim intent proves no contact, because the intent may be older than the call (R6).
     #[must_use]
     pub fn new(me: ids::NodeRef, stored: store::Stored, sent: clock::Instant) -> Self {
         let mut led = Self {
             me,
+            contact: stored.record.intent.is_none().then_some(sent),
             stored,
             pending: None,
             recheck: false,
             adopted: clock::Instant::now(),
             ticked: clock::Instant::now(),
-            contact: sent,
             promises: HashMap::new(),
             failed: HashMap::new(),
             leases: HashMap::new(),
@@ -157,7 +158,7 @@
             .take()
             .is_some_and(|p| p.write.record.writer == stored.record.writer);
         if stored.record.intent.is_none() {
-            self.contact = self.contact.max(sent);
+            self.contact = self.contact.max(Some(sent));
         }
         self.stored = stored;
         if !own {
@@ -168,7 +169,7 @@
     /// Notes that the platform's service still holds the record as it was at `sent`.
     pub fn confirm(&mut self, sent: clock::Instant) {
         if self.record().intent.is_none() {
-            self.contact = self.contact.max(sent);
+            self.contact = self.contact.max(Some(sent));
         }
         self.recheck = false;
     }
@@ -203,7 +204,8 @@
             Some(p) => p.write.hold.min(self.stored.hold),
             None => self.stored.hold,
         };
-        self.contact + hold > now && self.needed().iter().all(|s| self.promised(*s, now))
+        let contact = self.contact.is_some_and(|at| at + hold > now);
+        contact && self.needed().iter().all(|s| self.promised(*s, now))
     }
 
     /// Returns the standbys whose promises are needed.
