--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,5 +1,6 @@
 //! Coordination layer: who owns what, where a request goes, and what is agreed.
 
+pub mod admin;
 pub mod backend;
 pub mod config;
 pub mod coordinator;
@@ -8,12 +9,16 @@
 pub mod gate;
 pub mod grants;
 pub mod lead;
+pub mod load;
+pub mod history;
 pub mod membership;
 pub mod node;
 pub mod outcomes;
 pub mod owner;
 pub mod place;
+pub mod pick;
 pub mod records;
+pub mod retry;
 pub mod router;
 pub mod service;
 pub mod standby;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,6 +1,9 @@
 //! Transport layer: connections to peers, to the platform's service and to the backend server.
 
+pub mod backend;
+pub mod admin;
 pub mod counted;
+pub mod entry;
 pub mod error;
 pub mod grant;
 pub mod peer_server;
