--- a/src/coordination/grants.rs
+++ b/src/coordination/grants.rs
@@ -63,6 +63,7 @@
     grants: Arc<Grants>,
     partition: ids::PartitionId,
     hash: ids::KeyHash,
+    start: ids::KeyHash,
     /// Fencing token of the slice.
     pub token: ids::Token,
     /// Identifiers created before this time may have run under an earlier owner.
@@ -199,6 +200,7 @@
             grants: Arc::clone(self),
             partition: partition.clone(),
             hash,
+            start: slice.start,
             token: lease.record.token(slice),
             horizon,
         })
@@ -255,7 +257,7 @@
 }
 
 impl Ticket {
-    /// Returns the first hash of the slice.
+    /// Returns the first hash of the slice at the time of admission.
     #[must_use]
     pub const fn slice(&self) -> ids::KeyHash {
         self.start
--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -11,12 +11,12 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time;
+use std::{net, time};
 
 use crate::coordination::{coordinator, grants, node, succession};
-use crate::protocol::peer;
+use crate::protocol::{backend, peer};
 use crate::state::{clock, ids, record, timing};
-use crate::transport::error as transport;
+use crate::transport::{error as transport, grant};
 
 /// Time for one renewal; a later answer leaves too little of the lease to be useful.
 const RENEWAL_LIMIT: time::Duration = time::Duration::from_millis(400);
@@ -29,6 +29,7 @@
 pub struct Owner {
     table: Mutex<HashMap<ids::PartitionId, Owned>>,
     draining: AtomicBool,
+    delivery: tokio::sync::Mutex<()>,
 }
 
 #[derive(Debug, Default)]
@@ -190,7 +191,7 @@
             draining: state.draining || node.owner.draining.load(Ordering::Relaxed),
             ..state
         },
-        load: peer::Load::default(),
+        load: node.gate.load(),
     };
     let sent = clock::Instant::now();
     let reply = match call(node, to, req).await {
@@ -200,7 +201,7 @@
             return Renewal::Refused;
         }
     };
-    apply(node, id, state, sent, reply)
+    apply(node, id, state, sent, reply).await
 }
 
 async fn call(
@@ -220,7 +221,7 @@
 }
 
 /// Applies the answer to a renewal that was sent at `sent`.
-pub fn apply(
+pub async fn apply(
     node: &Arc<node::Node>,
     id: &ids::PartitionId,
     state: peer::BackendState,
@@ -256,12 +257,53 @@
         return Renewal::Refused;
     }
     let until = sent + timing::LEASE;
+    deliver(node, &record, until).await;
     let handed = handed(node, &record);
     node.grants.renew(Arc::clone(&record), until, &handed);
     start_moves(node, &record);
     Renewal::Applied
 }
 
+/// Passes the lease on to the backend server (R8).
+///
+/// Waits for the server only if it gets other slices or tokens than before, since it refuses
+/// requests for those until then.
+async fn deliver(
+    node: &Arc<node::Node>,
+    record: &Arc<record::PartitionRecord>,
+    until: clock::Instant,
+) {
+    let Some(server) = node.backend.server() else {
+        return;
+    };
+    let applied = node.grants.live();
+    if applied.iter().any(|(r, _)| r == record) {
+        let node = Arc::clone(node);
+        let record = Arc::clone(record);
+        tokio::spawn(async move {
+            // One delivery at a time, so that an older grant never replaces a newer one.
+            if let Ok(_turn) = node.owner.delivery.try_lock() {
+                send_grant(&node, server.addr, &record, until).await;
+            }
+        });
+        return;
+    }
+    let _turn = node.owner.delivery.lock().await;
+    send_grant(node, server.addr, record, until).await;
+}
+
+async fn send_grant(
+    node: &Arc<node::Node>,
+    addr: net::SocketAddr,
+    record: &record::PartitionRecord,
+    until: clock::Instant,
+) {
+    let grant = backend::GrantBody::new(node.me, record, until.left());
+    if let Err(e) = grant::send(addr, grant).await {
+        tracing::warn!(event = 434, partition = %record.id, error = %e, "backend server did not take the grant");
+    }
+}
+
 /// Returns the horizons that were handed over, and forgets those of slices that moved on.
 fn handed(node: &Arc<node::Node>, record: &record::PartitionRecord) -> grants::Horizons {
     let mut table = node.owner.lock();
--- a/src/protocol/backend.rs
+++ b/src/protocol/backend.rs
@@ -1,9 +1,11 @@
 //! Messages to and from the backend server beside a node: JSON and headers over HTTP.
 
+use std::time;
+
 use serde::{Deserialize, Serialize};
 
 use crate::protocol::peer;
-use crate::state::ids;
+use crate::state::{ids, record};
 
 /// Header with the identifier of a request, in requests and responses.
 pub const ID: &str = "filbert-id";
@@ -159,3 +161,30 @@
     /// Version of the fencing token.
     pub version: ids::SliceVersion,
 }
+
+impl GrantBody {
+    /// Lists the slices that a record assigns to a node, under a lease with this time left.
+    #[must_use]
+    pub fn new(
+        owner: ids::NodeRef,
+        record: &record::PartitionRecord,
+        left: time::Duration,
+    ) -> Self {
+        let slices = record.slices.iter().enumerate();
+        let held = slices.filter(|(_, s)| s.owner == Some(owner));
+        let until = ids::wall_time() + left;
+        Self {
+            service: record.id.service.clone(),
+            slices: held
+                .map(|(i, s)| GrantSlice {
+                    start: s.start,
+                    end: record.end_of(i),
+                    epoch: record.epoch,
+                    version: s.version,
+                })
+                .collect(),
+            valid_ms: u64::try_from(left.as_millis()).unwrap_or_default(),
+            until_unix_ms: u64::try_from(until.as_millis()).ok(),
+        }
+    }
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,7 +1,7 @@
 //! Transport layer: connections to peers, to the platform's service and to the backend server.
 
-pub mod backend;
 pub mod admin;
+pub mod backend;
 pub mod counted;
 pub mod entry;
 pub mod error;
