--- a/src/coordination/grants.rs
+++ b/src/coordination/grants.rs
@@ -257,7 +257,7 @@
 }
 
 impl Ticket {
-    /// Returns the first hash of the slice.
+    /// Returns the first hash of the slice at the time of admission.
     #[must_use]
     pub const fn slice(&self) -> ids::KeyHash {
         self.start
