Add filbertflow-ctl

Cause: operators had no way to submit a document or to see the state of a fleet. Measured: nothing measured yet, tests follow.

--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,53 @@
+//! `filbertflow-ctl check`: checks a document without submitting it.
+
+use gumdrop::Options;
+
+use crate::cmd::shared;
+use crate::protocol::source;
+use crate::state::document;
+
+const USAGE: &str = "\
+Checks a document and prints all problems, each with its file, line and column.
+
+Usage:
+    filbertflow-ctl check FILE
+
+Example:
+    filbertflow-ctl check consortium.jsonc
+
+Exit codes: 0 valid, 2 invalid or not readable.
+
+Options:";
+
+#[derive(Debug, Default, Options)]
+struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free)]
+    files: Vec<String>,
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Returns bad input with all problems of the document.
+pub fn run(args: &[String]) -> eyre::Result<()> {
+    let Some(args) = shared::parse::<Args>(args, USAGE)? else {
+        return Ok(());
+    };
+    let file = shared::only(&args.files, "FILE")?;
+    let (_, document) = load(file)?;
+    let services = document.services.len();
+    let routes: usize = document.services.iter().map(|s| s.routes.len()).sum();
+    shared::print(&format!(
+        "{file} is valid: {services} services, {routes} routes\n"
+    ))
+}
+
+/// Reads a document that must be valid; also returns its text.
+pub(super) fn load(file: &str) -> eyre::Result<(String, document::Document)> {
+    let text = shared::read(file)?;
+    let document = source::document(file, &text).map_err(|e| shared::bad_input(e.to_string()))?;
+    Ok((text, document))
+}
--- /dev/null
+++ b/src/cmd/diff.rs
@@ -0,0 +1,89 @@
+//! `filbertflow-ctl diff`: shows what a document would change.
+
+use std::net;
+
+use gumdrop::Options;
+
+use crate::cmd::{check, shared, submission};
+use crate::protocol::{config, difference, source};
+use crate::state::document;
+
+const USAGE: &str = "\
+Shows what a document would change, value by value, or prints the document in
+force with its comments.
+
+Usage:
+    filbertflow-ctl diff FILE
+    filbertflow-ctl diff --current
+
+Lines begin with ~ for a changed, + for an added, - for a removed value. The
+revision in force goes to the standard error stream.
+
+Examples:
+    filbertflow-ctl diff consortium.jsonc --platform 10.0.0.5:7000
+    filbertflow-ctl diff --current > consortium.jsonc
+
+Exit codes: 0 compared or printed, 2 invalid document, 4 platform's service not
+available.
+
+Options:";
+
+#[derive(Debug, Default, Options)]
+struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(
+        help = "address of the platform's service, or FILBERTFLOW_PLATFORM",
+        meta = "IP:PORT",
+        no_short
+    )]
+    platform: Option<net::SocketAddr>,
+    #[options(help = "print the document in force", no_short)]
+    current: bool,
+    #[options(free)]
+    files: Vec<String>,
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Returns an error with the exit code that the usage text lists.
+pub fn run(args: &[String]) -> eyre::Result<()> {
+    let Some(args) = shared::parse::<Args>(args, USAGE)? else {
+        return Ok(());
+    };
+    let client = shared::Shared::new(args.platform, None)?.platform()?;
+    let file = if args.current {
+        None
+    } else {
+        Some(shared::only(&args.files, "FILE")?)
+    };
+    let mine = file.map(check::load).transpose()?;
+    let entry = shared::block_on(submission::current(&client))?;
+    let Some(stored) = entry.stored else {
+        eprintln!("no document was submitted yet; the first is based on revision 0");
+        return Ok(());
+    };
+    eprintln!("revision {} is in force", stored.revision);
+    match mine {
+        Some((_, mine)) => shared::print(&against(&stored, &mine)),
+        None => shared::print(&stored.text),
+    }
+}
+
+/// Returns the lines of the difference from a stored document to a new one.
+pub(super) fn against(stored: &config::Stored, new: &document::Document) -> String {
+    let old = match source::document(config::KEY, &stored.text) {
+        Ok(old) => old,
+        Err(e) => return format!("stored document is not valid for this version:\n{e}\n"),
+    };
+    let lines: Vec<_> = difference::between(&old, new)
+        .iter()
+        .map(|d| format!("{d}\n"))
+        .collect();
+    if lines.is_empty() {
+        return "no difference\n".to_owned();
+    }
+    lines.concat()
+}
--- /dev/null
+++ b/src/cmd/drain.rs
@@ -0,0 +1,127 @@
+//! `filbertflow-ctl drain`: moves all keys away from a node, or lets it own keys again.
+
+use std::net;
+
+use gumdrop::Options;
+
+use crate::cmd::{exit, progress, shared, submission};
+use crate::protocol::{edit, source};
+use crate::state::ids;
+use crate::transport::platform;
+
+const USAGE: &str = "\
+Adds a node to the drain list of the document in force, keeps its comments, and
+submits it. The node hands its keys over without interrupting requests and gets
+no new work.
+
+Usage:
+    filbertflow-ctl drain NODE [--undo] [--wait]
+
+NODE is the peer address of the node, as `filbertflow-ctl status` shows it.
+
+Examples:
+    filbertflow-ctl drain 10.0.1.1:7101 --wait
+    filbertflow-ctl drain 10.0.1.1:7101 --undo
+
+Exit codes: 0 accepted, 1 accepted but not drained in time, 2 no such node
+address, 3 other documents kept being accepted first, 4 platform's service not
+available or outcome unknown.
+
+Options:";
+
+/// Tries when other documents are accepted in between; the change does not depend on theirs.
+const TRIES: usize = 5;
+
+#[derive(Debug, Default, Options)]
+struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(
+        help = "address of the platform's service, or FILBERTFLOW_PLATFORM",
+        meta = "IP:PORT",
+        no_short
+    )]
+    platform: Option<net::SocketAddr>,
+    #[options(
+        help = "admin address of any node, or FILBERTFLOW_ADMIN",
+        meta = "IP:PORT",
+        no_short
+    )]
+    admin: Option<net::SocketAddr>,
+    #[options(help = "take the node off the list", no_short)]
+    undo: bool,
+    #[options(
+        help = "wait until the change is in force and the node owns no keys",
+        no_short
+    )]
+    wait: bool,
+    #[options(free)]
+    nodes: Vec<String>,
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Returns an error with the exit code that the usage text lists.
+pub fn run(args: &[String]) -> eyre::Result<()> {
+    let Some(args) = shared::parse::<Args>(args, USAGE)? else {
+        return Ok(());
+    };
+    let node = shared::only(&args.nodes, "NODE")?;
+    let node: ids::NodeAddr = node
+        .parse()
+        .map_err(|_| shared::bad_input(format!("NODE: expected IP:PORT, found {node:?}")))?;
+    let shared = shared::Shared::new(args.platform, args.admin)?;
+    let client = shared.platform()?;
+    let admin = args.wait.then(|| shared.admin()).transpose()?;
+    let revision = shared::block_on(change(&client, node, args.undo))?;
+    if let Some(admin) = admin {
+        let nodes = progress::wait_in_force(admin, revision)?;
+        shared::print(&format!("in force on {nodes} nodes\n"))?;
+        if !args.undo {
+            progress::wait_drained(admin, node)?;
+            shared::print(&format!("{node} owns no keys\n"))?;
+        }
+    }
+    Ok(())
+}
+
+async fn change(
+    client: &platform::Client,
+    node: ids::NodeAddr,
+    undo: bool,
+) -> eyre::Result<ids::DocRevision> {
+    for _ in 0..TRIES {
+        let Some(stored) = submission::current(client).await?.stored else {
+            return Err(shared::bad_input("there is no document yet".to_owned()));
+        };
+        let edited = if undo {
+            edit::undrain(&stored.text, node)?
+        } else {
+            edit::drain(&stored.text, node)?
+        };
+        let Some(text) = edited else {
+            let state = if undo { "not on" } else { "already on" };
+            shared::print(&format!("{node} is {state} the drain list\n"))?;
+            return Ok(stored.revision);
+        };
+        source::document("document", &text).map_err(|e| shared::bad_input(e.to_string()))?;
+        let id = submission::create_id();
+        let submission = submission::Submission {
+            id: &id,
+            based_on: stored.revision,
+            text: &text,
+            resumed: false,
+        };
+        match submission::submit(client, &submission).await? {
+            submission::Outcome::Accepted(revision) => {
+                shared::print(&format!("accepted as revision {revision}\n"))?;
+                return Ok(revision);
+            }
+            submission::Outcome::Conflict(_) => {}
+        }
+    }
+    let message = format!("conflict: other documents were accepted first, {TRIES} times");
+    Err(exit::Failure::new(exit::Exit::Conflict, message).into())
+}
--- /dev/null
+++ b/src/cmd/shared.rs
@@ -0,0 +1,153 @@
+//! What the commands of `filbertflow-ctl` have in common: addresses, files, output.
+
+use std::io::Write;
+use std::{env, fs, future, io, net};
+
+use eyre::WrapErr;
+use gumdrop::Options;
+
+use crate::cmd::exit;
+use crate::transport::platform;
+
+/// Environment variable with the address of the platform's service.
+const PLATFORM_VARIABLE: &str = "FILBERTFLOW_PLATFORM";
+
+/// Environment variable with the admin address of a node.
+const ADMIN_VARIABLE: &str = "FILBERTFLOW_ADMIN";
+
+/// Addresses that a command talks to.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Shared {
+    platform: Option<net::SocketAddr>,
+    admin: Option<net::SocketAddr>,
+}
+
+impl Shared {
+    /// Takes the addresses from options, or from the environment.
+    ///
+    /// # Errors
+    ///
+    /// Returns bad input if a variable of the environment holds no address.
+    pub fn new(
+        platform: Option<net::SocketAddr>,
+        admin: Option<net::SocketAddr>,
+    ) -> eyre::Result<Self> {
+        Ok(Self {
+            platform: or_variable(platform, PLATFORM_VARIABLE)?,
+            admin: or_variable(admin, ADMIN_VARIABLE)?,
+        })
+    }
+
+    /// Returns a client of the platform's service.
+    ///
+    /// # Errors
+    ///
+    /// Returns bad input if its address is not given.
+    pub fn platform(&self) -> eyre::Result<platform::Client> {
+        let addr = required(self.platform, "--platform", PLATFORM_VARIABLE)?;
+        Ok(platform::Client::new(addr))
+    }
+
+    /// Returns the admin address of a node.
+    ///
+    /// # Errors
+    ///
+    /// Returns bad input if it is not given.
+    pub fn admin(&self) -> eyre::Result<net::SocketAddr> {
+        required(self.admin, "--admin", ADMIN_VARIABLE)
+    }
+}
+
+fn or_variable(
+    given: Option<net::SocketAddr>,
+    variable: &str,
+) -> eyre::Result<Option<net::SocketAddr>> {
+    let Some(value) = given.map_or_else(|| env::var(variable).ok(), |_| None) else {
+        return Ok(given);
+    };
+    let addr = value
+        .parse()
+        .map_err(|_| bad_input(format!("{variable}: expected IP:PORT, found {value:?}")))?;
+    Ok(Some(addr))
+}
+
+fn required(
+    addr: Option<net::SocketAddr>,
+    option: &str,
+    variable: &str,
+) -> eyre::Result<net::SocketAddr> {
+    addr.ok_or_else(|| bad_input(format!("{option} IP:PORT or {variable} is required")))
+}
+
+/// Parses the arguments of a command; `None` if help was asked for and printed.
+///
+/// # Errors
+///
+/// Returns bad input with the usage if the arguments are invalid.
+pub fn parse<T: Options>(args: &[String], usage: &str) -> eyre::Result<Option<T>> {
+    let parsed = T::parse_args_default(args).map_err(|e| bad_input(format!("{e}\n\n{usage}")))?;
+    if parsed.help_requested() {
+        print(&format!("{usage}\n{}\n", T::usage()))?;
+        return Ok(None);
+    }
+    Ok(Some(parsed))
+}
+
+/// Returns the only free argument.
+///
+/// # Errors
+///
+/// Returns bad input if there is none or more than one.
+pub fn only<'a>(free: &'a [String], what: &str) -> eyre::Result<&'a str> {
+    match free {
+        [one] => Ok(one),
+        _ => Err(bad_input(format!(
+            "expected one {what}, found {}",
+            free.len()
+        ))),
+    }
+}
+
+/// Reads a file that the person named.
+///
+/// # Errors
+///
+/// Returns bad input if it can't be read.
+pub fn read(file: &str) -> eyre::Result<String> {
+    fs::read_to_string(file).map_err(|e| bad_input(format!("{file}: {e}")))
+}
+
+/// Prints to the standard output; a reader that has closed it ends the output quietly.
+///
+/// # Errors
+///
+/// Returns the error of the output otherwise.
+pub fn print(text: &str) -> eyre::Result<()> {
+    match io::stdout().write_all(text.as_bytes()) {
+        Err(e) if e.kind() != io::ErrorKind::BrokenPipe => Err(e.into()),
+        _ => Ok(()),
+    }
+}
+
+/// Runs a future to its end.
+///
+/// # Errors
+///
+/// Returns the error of the future, or of the runtime if it can't start.
+pub fn block_on<T>(f: impl future::Future<Output = eyre::Result<T>>) -> eyre::Result<T> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("can't start the runtime")?
+        .block_on(f)
+}
+
+/// Creates an error for invalid input.
+pub fn bad_input(message: String) -> eyre::Report {
+    exit::Failure::new(exit::Exit::BadInput, message).into()
+}
+
+/// Creates an error for a platform's service or a node that does not answer.
+pub fn unavailable(what: &str, e: &crate::transport::error::Error) -> eyre::Report {
+    exit::Failure::new(exit::Exit::Unavailable, format!("{what}: {e}")).into()
+}
--- /dev/null
+++ b/src/cmd/status.rs
@@ -0,0 +1,178 @@
+//! `filbertflow-ctl status`: shows the state of all nodes on one screen.
+
+use std::fmt::Write;
+use std::net;
+
+use gumdrop::Options;
+use serde::Serialize;
+
+use crate::cmd::{progress, shared};
+use crate::protocol::admin;
+use crate::transport::admin_client;
+
+const USAGE: &str = "\
+Shows the revision in force per node, partitions with coordinators and owners,
+and drains. Long lists are cut to fit a terminal; --json has everything.
+
+Usage:
+    filbertflow-ctl status [--json]
+
+Examples:
+    filbertflow-ctl status --admin 10.0.1.1:7102
+    filbertflow-ctl status --json | jq .partitions
+
+Exit codes: 0 shown, 4 node not available.
+
+Options:";
+
+/// Rows of each list, so that the whole fits 24 lines.
+const MAX_PARTITIONS: usize = 6;
+const MAX_DRAINS: usize = 3;
+const MAX_BEHIND: usize = 3;
+
+/// Owners of a partition that are named in its row of owners, so that it fits 80 columns.
+const MAX_OWNERS: usize = 3;
+
+#[derive(Debug, Default, Options)]
+struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(
+        help = "admin address of any node, or FILBERTFLOW_ADMIN",
+        meta = "IP:PORT",
+        no_short
+    )]
+    admin: Option<net::SocketAddr>,
+    #[options(help = "print JSON", no_short)]
+    json: bool,
+}
+
+/// Status of one node with the revisions that all nodes report.
+#[derive(Debug, Serialize)]
+struct Report {
+    #[serde(flatten)]
+    status: admin::Status,
+    revisions: Vec<progress::NodeRevision>,
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Returns an error with the exit code that the usage text lists.
+pub fn run(args: &[String]) -> eyre::Result<()> {
+    let Some(args) = shared::parse::<Args>(args, USAGE)? else {
+        return Ok(());
+    };
+    let admin = shared::Shared::new(None, args.admin)?.admin()?;
+    let status = admin_client::status(admin)
+        .map_err(|e| shared::unavailable(&format!("no answer from {admin}"), &e))?;
+    let report = Report {
+        revisions: progress::revisions(&status),
+        status,
+    };
+    if args.json {
+        return shared::print(&format!("{}\n", serde_json::to_string_pretty(&report)?));
+    }
+    shared::print(&text(&report.status, &report.revisions)?)
+}
+
+/// Returns the lines for a terminal of 24 lines and 80 columns.
+///
+/// # Errors
+///
+/// Never; writing to a text does not fail.
+pub fn text(
+    status: &admin::Status,
+    revisions: &[progress::NodeRevision],
+) -> Result<String, std::fmt::Error> {
+    let mut out = String::new();
+    let newest = revisions.iter().filter_map(|r| r.revision).max();
+    let newest = newest.unwrap_or(status.revision);
+    let (current, behind): (Vec<_>, Vec<_>) =
+        revisions.iter().partition(|r| r.revision == Some(newest));
+    let (at, all) = (current.len(), revisions.len());
+    writeln!(
+        out,
+        "revision {newest} in force on {at} of {all} nodes, seen by {}",
+        status.node.address
+    )?;
+    list(
+        &mut out,
+        &behind,
+        MAX_BEHIND,
+        "nodes behind",
+        |r: &&progress::NodeRevision| {
+            let state = r
+                .revision
+                .map_or("no answer".to_owned(), |r| format!("revision {r}"));
+            format!("  behind: {} {state}", r.address)
+        },
+    )?;
+    partitions(&mut out, &status.partitions)?;
+    list(&mut out, &status.drains, MAX_DRAINS, "drains", drain)?;
+    Ok(out)
+}
+
+fn partitions(out: &mut String, partitions: &[admin::Partition]) -> std::fmt::Result {
+    writeln!(
+        out,
+        "{:<18} {:>5} {:<21} {:>8} {:>6} {:>7} {:>6}",
+        "PARTITION", "EPOCH", "COORDINATOR", "STANDBYS", "SLICES", "UNOWNED", "MOVING"
+    )?;
+    // Partitions without an owner come first, as they need attention.
+    let mut sorted: Vec<_> = partitions.iter().collect();
+    sorted.sort_by_key(|p| std::cmp::Reverse(p.unowned));
+    list(out, &sorted, MAX_PARTITIONS, "partitions", |p| {
+        let row = format!(
+            "{:<18} {:>5} {:<21} {:>8} {:>6} {:>7} {:>6}",
+            cut(&p.partition, 18),
+            p.epoch,
+            p.coordinator,
+            p.standbys.len(),
+            p.slices,
+            p.unowned,
+            p.moving
+        );
+        format!("{row}\n  owners: {}", owners(&p.owners))
+    })
+}
+
+fn owners(owners: &[admin::Owner]) -> String {
+    let named = owners.iter().take(MAX_OWNERS).map(|o| {
+        let state = if o.draining { "!" } else { "" };
+        format!("{}={}{state}", o.address, o.slices)
+    });
+    let mut text = named.collect::<Vec<_>>().join(" ");
+    if owners.len() > MAX_OWNERS {
+        text = format!("{text} +{}", owners.len() - MAX_OWNERS);
+    }
+    text
+}
+
+fn drain(d: &admin::Drain) -> String {
+    match d.slices_left {
+        0 => format!("drained: {}", d.address),
+        left => format!("draining: {}, {left} slices left", d.address),
+    }
+}
+
+fn list<T>(
+    out: &mut String,
+    items: &[T],
+    limit: usize,
+    what: &str,
+    line: impl Fn(&T) -> String,
+) -> std::fmt::Result {
+    for item in items.iter().take(limit) {
+        writeln!(out, "{}", line(item))?;
+    }
+    if items.len() > limit {
+        writeln!(out, "  and {} more {what}", items.len() - limit)?;
+    }
+    Ok(())
+}
+
+fn cut(text: &str, width: usize) -> String {
+    text.chars().take(width).collect()
+}
--- /dev/null
+++ b/src/protocol/difference.rs
@@ -0,0 +1,101 @@
+//! Differences between two documents, by the path of each value.
+//!
+//! Entries of lists are identified by their names, so that one that moved or was added does not
+//! make all that follow look changed.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde_json::Value;
+
+use crate::protocol::document as wire;
+use crate::state::document;
+
+/// Value that differs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Difference {
+    /// Path of the value, for example `services[box-office].slices`.
+    pub path: String,
+    /// Value in the old document, as JSON.
+    pub old: Option<String>,
+    /// Value in the new document, as JSON.
+    pub new: Option<String>,
+}
+
+impl fmt::Display for Difference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (&self.old, &self.new) {
+            (Some(old), Some(new)) => write!(f, "~ {}: {old} -> {new}", self.path),
+            (Some(old), None) => write!(f, "- {}: {old}", self.path),
+            (None, Some(new)) => write!(f, "+ {}: {new}", self.path),
+            (None, None) => write!(f, "  {}", self.path),
+        }
+    }
+}
+
+/// Returns the values that differ, in the order of their paths.
+#[must_use]
+pub fn between(old: &document::Document, new: &document::Document) -> Vec<Difference> {
+    let mut old = flatten(old);
+    let new = flatten(new);
+    let mut found: Vec<_> = new
+        .into_iter()
+        .map(|(path, value)| Difference {
+            old: old.remove(&path),
+            new: Some(value),
+            path,
+        })
+        .filter(|d| d.old != d.new)
+        .collect();
+    found.extend(old.into_iter().map(|(path, value)| Difference {
+        path,
+        old: Some(value),
+        new: None,
+    }));
+    found.sort_by(|a, b| a.path.cmp(&b.path));
+    found
+}
+
+fn flatten(document: &document::Document) -> BTreeMap<String, String> {
+    let mut values = BTreeMap::new();
+    let root = serde_json::to_value(wire::Document::from(document)).unwrap_or_default();
+    add(&mut values, "", &root);
+    values
+}
+
+fn add(values: &mut BTreeMap<String, String>, path: &str, value: &Value) {
+    match value {
+        Value::Object(fields) => {
+            for (name, field) in fields {
+                let path = if path.is_empty() {
+                    name.clone()
+                } else {
+                    format!("{path}.{name}")
+                };
+                add(values, &path, field);
+            }
+        }
+        Value::Array(entries) => {
+            let names: Vec<_> = entries.iter().map(name).collect();
+            for (name, entry) in names.iter().zip(entries) {
+                add(values, &format!("{path}[{name}]"), entry);
+            }
+            // The first class is the default and the first matching route applies.
+            values.insert(format!("{path} (order)"), names.join(", "));
+        }
+        other => {
+            values.insert(path.to_owned(), other.to_string());
+        }
+    }
+}
+
+/// Returns what identifies an entry of a list.
+fn name(entry: &Value) -> String {
+    let text = |field| entry.get(field).and_then(Value::as_str);
+    match (entry, text("name"), text("prefix")) {
+        (_, Some(name), _) => name.to_owned(),
+        (_, None, Some(prefix)) => format!("{} {prefix}", text("method").unwrap_or("any")),
+        (Value::String(value), None, None) => value.clone(),
+        (other, None, None) => other.to_string(),
+    }
+}
--- /dev/null
+++ b/src/transport/admin_client.rs
@@ -0,0 +1,66 @@
+//! Calls to the admin address of a node, for commands.
+
+use std::{net, time};
+
+use serde::de;
+
+use crate::protocol::{admin, error as protocol};
+use crate::transport::error;
+
+/// Time for one call.
+const CALL_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// Reads the status of a node.
+///
+/// # Errors
+///
+/// Returns an error if the node does not answer.
+pub fn status(addr: net::SocketAddr) -> Result<admin::Status, error::Error> {
+    get(addr, "/status", &[])
+}
+
+/// Reads the revision in force on a node.
+///
+/// # Errors
+///
+/// Returns an error if the node does not answer.
+pub fn revision(addr: net::SocketAddr) -> Result<admin::InForce, error::Error> {
+    get(addr, "/revision", &[])
+}
+
+/// Reads why a key is where it is.
+///
+/// # Errors
+///
+/// Returns [`error::Error::Rejected`] if the node does not know the service.
+pub fn explain(
+    addr: net::SocketAddr,
+    service: &str,
+    key: &str,
+) -> Result<admin::Explanation, error::Error> {
+    get(addr, "/explain", &[("service", service), ("key", key)])
+}
+
+fn get<T: de::DeserializeOwned>(
+    addr: net::SocketAddr,
+    path: &str,
+    query: &[(&str, &str)],
+) -> Result<T, error::Error> {
+    let response = attohttpc::get(format!("http://{addr}{path}"))
+        .params(query)
+        .timeout(CALL_TIMEOUT)
+        .send()
+        .map_err(|e| error::Error::Unreachable(e.to_string()))?;
+    let status = response.status();
+    let text = response
+        .text()
+        .map_err(|e| error::Error::Unreachable(e.to_string()))?;
+    if status.is_success() {
+        return Ok(serde_json::from_str(&text).map_err(protocol::Error::from)?);
+    }
+    let refused = serde_json::from_str::<admin::Refused>(&text);
+    Err(error::Error::Rejected {
+        status: status.as_u16(),
+        text: refused.map_or(text, |r| r.error),
+    })
+}
