Send grants with token text and a CLOCK_BOOTTIME expiry

Cause: node and stand-in disagreed about the form of a grant; an expiry on the wall clock would be extended by a step of that clock.

--- a/src/protocol/backend.rs
+++ b/src/protocol/backend.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::protocol::peer;
-use crate::state::{ids, record};
+use crate::state::{clock, ids, record};
 
 /// Header with the identifier of a request, in requests and responses.
 pub const ID: &str = "filbert-id";
@@ -143,23 +143,21 @@
     pub slices: Vec<GrantSlice>,
     /// Validity from the moment of sending, in milliseconds.
     pub valid_ms: u64,
-    /// End of the validity as Unix time in milliseconds; server and node share a host and its
-    /// clock, so a grant that waited in the socket of a frozen server is expired when it is read.
-    #[serde(default)]
-    pub until_unix_ms: Option<u64>,
+    /// End of the validity on `CLOCK_BOOTTIME` in milliseconds. Server and node share a host and
+    /// its clock, so a grant that waited in the socket of a frozen server is expired when it is
+    /// read, and a step of the wall clock does not extend it.
+    pub expires_ms: u64,
 }
 
 /// Slice of a grant; both ends are part of it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GrantSlice {
     /// First hash.
     pub start: ids::KeyHash,
     /// Last hash.
     pub end: ids::KeyHash,
-    /// Epoch of the fencing token.
-    pub epoch: ids::Epoch,
-    /// Version of the fencing token.
-    pub version: ids::SliceVersion,
+    /// Fencing token, `EPOCH.VERSION` as in the header of a request.
+    pub token: String,
 }
 
 impl GrantBody {
@@ -172,19 +170,18 @@
     ) -> Self {
         let slices = record.slices.iter().enumerate();
         let held = slices.filter(|(_, s)| s.owner == Some(owner));
-        let until = ids::wall_time() + left;
+        let until = clock::Instant::now() + left;
         Self {
             service: record.id.service.clone(),
             slices: held
                 .map(|(i, s)| GrantSlice {
                     start: s.start,
                     end: record.end_of(i),
-                    epoch: record.epoch,
-                    version: s.version,
+                    token: record.token(s).to_string(),
                 })
                 .collect(),
             valid_ms: u64::try_from(left.as_millis()).unwrap_or_default(),
-            until_unix_ms: u64::try_from(until.as_millis()).ok(),
+            expires_ms: u64::try_from(until.since_boot().as_millis()).unwrap_or_default(),
         }
     }
 }
