Add tests of filbertflow-ctl

Cause: the commands had no tests. Change: tests of each command against a fake of the platform's service and nodes in one process.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,5 +1,15 @@
 //! Commands: one module each, with its usage text and options on top.
 
+pub mod check;
+pub mod ctl;
+pub mod diff;
+pub mod drain;
 pub mod exit;
+pub mod explain;
 pub mod logging;
 pub mod node;
+pub mod progress;
+pub mod shared;
+pub mod status;
+pub mod submission;
+pub mod submit;
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -30,8 +30,8 @@
 const MAX_DRAINS: usize = 3;
 const MAX_BEHIND: usize = 3;
 
-/// Owners of a partition that are named in its row of owners, so that it fits 80 columns.
-const MAX_OWNERS: usize = 3;
+/// Width of a terminal, without room for the number of owners that are left out.
+const OWNERS_WIDTH: usize = 72;
 
 #[derive(Debug, Default, Options)]
 struct Args {
@@ -134,18 +134,19 @@
             p.unowned,
             p.moving
         );
-        format!("{row}\n  owners: {}", owners(&p.owners))
+        format!("{row}\n{}", owners(&p.owners))
     })
 }
 
 fn owners(owners: &[admin::Owner]) -> String {
-    let named = owners.iter().take(MAX_OWNERS).map(|o| {
+    let mut text = "  owners:".to_owned();
+    for (i, o) in owners.iter().enumerate() {
         let state = if o.draining { "!" } else { "" };
-        format!("{}={}{state}", o.address, o.slices)
-    });
-    let mut text = named.collect::<Vec<_>>().join(" ");
-    if owners.len() > MAX_OWNERS {
-        text = format!("{text} +{}", owners.len() - MAX_OWNERS);
+        let owner = format!(" {}={}{state}", o.address, o.slices);
+        if text.len() + owner.len() > OWNERS_WIDTH {
+            return format!("{text} +{}", owners.len() - i);
+        }
+        text.push_str(&owner);
     }
     text
 }
--- a/src/protocol/config.rs
+++ b/src/protocol/config.rs
@@ -20,9 +20,38 @@
     pub submission: String,
     /// Text as submitted.
     pub text: String,
+    /// Identifiers of the submissions before, the newest first, by which a lost response is
+    /// resolved after others have submitted.
+    #[serde(default)]
+    pub earlier: Vec<String>,
 }
 
+/// Earlier submissions that are remembered; the resolution of a lost response takes seconds, in
+/// which far fewer are accepted.
+pub const MAX_EARLIER: usize = 64;
+
 impl Stored {
+    /// Creates the value that follows an earlier one.
+    #[must_use]
+    pub fn after(earlier: Option<&Self>, submission: &str, text: &str) -> Self {
+        let revision = earlier.map_or(ids::DocRevision(0), |e| e.revision).next();
+        let last = earlier.map(|e| e.submission.clone());
+        let before = earlier.into_iter().flat_map(|e| e.earlier.iter().cloned());
+        Self {
+            revision,
+            submission: submission.to_owned(),
+            text: text.to_owned(),
+            earlier: last.into_iter().chain(before).take(MAX_EARLIER).collect(),
+        }
+    }
+
+    /// Returns the submissions that led to this value, with the revision of each, the newest first.
+    pub fn submissions(&self) -> impl Iterator<Item = (ids::DocRevision, &str)> {
+        let all = [&self.submission].into_iter().chain(&self.earlier);
+        let revisions = (1..=self.revision.0).rev().map(ids::DocRevision);
+        revisions.zip(all.map(String::as_str))
+    }
+
     /// Reads the value of the entry.
     ///
     /// # Errors
--- a/src/protocol/source.rs
+++ b/src/protocol/source.rs
@@ -117,20 +117,8 @@
     }
 
     fn parse(&mut self) -> Option<Value> {
-        let options = jsonc_parser::ParseOptions {
-            allow_comments: true,
-            allow_trailing_commas: true,
-            allow_loose_object_property_names: false,
-            allow_missing_commas: false,
-            allow_single_quoted_strings: false,
-            allow_hexadecimal_numbers: false,
-            allow_unary_plus_numbers: false,
-            allow_bare_decimal_point_numbers: false,
-            allow_non_finite_numbers: false,
-            allow_extended_string_escapes: false,
-        };
         let collect = jsonc_parser::CollectOptions::default();
-        match jsonc_parser::parse_to_ast(self.text, &collect, &options) {
+        match jsonc_parser::parse_to_ast(self.text, &collect, &options()) {
             Ok(parsed) => match parsed.value {
                 Some(root) => Some(self.value("", &root)),
                 None => self.abort(0, "expected an object, found nothing".to_owned()),
@@ -282,6 +270,22 @@
     }
 }
 
+/// Returns the options of JSON with comments: comments and trailing commas, no other extensions.
+pub(super) fn options() -> jsonc_parser::ParseOptions {
+    jsonc_parser::ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
+
 fn join(parent: &str, name: &str) -> String {
     if parent.is_empty() {
         name.to_owned()
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,6 +1,7 @@
 //! Transport layer: connections to peers, to the platform's service and to the backend server.
 
 pub mod admin;
+pub mod admin_client;
 pub mod backend;
 pub mod counted;
 pub mod entry;
--- /dev/null
+++ b/tests/ctl/drain.rs
@@ -0,0 +1,103 @@
+//! `drain`.
+
+use crate::fake::{Fake, Fault};
+use crate::run;
+
+const NODE: &str = "127.0.1.1:7101";
+
+fn drained(fake: &Fake) -> String {
+    let text = fake.stored().unwrap().text;
+    let line = text.lines().find(|l| l.contains("\"drain\""));
+    line.unwrap().trim().to_owned()
+}
+
+/// Guards against a drain that rewrites the document or loses its comments.
+#[test]
+fn drain_and_undo_keep_all_else() {
+    let fake = Fake::start();
+    fake.put(&run::example());
+    let run = run::ctl(fake.addr, &["drain", NODE]);
+    assert_eq!(
+        (run.code, run.out.as_str()),
+        (0, "accepted as revision 2\n"),
+        "{}",
+        run.err
+    );
+    assert_eq!(drained(&fake), "\"drain\": [\"127.0.1.1:7101\"],");
+    let run = run::ctl(fake.addr, &["drain", NODE, "--undo"]);
+    assert_eq!(run.code, 0, "{}", run.err);
+    assert_eq!(fake.stored().unwrap().text, run::example());
+}
+
+macro_rules! unchanged {
+    ($($name:ident: $first:expr, $then:expr => $text:literal;)*) => {$(
+        /// Guards against a repeated command that spends revisions or fails.
+        #[test]
+        fn $name() {
+            let fake = Fake::start();
+            fake.put(&run::example());
+            run::ctl(fake.addr, &$first);
+            let before = fake.writes();
+            let run = run::ctl(fake.addr, &$then);
+            assert_eq!((run.code, fake.writes()), (0, before), "{}", run.err);
+            assert!(run.out.contains($text), "{}", run.out);
+        }
+    )*};
+}
+
+unchanged! {
+    second_drain_changes_nothing: ["drain", NODE], ["drain", NODE] => "already on";
+    second_undo_changes_nothing:
+        ["drain", NODE, "--undo"], ["drain", NODE, "--undo"] => "not on";
+}
+
+/// Guards against a drain that is given up, or that undoes a change, when another document is
+/// accepted in between.
+#[test]
+fn drain_follows_another_submission() {
+    let fake = Fake::start();
+    fake.put(&run::changed(128));
+    fake.faults(&[Fault::Preceded(1)]);
+    let run = run::ctl(fake.addr, &["drain", NODE]);
+    assert_eq!(
+        (run.code, run.out.as_str()),
+        (0, "accepted as revision 3\n"),
+        "{}",
+        run.err
+    );
+    assert!(fake.stored().unwrap().text.contains("\"slices\": 128"));
+}
+
+/// Guards against drains of several operators that undo each other.
+#[test]
+fn racing_drains_are_all_kept() {
+    let fake = Fake::start();
+    fake.put(&run::example());
+    let nodes: Vec<_> = (1..=4).map(|n| format!("127.0.1.{n}:7101")).collect();
+    let start = |n: &String| run::start(fake.addr, None, &["drain", n]);
+    let children: Vec<_> = nodes.iter().map(start).collect();
+    let runs: Vec<_> = children.into_iter().map(run::finish).collect();
+    let text = drained(&fake);
+    for (node, run) in nodes.iter().zip(&runs) {
+        assert_eq!(run.code, 0, "{}", run.err);
+        assert!(text.contains(node.as_str()), "{text}");
+    }
+}
+
+/// Guards against a new field that a document without a drain list needs.
+#[test]
+fn document_without_a_list_gets_one() {
+    let fake = Fake::start();
+    fake.put(&run::example().replace("\"drain\": [],", ""));
+    let run = run::ctl(fake.addr, &["drain", NODE]);
+    assert_eq!(run.code, 0, "{}", run.err);
+    assert!(fake.stored().unwrap().text.contains(NODE));
+}
+
+/// Guards against a drain that makes up a document.
+#[test]
+fn drain_needs_a_document() {
+    let fake = Fake::start();
+    let run = run::ctl(fake.addr, &["drain", NODE]);
+    assert_eq!((run.code, fake.writes()), (2, 0), "{}", run.err);
+}
--- /dev/null
+++ b/tests/ctl/fleet.rs
@@ -0,0 +1,91 @@
+//! Nodes of one process, without backend servers.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+
+use filbertflow::coordination::{admin, config, membership, node, service};
+use filbertflow::state::{ids, settings};
+use filbertflow::transport::{self, counted, peer_server};
+
+use crate::fake::Fake;
+
+/// Nodes with membership, document and admin address.
+pub struct Fleet {
+    nodes: Vec<Arc<node::Node>>,
+    _servers: Vec<transport::admin::Server>,
+    runtime: Option<tokio::runtime::Runtime>,
+}
+
+fn free_addr() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Starts nodes in two failure domains.
+pub fn start(fake: &Fake, count: usize) -> Fleet {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let guard = runtime.enter();
+    let addrs: Vec<_> = (0..count).map(|_| ids::NodeAddr(free_addr())).collect();
+    let mut nodes = Vec::new();
+    let mut servers = Vec::new();
+    for (i, addr) in addrs.iter().enumerate() {
+        let node = node::Node::new(settings::Settings {
+            region: "ie-east".to_owned(),
+            domain: format!("ie-east-{}", i % 2),
+            caller: free_addr(),
+            peer: *addr,
+            admin: free_addr(),
+            platform: fake.addr,
+            peers: addrs.clone(),
+        });
+        let listener = runtime.block_on(peer_server::bind(addr.0)).unwrap();
+        let shared = Arc::clone(&node);
+        let traffic = counted::Traffic::from(&node.metrics.traffic);
+        runtime.spawn(peer_server::serve(listener, traffic, move |accepted| {
+            service::connection(Arc::clone(&shared), accepted)
+        }));
+        runtime.spawn(membership::run(Arc::clone(&node)));
+        runtime.spawn(config::run(Arc::clone(&node)));
+        servers.push(admin::start(Arc::clone(&node)).unwrap());
+        nodes.push(node);
+    }
+    drop(guard);
+    let fleet = Fleet {
+        nodes,
+        _servers: servers,
+        runtime: Some(runtime),
+    };
+    fleet.wait(|n| n.members.live().len() == count);
+    fleet
+}
+
+impl Fleet {
+    pub fn admin(&self) -> SocketAddr {
+        self.nodes[0].settings.admin
+    }
+
+    pub fn node(&self) -> &Arc<node::Node> {
+        &self.nodes[0]
+    }
+
+    pub fn revisions(&self) -> Vec<u64> {
+        self.nodes.iter().map(|n| n.config.revision().0).collect()
+    }
+
+    /// Waits until a condition holds on all nodes.
+    pub fn wait(&self, condition: impl Fn(&node::Node) -> bool) {
+        let limit = std::time::Instant::now() + std::time::Duration::from_secs(30);
+        while !self.nodes.iter().all(|n| condition(n)) {
+            assert!(std::time::Instant::now() < limit, "condition does not hold");
+            std::thread::sleep(std::time::Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
--- /dev/null
+++ b/tests/ctl/main.rs
@@ -0,0 +1,14 @@
+//! Commands of `filbertflow-ctl`, run as processes against a fake of the platform's service.
+
+#![expect(clippy::unwrap_used, reason = "a failed step ends the test")]
+
+mod check;
+mod diff;
+mod drain;
+mod explain;
+mod fake;
+mod fleet;
+mod run;
+mod status;
+mod submit;
+mod usage;
