Test the ownership rules one by one

Cause: only whole scenarios were tested. Change: directed tests of R1 to R11 on the coordinator's decisions, the owner, standbys and claims on abandoned partitions; laws of records and tokens. Conclusion: each test is still to be seen to fail.

--- /dev/null
+++ b/tests/ownership/claims.rs
@@ -0,0 +1,277 @@
+//! Promises and claims of standbys, and claims on abandoned partitions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use filbertflow::coordination::{standby, store};
+use filbertflow::protocol::{peer, platform};
+use filbertflow::state::{clock, ids, record, timing};
+use filbertflow::transport::platform as client;
+
+use crate::cluster::{self, Bare, Observer, TestNode, partition, wait_for};
+use crate::fake::{Fake, Mode};
+use crate::lead;
+
+const KEY: &str = "partition/box-office/0";
+
+/// Writes a record that names `standbys` and a coordinator that does not exist.
+fn seed(platform: &Fake, bare: &Bare, standbys: Vec<ids::NodeRef>) -> store::Stored {
+    let record = record::PartitionRecord {
+        standbys,
+        ..cluster::owned_by(lead::node(2), lead::node(1))
+    };
+    let write = store::Write {
+        record: Arc::new(record),
+        hold: Duration::from_secs(1),
+        expect: ids::ModRevision(0),
+    };
+    let client = client::Client::new(platform.addr);
+    let written = bare.runtime.block_on(store::write(&client, &write));
+    let Ok(store::Written::Done(stored)) = written else {
+        panic!("the record was not written");
+    };
+    bare.node.records.offer((*stored.record).clone());
+    stored
+}
+
+fn epoch(platform: &Fake, bare: &Bare) -> ids::Epoch {
+    let client = client::Client::new(platform.addr);
+    let read = bare.runtime.block_on(store::read(&client, &partition()));
+    read.unwrap().unwrap().record.epoch
+}
+
+fn ask(bare: &Bare, stored: &store::Stored) -> peer::PromiseReply {
+    let req = peer::Promise {
+        from: stored.record.coordinator,
+        to: bare.node.me.incarnation,
+        partition: partition(),
+        stamp: stored.record.stamp(),
+        record: None,
+    };
+    bare.runtime.block_on(standby::promise(&bare.node, req))
+}
+
+/// R1: guards against a standby that claims before the holder of its promise stops counting on it.
+#[test]
+fn promise_is_kept_for_its_length_plus_drift() {
+    let standby = standby::Standby::default();
+    let given = clock::Instant::now();
+    assert!(standby.give(&partition()));
+    wait_for("the end of the promise", || standby.begin(&partition()));
+    let kept = clock::Instant::now().since(given);
+    assert!(kept >= timing::with_drift(timing::PROMISE), "{kept:?}");
+}
+
+/// R4: guards against a claim while the standby's own promise is in force.
+#[test]
+fn no_claim_during_a_promise() {
+    let platform = Fake::start();
+    let bare = cluster::bare(platform.addr);
+    let stored = seed(&platform, &bare, vec![bare.node.me]);
+    assert!(matches!(
+        ask(&bare, &stored),
+        peer::PromiseReply::Given { .. }
+    ));
+    bare.runtime
+        .block_on(standby::claim(&bare.node, stored.clone()));
+    assert_eq!(epoch(&platform, &bare), ids::Epoch(1));
+    wait_for("the claim after the promise", || {
+        bare.runtime
+            .block_on(standby::claim(&bare.node, stored.clone()));
+        epoch(&platform, &bare) == ids::Epoch(2)
+    });
+}
+
+/// R4: guards against a claim by a restarted standby, which has forgotten what its former process
+/// promised.
+#[test]
+fn restarted_standby_does_not_claim() {
+    let platform = Fake::start();
+    let bare = cluster::bare(platform.addr);
+    let former = ids::NodeRef {
+        addr: bare.node.me.addr,
+        incarnation: ids::Incarnation(bare.node.me.incarnation.0 - 1),
+    };
+    let stored = seed(&platform, &bare, vec![former]);
+    assert!(matches!(
+        ask(&bare, &stored),
+        peer::PromiseReply::Given { .. }
+    ));
+    wait_for("the end of its promise", || {
+        bare.node.standby.begin(&partition())
+    });
+    bare.node.standby.end(&partition());
+    bare.runtime.block_on(standby::claim(&bare.node, stored));
+    assert_eq!(epoch(&platform, &bare), ids::Epoch(1));
+}
+
+/// R4: guards against a promise that was meant for the former process of a restarted standby.
+#[test]
+fn promise_names_the_incarnation() {
+    let platform = Fake::start();
+    let bare = cluster::bare(platform.addr);
+    let stored = seed(&platform, &bare, vec![bare.node.me]);
+    let req = peer::Promise {
+        from: stored.record.coordinator,
+        to: ids::Incarnation(1),
+        partition: partition(),
+        stamp: stored.record.stamp(),
+        record: None,
+    };
+    let reply = bare.runtime.block_on(standby::promise(&bare.node, req));
+    assert!(matches!(reply, peer::PromiseReply::Incarnation(_)));
+}
+
+/// R10: guards against a promise by a standby whose claim may still take effect.
+#[test]
+fn standby_with_an_unresolved_claim_gives_no_promise() {
+    let platform = Fake::start();
+    let bare = cluster::bare(platform.addr);
+    let stored = seed(&platform, &bare, vec![bare.node.me]);
+    assert!(matches!(
+        ask(&bare, &stored),
+        peer::PromiseReply::Given { .. }
+    ));
+    wait_for("the end of the promise", || {
+        bare.node.standby.begin(&partition())
+    });
+    bare.node.standby.end(&partition());
+    platform.set(Mode::KeepBack);
+    let node = Arc::clone(&bare.node);
+    let claimed = stored.clone();
+    bare.runtime
+        .spawn(async move { standby::claim(&node, claimed).await });
+    wait_for("the claim to be sent", || platform.kept() > 0);
+    assert!(matches!(
+        ask(&bare, &stored),
+        peer::PromiseReply::Unresolved
+    ));
+    platform.deliver();
+    assert!(matches!(
+        ask(&bare, &stored),
+        peer::PromiseReply::Unresolved
+    ));
+    platform.set(Mode::Normal);
+    wait_for("the claim to be resolved", || {
+        bare.node.coordinator.leads(&partition()).is_some()
+    });
+    assert!(matches!(
+        ask(&bare, &stored),
+        peer::PromiseReply::Superseded(_)
+    ));
+}
+
+/// Changes the hold time that is stored with the record.
+fn set_hold(platform: &Fake, runtime: &tokio::runtime::Runtime, hold: Duration) {
+    let client = client::Client::new(platform.addr);
+    wait_for("the new hold time", || {
+        let entry: platform::Entry = runtime.block_on(client.get(KEY)).unwrap().unwrap();
+        let mut value: serde_json::Value = serde_json::from_str(&entry.value).unwrap();
+        value["hold_ms"] = u64::try_from(hold.as_millis()).unwrap().into();
+        let swap = client.swap(KEY, value.to_string(), entry.revision);
+        matches!(runtime.block_on(swap), Ok(client::Swap::Done(_)))
+    });
+}
+
+/// R6: guards against a partition that nobody claims after its coordinator and standbys are lost.
+#[test]
+fn abandoned_partition_is_claimed_after_the_hold_time() {
+    let platform = Fake::start();
+    let domains = ["ie-east-a", "ie-east-b", "ie-east-c", "ie-east-a"];
+    let mut nodes = cluster::cluster(&platform, &domains);
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    set_hold(&platform, &runtime, Duration::from_secs(1));
+    let record = nodes[0].record().unwrap();
+    let observer = Observer::watch(&nodes);
+    let mut rest = Vec::new();
+    for (i, node) in nodes.iter_mut().enumerate() {
+        let role = record.coordinator == node.me() || record.standbys.contains(&node.me());
+        if role {
+            node.kill();
+        } else {
+            rest.push(i);
+        }
+    }
+    let rest: Vec<&TestNode> = rest.into_iter().map(|i| &nodes[i]).collect();
+    assert_eq!(rest.len(), 1);
+    wait_for("all keys to be served again", || cluster::all_served(&rest));
+    assert_eq!(rest[0].record().unwrap().epoch, record.epoch.next());
+    observer.finish();
+}
+
+/// R6: guards against a claim that takes effect although the coordinator has contact.
+#[test]
+fn coordinator_cancels_a_claim_intent() {
+    let platform = Fake::start();
+    let nodes = cluster::cluster(&platform, &["ie-east-a", "ie-east-b", "ie-east-c"]);
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let client = client::Client::new(platform.addr);
+    let mut intended = None;
+    wait_for("the intent to be written", || {
+        let stored = runtime.block_on(store::read(&client, &partition()));
+        let stored = stored.unwrap().unwrap();
+        let mut record = (*stored.record).clone();
+        record.revision = record.revision.next();
+        record.writer = store::writer(lead::node(9));
+        record.intent = Some(record::Intent {
+            node: lead::node(9),
+            revision: record.revision,
+        });
+        let write = store::Write {
+            record: Arc::new(record),
+            hold: stored.hold,
+            expect: stored.at,
+        };
+        let written = runtime.block_on(store::write(&client, &write));
+        if let Ok(store::Written::Done(stored)) = written {
+            intended = Some(stored);
+        }
+        intended.is_some()
+    });
+    let intended = intended.unwrap();
+    wait_for("the intent to be cancelled", || {
+        let read = runtime.block_on(store::read(&client, &partition()));
+        read.unwrap().unwrap().record.intent.is_none()
+    });
+    let claim = store::Write {
+        record: Arc::new(standby::succeed(lead::node(9), &intended.record)),
+        hold: intended.hold,
+        expect: intended.at,
+    };
+    let written = runtime.block_on(store::write(&client, &claim));
+    assert!(matches!(written, Ok(store::Written::Lost(_))));
+    assert!(nodes.iter().any(TestNode::leads));
+}
+
+/// R6: guards against a coordinator that grants for longer than the hold time without contact to
+/// the platform's service.
+#[test]
+fn coordinator_without_contact_stops_after_the_hold_time() {
+    let platform = Fake::start();
+    let nodes = cluster::cluster(&platform, &["ie-east-a", "ie-east-b", "ie-east-c"]);
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    set_hold(&platform, &runtime, Duration::from_secs(1));
+    let leader = nodes.iter().find(|n| n.leads()).unwrap();
+    let hold = || {
+        leader
+            .node
+            .coordinator
+            .with(&partition(), |l| l.stored.hold)
+    };
+    wait_for("the coordinator to see the hold time", || {
+        hold() == Some(Duration::from_secs(1))
+    });
+    let observer = Observer::watch(&nodes);
+    platform.set(Mode::Down);
+    wait_for("the authority to end", || {
+        !leader.node.coordinator.has_authority(&partition())
+    });
+    wait_for("the leases to end", || {
+        let all = cluster::probes();
+        all.into_iter().all(|h| nodes.iter().all(|n| !n.admits(h)))
+    });
+    platform.set(Mode::Normal);
+    let refs: Vec<_> = nodes.iter().collect();
+    wait_for("all keys to be served again", || cluster::all_served(&refs));
+    observer.finish();
+}
--- a/tests/ownership/cluster.rs
+++ b/tests/ownership/cluster.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use filbertflow::coordination::{coordinator, node, owner, service, standby, succession};
+use filbertflow::coordination::{coordinator, node, owner, service, standby, store, succession};
 use filbertflow::protocol::peer;
 use filbertflow::state::{ids, record, settings};
 use filbertflow::transport::{counted, peer_server};
@@ -285,3 +285,41 @@
     }
     Ok(seen)
 }
+
+/// Node without tasks and without a listener, for tests that call one function.
+pub struct Bare {
+    pub node: Arc<node::Node>,
+    pub runtime: tokio::runtime::Runtime,
+}
+
+pub fn bare(platform: SocketAddr) -> Bare {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let _inside = runtime.enter();
+    let node = node::Node::new(settings(platform, free_addr(), "ie-east-a"));
+    drop(_inside);
+    Bare { node, runtime }
+}
+
+/// Record of this partition with one server, which owns all of two slices.
+pub fn owned_by(owner: ids::NodeRef, coordinator: ids::NodeRef) -> record::PartitionRecord {
+    let mut slices = record::even_slices(2);
+    for slice in &mut slices {
+        slice.owner = Some(owner);
+    }
+    record::PartitionRecord {
+        id: partition(),
+        epoch: ids::Epoch(1),
+        revision: ids::Revision(1),
+        coordinator,
+        standbys: Vec::new(),
+        servers: vec![record::Server {
+            node: owner,
+            domain: "ie-east-a".to_owned(),
+            draining: false,
+            checks: true,
+        }],
+        slices,
+        intent: None,
+        writer: store::writer(coordinator),
+    }
+}
--- a/tests/ownership/main.rs
+++ b/tests/ownership/main.rs
@@ -2,8 +2,12 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed step ends the test")]
 
+mod claims;
 mod cluster;
 mod fake;
+mod laws;
+mod lead;
 mod outage;
+mod owner;
 mod start;
 mod succession;
