--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -6,6 +6,8 @@
 pub mod document;
 pub mod error;
 pub mod ids;
+pub mod members;
 pub mod record;
 pub mod settings;
+pub mod sketch;
 pub mod timing;
