Test writes, standby replacement and random faults

Cause: R12 and R3 were covered by whole scenarios only, and no test combined faults. Change: directed tests of R12 on the store, of R3 with a paused standby and in a double fault; random pauses, ends, restarts and outages under the observer.

--- a/tests/ownership/claims.rs
+++ b/tests/ownership/claims.rs
@@ -194,8 +194,18 @@
     }
     let rest: Vec<&TestNode> = rest.into_iter().map(|i| &nodes[i]).collect();
     assert_eq!(rest.len(), 1);
+    let client = client::Client::new(platform.addr);
+    let read = || {
+        let read = runtime.block_on(store::read(&client, &partition()));
+        read.unwrap().unwrap().record
+    };
+    wait_for("the claim to be announced", || read().intent.is_some());
+    let announced = clock::Instant::now();
+    wait_for("the claim", || read().epoch == record.epoch.next());
+    let waited = clock::Instant::now().since(announced);
+    // The announcement was written before it was seen here.
+    assert!(waited > Duration::from_millis(500), "{waited:?}");
     wait_for("all keys to be served again", || cluster::all_served(&rest));
-    assert_eq!(rest[0].record().unwrap().epoch, record.epoch.next());
     observer.finish();
 }
 
--- a/tests/ownership/cluster.rs
+++ b/tests/ownership/cluster.rs
@@ -136,6 +136,18 @@
         *self.backend.lock().unwrap() = state.map(|s| (SERVICE.to_owned(), s));
     }
 
+    fn observed(&self) -> Observed {
+        (Arc::clone(&self.node), Arc::clone(&self.alive))
+    }
+
+    pub fn is_alive(&self) -> bool {
+        self.alive.load(Ordering::SeqCst)
+    }
+
+    pub fn is_paused(&self) -> bool {
+        self.paused.is_some()
+    }
+
     pub fn leads(&self) -> bool {
         self.node.coordinator.leads(&partition()).is_some()
     }
@@ -228,24 +240,29 @@
 #[derive(Debug)]
 pub struct Observer {
     stop: Arc<AtomicBool>,
+    nodes: Arc<Mutex<Vec<Observed>>>,
     thread: Option<thread::JoinHandle<Result<usize, String>>>,
 }
 
 impl Observer {
     pub fn watch<'a>(nodes: impl IntoIterator<Item = &'a TestNode>) -> Self {
-        let nodes: Vec<_> = nodes
-            .into_iter()
-            .map(|n| (Arc::clone(&n.node), Arc::clone(&n.alive)))
-            .collect();
+        let nodes: Vec<_> = nodes.into_iter().map(TestNode::observed).collect();
+        let nodes = Arc::new(Mutex::new(nodes));
         let stop = Arc::new(AtomicBool::new(false));
-        let flag = Arc::clone(&stop);
-        let thread = thread::spawn(move || observe(&nodes, &flag));
+        let (flag, shared) = (Arc::clone(&stop), Arc::clone(&nodes));
+        let thread = thread::spawn(move || observe(&shared, &flag));
         Self {
             stop,
+            nodes,
             thread: Some(thread),
         }
     }
 
+    /// Watches a further node.
+    pub fn add(&self, node: &TestNode) {
+        self.nodes.lock().unwrap().push(node.observed());
+    }
+
     /// Returns the number of admissions seen.
     #[track_caller]
     pub fn finish(mut self) -> usize {
@@ -257,13 +274,14 @@
     }
 }
 
-fn observe(nodes: &[Observed], stop: &AtomicBool) -> Result<usize, String> {
+fn observe(nodes: &Mutex<Vec<Observed>>, stop: &AtomicBool) -> Result<usize, String> {
     let id = partition();
     let mut last: HashMap<u64, (ids::Token, ids::NodeRef)> = HashMap::new();
     let mut seen = 0;
     while !stop.load(Ordering::Relaxed) {
+        let nodes = nodes.lock().unwrap().clone();
         for hash in probes() {
-            for (node, alive) in nodes {
+            for (node, alive) in &nodes {
                 let Ok(ticket) = node.grants.admit(&id, ids::KeyHash(hash)) else {
                     continue;
                 };
--- a/tests/ownership/fake.rs
+++ b/tests/ownership/fake.rs
@@ -19,6 +19,14 @@
     LoseAnswers,
     /// Writes are kept back until [`Fake::deliver`]; they and all reads fail.
     KeepBack,
+    /// Writes are kept back until [`Fake::deliver`]; reads are answered.
+    Delay,
+}
+
+impl Mode {
+    fn reads(self) -> bool {
+        matches!(self, Self::Normal | Self::Delay)
+    }
 }
 
 #[derive(Debug, Default)]
@@ -93,7 +101,7 @@
 
     fn get(&self, key: &str) -> (u16, String) {
         let state = self.state.lock().unwrap();
-        if state.mode != Mode::Normal {
+        if !state.mode.reads() {
             return (503, String::new());
         }
         match state.entry(key) {
@@ -107,7 +115,7 @@
         let mut state = self.state.lock().unwrap();
         match state.mode {
             Mode::Down => return (503, String::new()),
-            Mode::KeepBack => {
+            Mode::KeepBack | Mode::Delay => {
                 state.kept.push((key.to_owned(), put));
                 return (503, String::new());
             }
@@ -138,7 +146,7 @@
         let query = url.split_once("prefix=").map_or("", |(_, q)| q);
         let prefix = query.split('&').next().unwrap_or_default();
         let state = self.state.lock().unwrap();
-        if state.mode != Mode::Normal {
+        if !state.mode.reads() {
             return (503, String::new());
         }
         let keys: Vec<_> = state.entries.keys().cloned().collect();
--- a/tests/ownership/main.rs
+++ b/tests/ownership/main.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed step ends the test")]
 
+mod chaos;
 mod claims;
 mod cluster;
 mod fake;
@@ -10,4 +11,5 @@
 mod outage;
 mod owner;
 mod start;
+mod store;
 mod succession;
--- a/tests/ownership/succession.rs
+++ b/tests/ownership/succession.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::cluster::{self, Observer, TestNode, wait_for};
-use crate::fake::Fake;
+use crate::fake::{Fake, Mode};
 
 /// Target for the time without an owner after a loss.
 const TARGET: Duration = Duration::from_secs(2);
@@ -95,3 +95,59 @@
     assert!(took < TARGET, "took {took:?}");
     observer.finish();
 }
+
+/// R3: guards against keys that are not served because a standby is paused.
+#[test]
+fn paused_standby_is_replaced_without_a_gap() {
+    let platform = Fake::start();
+    let domains = ["ie-east-a", "ie-east-b", "ie-east-c", "ie-east-a"];
+    let mut nodes = cluster::cluster(&platform, &domains);
+    let record = nodes[0].record().unwrap();
+    let paused = record.standbys[0];
+    let i = nodes.iter().position(|n| n.me() == paused).unwrap();
+    let observer = Observer::watch(&nodes);
+    nodes[i].pause();
+    let rest = without(&nodes, &[i]);
+    let kept = |hash: u64| {
+        let slice = record.slice_at(filbertflow::state::ids::KeyHash(hash));
+        slice.unwrap().owner != Some(paused)
+    };
+    let hashes: Vec<_> = cluster::probes().into_iter().filter(|h| kept(*h)).collect();
+    let served = |hash: &u64| rest.iter().any(|n| n.admits(*hash));
+    wait_for("the replacement and the paused node's keys", || {
+        assert!(hashes.iter().all(served), "a key was not served");
+        let named = &rest[0].record().unwrap().standbys;
+        named.len() == 2 && !named.contains(&paused) && cluster::all_served(&rest)
+    });
+    nodes[i].resume();
+    observer.finish();
+}
+
+/// R3: guards against a coordinator that grants without any promise in a double fault.
+#[test]
+fn coordinator_without_standbys_and_platform_stops() {
+    let platform = Fake::start();
+    let mut nodes = cluster::cluster(&platform, &["ie-east-a", "ie-east-b", "ie-east-c"]);
+    let lead = leader(&nodes);
+    let observer = Observer::watch(&nodes);
+    platform.set(Mode::Down);
+    for (i, node) in nodes.iter_mut().enumerate() {
+        if i != lead {
+            node.pause();
+        }
+    }
+    let id = cluster::partition();
+    wait_for("the authority to end", || {
+        !nodes[lead].node.coordinator.has_authority(&id)
+    });
+    wait_for("the leases to end", || {
+        cluster::probes().iter().all(|h| !nodes[lead].admits(*h))
+    });
+    assert!(!nodes[lead].node.coordinator.has_authority(&id));
+    for node in &mut nodes {
+        node.resume();
+    }
+    let all: Vec<_> = nodes.iter().collect();
+    wait_for("all keys to be served again", || cluster::all_served(&all));
+    observer.finish();
+}
