--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod backend;
+pub mod balance;
 pub mod config;
 pub mod coordinator;
 pub mod discovery;
@@ -17,6 +18,7 @@
 pub mod owner;
 pub mod pick;
 pub mod place;
+pub mod placement;
 pub mod records;
 pub mod retry;
 pub mod router;
@@ -24,3 +26,4 @@
 pub mod standby;
 pub mod store;
 pub mod succession;
+pub mod weight;
