--- a/src/coordination/gate/run.rs
+++ b/src/coordination/gate/run.rs
@@ -61,9 +61,7 @@
         Ok(slot) => slot,
         Err(refusal) => return peer::Outcome::NotRun(refusal),
     };
-    let outcome = call(node, req, &server, ticket, deadline, cancel).await;
-    drop(slot);
-    outcome
+    call(node, req, &server, ticket, deadline, cancel, slot).await
 }
 
 fn server(node: &node::Node, service: &str) -> Result<backend::Server, peer::Outcome> {
@@ -96,6 +94,7 @@
     ticket: Option<Arc<grants::Ticket>>,
     deadline: clock::Instant,
     cancel: &CancellationToken,
+    slot: queue::Slot,
 ) -> peer::Outcome {
     if let (Some(ticket), Some(hash)) = (&ticket, req.hash) {
         node.gate.load.count(ticket.slice(), hash);
@@ -105,16 +104,12 @@
     let check = check(ticket, deadline, cancel.clone());
     let started = clock::Instant::now();
     let pending = node.gate.workers.submit(call, check);
-    let (result, proof) = receive(node, server, id, pending, cancel).await;
+    let Some(result) = receive(node, server, id, pending, cancel, slot).await else {
+        return refuse(peer::NotRunReason::Cancelled, time::Duration::ZERO);
+    };
     let elapsed = clock::Instant::now().since(started);
     observe(node, server, &result, elapsed);
-    match (translate(node, server, result), proof) {
-        // The server has promised not to start a request whose answer did not come.
-        (peer::Outcome::Unknown(_), Some(wire::Cancelled::NotStarted)) => {
-            refuse(peer::NotRunReason::Cancelled, time::Duration::ZERO)
-        }
-        (outcome, _) => outcome,
-    }
+    translate(node, server, result)
 }
 
 fn request(
@@ -165,34 +160,46 @@
     })
 }
 
-/// Waits for the result; a cancelled request is cancelled at the backend server, and the result is
-/// still awaited, because it alone tells whether the request ran.
+/// Waits for the result. A cancelled request is cancelled at the backend server; `None` means that
+/// the server will not start it. Otherwise the result is still awaited, because it alone tells
+/// whether the request ran.
 async fn receive(
     node: &Arc<node::Node>,
     server: &backend::Server,
     id: ids::RequestId,
     mut pending: Pending,
     cancel: &CancellationToken,
-) -> (
-    Result<http::Received, http::Failure>,
-    Option<wire::Cancelled>,
-) {
-    let lost = || Err(http::Failure::Broken("the worker is gone".to_owned()));
+    slot: queue::Slot,
+) -> Option<Result<http::Received, http::Failure>> {
+    let lost = |_| Err(http::Failure::Broken("the worker is gone".to_owned()));
     tokio::select! {
-        result = &mut pending => return (result.unwrap_or_else(|_| lost()), None),
+        result = &mut pending => return Some(result.unwrap_or_else(lost)),
         () = cancel.cancelled() => {}
     }
     tracing::debug!(event = 511, %id, "cancelling a request at the backend server");
     let client = node.gate.client();
     let addr = server.addr;
     let path = format!("/-/cancel/{id}");
-    let asked =
-        tokio::task::spawn_blocking(move || client.control("POST", addr, &path, CANCEL_TIMEOUT));
-    let proof = match asked.await {
+    let mut asked = tokio::task::spawn_blocking(move || {
+        client.control("POST", addr, &path, CANCEL_TIMEOUT)
+    });
+    let answer = tokio::select! {
+        result = &mut pending => return Some(result.unwrap_or_else(lost)),
+        answer = &mut asked => answer,
+    };
+    let proof = match answer {
         Ok(Ok((200, text))) => wire::Cancelled::parse(&text),
         _ => None,
     };
-    (pending.await.unwrap_or_else(|_| lost()), proof)
+    if proof != Some(wire::Cancelled::NotStarted) {
+        return Some(pending.await.unwrap_or_else(lost));
+    }
+    // The worker and its connection stay in use until the call has ended.
+    tokio::spawn(async move {
+        drop(pending.await);
+        drop(slot);
+    });
+    None
 }
 
 /// Learns from the result how the backend server behaves.
--- a/src/coordination/router.rs
+++ b/src/coordination/router.rs
@@ -302,6 +302,19 @@
 }
 
 impl Router {
+    /// Returns the number of requests in progress that entered here.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        let active = self.active.lock().unwrap_or_else(PoisonError::into_inner);
+        active.values().map(|c| c.requests).sum()
+    }
+
+    /// Returns the number of requests that wait for an owner or a live server.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.held.load(Ordering::Relaxed)
+    }
+
     /// Counts a success towards the retry budget of a service.
     fn succeeded(&self, service: &str, percent: u32) {
         self.with_budget(service, percent, |b| b.succeeded(clock::Instant::now()));
--- a/src/transport/entry.rs
+++ b/src/transport/entry.rs
@@ -12,7 +12,7 @@
 use std::io::Read;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::{fmt, io, mem, net, thread, time};
+use std::{fmt, fs, io, mem, net, thread, time};
 
 use crossbeam::channel;
 use nix::sys::{socket, time as sys_time};
@@ -363,6 +363,23 @@
     }
 }
 
+/// Ends the connection of a caller whose socket can't be reached through the library.
+fn disconnect(caller: net::SocketAddr) {
+    let peer = socket::SockaddrStorage::from(caller);
+    let descriptors = fs::read_dir("/proc/self/fd").into_iter().flatten();
+    for fd in descriptors.flatten() {
+        let name = fd.file_name();
+        let Some(fd) = name.to_str().and_then(|n| n.parse().ok()) else {
+            continue;
+        };
+        if socket::getpeername(fd).is_ok_and(|p: socket::SockaddrStorage| p == peer)
+            && let Err(e) = socket::shutdown(fd, socket::Shutdown::Both)
+        {
+            tracing::debug!(event = 216, error = %e, "can't end a caller's connection");
+        }
+    }
+}
+
 fn respond(request: Request, response: caller::Response) {
     let headers = response
         .headers
@@ -375,8 +392,13 @@
     let http = tiny_http::Response::new(status, headers, body, Some(length), None)
         .with_chunked_threshold(usize::MAX);
     if request.body_length().is_some_and(|n| n > MAX_DISCARD) {
-        // Dropping the stream would reserve memory of the declared size.
+        let caller = request.remote_addr().copied();
+        // Dropping the stream would reserve memory of the declared size, so its memory and its
+        // descriptor stay in use; the connection is ended below it.
         mem::forget(request.upgrade("none", http));
+        if let Some(caller) = caller {
+            disconnect(caller);
+        }
         return;
     }
     if let Err(e) = request.respond(http) {
--- /dev/null
+++ b/tests/request_laws.rs
@@ -0,0 +1,467 @@
+//! Laws of the parts that decide about requests.
+
+use std::collections::{HashMap, HashSet};
+use std::time;
+
+use filbertflow::coordination::gate::{limit, queue};
+use filbertflow::coordination::{backend, outcomes, pick, retry};
+use filbertflow::protocol::{caller, peer};
+use filbertflow::state::{clock, ids};
+use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
+
+const fn ms(n: u64) -> time::Duration {
+    time::Duration::from_millis(n)
+}
+
+quickcheck! {
+    /// Guards against a caller that comes back too early because the time was rounded down.
+    fn retry_after_is_rounded_up(seconds: u32, nanos: u32) -> bool {
+        let d = time::Duration::new(u64::from(seconds), nanos % 1_000_000_000);
+        let whole = time::Duration::from_secs(caller::whole_seconds(d));
+        whole >= d && whole < d + time::Duration::from_secs(1)
+    }
+
+    /// Guards against a start that gives a cold server more than its slots, shrinks, or never ends.
+    fn slow_start_grows_to_the_capacity(capacity: u32, a: u16, b: u16, warmup: u16) -> bool {
+        let capacity = capacity.max(1);
+        let (early, late) = (a.min(b), a.max(b));
+        let limit = |age: u16| backend::slow_start(capacity, ms(age.into()), ms(warmup.into()));
+        limit(early) >= 1
+            && limit(early) <= limit(late)
+            && limit(late) <= capacity as usize
+            && limit(warmup) == capacity as usize
+    }
+
+    /// Guards against a limit outside the bounds of the server.
+    fn adaptive_limit_stays_within_bounds(capacity: u8, latencies: Vec<u16>) -> bool {
+        let capacity = usize::from(capacity).max(1);
+        let mut limit = limit::Limit::default();
+        latencies.iter().all(|l| {
+            if l % 16 == 0 {
+                limit.overload(capacity);
+            } else {
+                limit.sample(ms(u64::from(*l)), capacity, capacity);
+            }
+            (1..=capacity).contains(&limit.allowed(capacity))
+        })
+    }
+}
+
+/// Guards against a limit that does not follow the latency, or does not recover.
+#[test]
+fn adaptive_limit_follows_latency() {
+    let mut limit = limit::Limit::default();
+    for _ in 0..100 {
+        limit.sample(ms(5), 20, 20);
+    }
+    assert_eq!(limit.allowed(20), 20);
+    for _ in 0..100 {
+        limit.sample(ms(50), 20, 20);
+    }
+    assert!(limit.allowed(20) <= 8, "{}", limit.allowed(20));
+    for _ in 0..1000 {
+        limit.sample(ms(5), 20, 20);
+    }
+    assert_eq!(limit.allowed(20), 20);
+}
+
+/// Step of a service that succeeds and retries.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Success,
+    Retry,
+    Pass(u16),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 8 {
+            0 => Self::Pass(u16::arbitrary(g) % 4000),
+            1..=4 => Self::Retry,
+            _ => Self::Success,
+        }
+    }
+}
+
+quickcheck! {
+    /// Guards against retries beyond the share of successes and the floor.
+    fn budget_is_never_exceeded(percent: u8, steps: Vec<Step>) -> bool {
+        let percent = u32::from(percent) % 101;
+        let mut budget = retry::Budget::new(percent);
+        let mut now = clock::Instant::now();
+        let mut successes: Vec<clock::Instant> = Vec::new();
+        let mut retries: Vec<clock::Instant> = Vec::new();
+        let recent = |all: &[clock::Instant], now: clock::Instant, window: time::Duration| {
+            let count = all.iter().filter(|at| now.since(**at) <= window).count();
+            u64::try_from(count).unwrap_or(u64::MAX)
+        };
+        steps.into_iter().all(|step| match step {
+            Step::Success => {
+                budget.succeeded(now);
+                successes.push(now);
+                true
+            }
+            Step::Retry if budget.take(now) => {
+                retries.push(now);
+                // Retries are counted in steps of a second and forgotten up to a step early.
+                let made = recent(&retries, now, retry::WINDOW - ms(1000));
+                let share = recent(&successes, now, retry::WINDOW) * u64::from(percent) / 100;
+                made <= share + retry::FLOOR
+            }
+            Step::Retry => true,
+            Step::Pass(n) => {
+                now = now + ms(u64::from(n));
+                true
+            }
+        })
+    }
+}
+
+/// Guards against a budget that refuses everything.
+#[test]
+fn budget_grants_share_and_floor() {
+    let now = clock::Instant::now();
+    let mut budget = retry::Budget::new(10);
+    for _ in 0..100 {
+        budget.succeeded(now);
+    }
+    let granted = (0..100).filter(|_| budget.take(now)).count();
+    assert_eq!(granted, 20);
+    let later = now + retry::WINDOW + ms(2000);
+    let granted = (0..100).filter(|_| budget.take(later)).count();
+    assert_eq!(granted, 10);
+}
+
+/// Request that waits for a slot.
+#[derive(Debug, Clone, Copy)]
+struct Waiting {
+    priority: u8,
+    deadline: u16,
+}
+
+impl Arbitrary for Waiting {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self {
+            priority: u8::arbitrary(g) % 4,
+            deadline: u16::arbitrary(g) % 1000,
+        }
+    }
+}
+
+quickcheck! {
+    /// Guards against an urgent request that waits behind others.
+    fn queue_serves_by_priority_then_deadline(requests: Vec<Waiting>) -> TestResult {
+        let bounds = queue::Bounds { capacity: 1, queue: requests.len() };
+        let queue = queue::Queue::default();
+        let now = clock::Instant::now();
+        // Far deadlines, so that none is refused.
+        let deadline = |w: &Waiting| now + time::Duration::from_secs(3600 + u64::from(w.deadline));
+        let Ok(first) = queue.enter(0, now + time::Duration::from_secs(3600), bounds) else {
+            return TestResult::error("an empty queue refuses");
+        };
+        let mut slot = futures::executor::block_on(first.slot()).ok();
+        let mut places = Vec::new();
+        for w in &requests {
+            match queue.enter(w.priority, deadline(w), bounds) {
+                Ok(place) => places.push((*w, Box::pin(place.slot()))),
+                Err(e) => return TestResult::error(format!("refused: {e:?}")),
+            }
+        }
+        let mut served = Vec::new();
+        while !places.is_empty() {
+            drop(slot.take());
+            let ready = places.iter_mut().enumerate().find_map(|(i, (_, place))| {
+                futures::FutureExt::now_or_never(place.as_mut()).map(|granted| (i, granted))
+            });
+            let Some((i, granted)) = ready else {
+                return TestResult::error("nobody got the slot");
+            };
+            slot = granted.ok();
+            served.push(places.remove(i).0);
+        }
+        let ordered = served
+            .is_sorted_by_key(|w| (w.priority, w.deadline));
+        TestResult::from_bool(ordered)
+    }
+
+    /// Guards against a slot that is lost or given twice when places are given up.
+    fn queue_never_exceeds_its_slots(capacity: u8, given_up: Vec<bool>) -> bool {
+        let capacity = usize::from(capacity % 8) + 1;
+        let bounds = queue::Bounds { capacity, queue: given_up.len() + capacity };
+        let queue = queue::Queue::default();
+        let deadline = clock::Instant::now() + time::Duration::from_secs(3600);
+        let mut places: Vec<_> = (0..given_up.len() + capacity)
+            .filter_map(|_| queue.enter(0, deadline, bounds).ok())
+            .map(|place| Box::pin(place.slot()))
+            .collect();
+        let mut held = Vec::new();
+        let mut keep = given_up.into_iter();
+        while !places.is_empty() {
+            let mut ready = Vec::new();
+            places.retain_mut(|place| match futures::FutureExt::now_or_never(place.as_mut()) {
+                Some(granted) => {
+                    ready.extend(granted.ok());
+                    false
+                }
+                None => true,
+            });
+            held.append(&mut ready);
+            if held.len() > capacity {
+                return false;
+            }
+            match keep.next() {
+                Some(true) => drop(places.pop()),
+                _ => drop(held.pop()),
+            }
+        }
+        drop(held);
+        queue.in_flight() == 0
+    }
+}
+
+/// Guards against a request that waits although it can't finish in time.
+#[test]
+fn queue_refuses_what_cannot_finish() {
+    let queue = queue::Queue::default();
+    let bounds = queue::Bounds {
+        capacity: 1,
+        queue: 100,
+    };
+    let far = clock::Instant::now() + time::Duration::from_secs(3600);
+    let running = queue.enter(0, far, bounds);
+    assert!(running.is_ok());
+    for _ in 0..100 {
+        queue.sample(ms(1000));
+    }
+    // About one second of service, so that the tenth would need ten.
+    let waiting: Vec<_> = (0..9).map(|_| queue.enter(0, far, bounds)).collect();
+    assert!(waiting.iter().all(Result::is_ok));
+    let soon = clock::Instant::now() + time::Duration::from_secs(5);
+    let refusal = queue.enter(1, soon, bounds).err();
+    let refusal = refusal.map(|r| (r.reason, r.retry_after >= time::Duration::from_secs(5)));
+    assert_eq!(refusal, Some((peer::NotRunReason::Overloaded, true)));
+    // It overtakes the others, whose deadlines are far.
+    assert!(queue.enter(0, soon, bounds).is_ok());
+}
+
+/// Event in the life of a request identifier at its owner.
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    /// An attempt arrives.
+    Arrive { id: u8, attempt: u8 },
+    /// The running attempt ends: answered, unknown or not run.
+    End { id: u8, how: u8 },
+    /// The entry asks about an attempt.
+    Ask { id: u8, attempt: u8 },
+}
+
+impl Arbitrary for Event {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let id = u8::arbitrary(g) % 6;
+        let attempt = u8::arbitrary(g) % 4;
+        match u8::arbitrary(g) % 3 {
+            0 => Self::Arrive { id, attempt },
+            1 => Self::End { id, how: attempt },
+            _ => Self::Ask { id, attempt },
+        }
+    }
+}
+
+quickcheck! {
+    /// Guards against an identifier that runs twice, and against "not run" for an attempt that ran
+    /// or runs later, whatever is repeated, asked or evicted.
+    fn log_never_runs_an_id_twice(entries: u8, bytes: u8, events: Vec<Event>) -> bool {
+        let log = outcomes::Outcomes::new(outcomes::Bounds {
+            time: time::Duration::from_secs(3600),
+            entries: usize::from(entries % 4),
+            bytes: usize::from(bytes),
+        });
+        let known: Vec<_> = (0..6).map(|_| ids::RequestId::create()).collect();
+        let mut running = HashMap::new();
+        let mut ran: HashSet<u8> = HashSet::new();
+        let mut attempts_run: HashSet<(u8, u8)> = HashSet::new();
+        let mut denied: HashSet<(u8, u8)> = HashSet::new();
+        events.into_iter().all(|event| match event {
+            Event::Arrive { id, attempt } => {
+                match log.begin(start(known[usize::from(id)], attempt)) {
+                    outcomes::Begin::Run(guard) => {
+                        let second = ran.contains(&id) || running.contains_key(&id);
+                        running.insert(id, (attempt, guard));
+                        !second && !denied.contains(&(id, attempt))
+                    }
+                    _ => true,
+                }
+            }
+            Event::End { id, how } => {
+                if let Some((attempt, guard)) = running.remove(&id) {
+                    if how == 0 {
+                        guard.finish(peer::Outcome::NotRun(refusal()));
+                        denied.insert((id, attempt));
+                    } else {
+                        ran.insert(id);
+                        attempts_run.insert((id, attempt));
+                        finish(guard, how);
+                    }
+                }
+                true
+            }
+            Event::Ask { id, attempt } => {
+                let asked = ids::AttemptId(u64::from(attempt));
+                match log.settle(known[usize::from(id)], asked) {
+                    outcomes::Begin::Done(peer::Outcome::NotRun(_)) => {
+                        denied.insert((id, attempt));
+                        !attempts_run.contains(&(id, attempt))
+                    }
+                    _ => true,
+                }
+            }
+        })
+    }
+
+    /// Guards against a log that grows without bound.
+    fn log_stays_within_its_bounds(entries: u8, bytes: u16, sizes: Vec<u8>) -> bool {
+        let (entries, bytes) = (usize::from(entries % 32), usize::from(bytes));
+        let log = outcomes::Outcomes::new(outcomes::Bounds {
+            time: time::Duration::from_secs(3600),
+            entries,
+            bytes,
+        });
+        sizes.into_iter().all(|size| {
+            if let outcomes::Begin::Run(guard) = log.begin(start(ids::RequestId::create(), 0)) {
+                guard.finish(peer::Outcome::Answered(peer::Answer {
+                    status: 200,
+                    content_type: None,
+                    body: vec![0; usize::from(size)],
+                }));
+            }
+            let (kept, held) = log.size();
+            kept <= entries && held <= bytes
+        })
+    }
+}
+
+fn start(id: ids::RequestId, attempt: u8) -> outcomes::Start {
+    outcomes::Start {
+        partition: ids::PartitionId::first("walks"),
+        hash: ids::KeyHash(7),
+        id,
+        attempt: ids::AttemptId(u64::from(attempt)),
+        horizon: time::Duration::ZERO,
+    }
+}
+
+const fn refusal() -> peer::NotRun {
+    peer::NotRun {
+        reason: peer::NotRunReason::Shed,
+        retry_after: time::Duration::ZERO,
+    }
+}
+
+fn finish(guard: outcomes::Running, how: u8) {
+    match how {
+        1 => guard.finish(peer::Outcome::Unknown(peer::UnknownReason::Timeout)),
+        // The task of the request ended early.
+        2 => drop(guard),
+        _ => guard.finish(peer::Outcome::Answered(peer::Answer {
+            status: 200,
+            content_type: None,
+            body: vec![1; 100],
+        })),
+    }
+}
+
+/// Guards against outcomes that are lost when a slice moves.
+#[test]
+fn outcomes_move_with_their_slice() {
+    let (old, new) = (
+        outcomes::Outcomes::default(),
+        outcomes::Outcomes::default(),
+    );
+    let partition = ids::PartitionId::first("walks");
+    let id = ids::RequestId::create();
+    if let outcomes::Begin::Run(guard) = old.begin(start(id, 0)) {
+        finish(guard, 3);
+    }
+    let elsewhere = old.collect(&partition, ids::KeyHash(8), ids::KeyHash(u64::MAX));
+    assert!(elsewhere.is_empty());
+    let moved = old.collect(&partition, ids::KeyHash(0), ids::KeyHash(7));
+    new.keep(&partition, moved);
+    let known = new.begin(start(id, 1));
+    assert!(matches!(
+        known,
+        outcomes::Begin::Done(peer::Outcome::Answered(_))
+    ));
+}
+
+quickcheck! {
+    /// Guards against a fault that all servers share leaving none to send requests to.
+    fn at_most_half_of_the_servers_are_ejected(count: u8, failures: Vec<u8>) -> bool {
+        let now = clock::Instant::now();
+        let offered: Vec<_> = (0..u64::from(count % 8) + 1).map(server).collect();
+        let picker = pick::Picker::default();
+        failures.into_iter().enumerate().all(|(i, f)| {
+            let at = now + ms(u64::try_from(i).unwrap_or_default());
+            let Some(picked) = picker.pick(&offered, at) else {
+                return false;
+            };
+            let verdict = if f % 8 == 0 {
+                pick::Verdict::Answered
+            } else {
+                pick::Verdict::Failed
+            };
+            picker.finish(picked, verdict, ms(5), Some(1), &offered, at);
+            let ejected = picker.ejected(&offered, at);
+            ejected * 2 <= offered.len() && ejected < offered.len()
+        })
+    }
+}
+
+fn server(n: u64) -> ids::NodeRef {
+    ids::NodeRef {
+        addr: ids::NodeAddr(std::net::SocketAddr::from(([127, 0, 0, 1], 4000))),
+        incarnation: ids::Incarnation(n),
+    }
+}
+
+/// Guards against a failing server that keeps its share, and one that is left out for ever.
+#[test]
+fn failing_server_is_left_out_for_a_time() {
+    let now = clock::Instant::now();
+    let offered: Vec<_> = (0..4).map(server).collect();
+    let picker = pick::Picker::default();
+    let fails = |n: ids::NodeRef| n == offered[0];
+    let round = |at: clock::Instant| {
+        let picked = picker.pick(&offered, at).filter(|n| fails(*n));
+        let verdict = |n| match fails(n) {
+            true => pick::Verdict::Failed,
+            false => pick::Verdict::Answered,
+        };
+        if let Some(n) = picked {
+            picker.finish(n, verdict(n), ms(5), None, &offered, at);
+        }
+        picked.is_some()
+    };
+    let early = (0..1000).filter(|_| round(now)).count();
+    assert_eq!(early, 3);
+    let later = now + time::Duration::from_secs(2);
+    let again = (0..1000).filter(|_| round(later)).count();
+    assert_eq!(again, 1);
+}
+
+/// Guards against all requests going to one of two servers of different load.
+#[test]
+fn less_loaded_server_gets_more() {
+    let now = clock::Instant::now();
+    let offered: Vec<_> = (0..2).map(server).collect();
+    let picker = pick::Picker::default();
+    let mut picked = [0_u32; 2];
+    for _ in 0..100 {
+        // Requests stay in flight, so that each pick makes its server look more loaded.
+        let n = picker.pick(&offered, now);
+        let index = offered.iter().position(|o| Some(*o) == n);
+        if let Some(i) = index {
+            picked[i] += 1;
+        }
+    }
+    assert_eq!(picked, [50, 50]);
+}
--- /dev/null
+++ b/tests/requests/host.rs
@@ -0,0 +1,174 @@
+//! Nodes of these tests, with records and leases set by the test instead of a coordinator.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::{net, time};
+
+use filbertflow::coordination::{backend, membership, node, router, service};
+use filbertflow::protocol::backend::Announcement;
+use filbertflow::state::{clock, ids, record, settings};
+use filbertflow::transport::{counted, peer_server};
+use tokio::runtime;
+
+/// Two services: one partitioned by key, one not.
+pub const DOCUMENT: &str = r#"{
+  "hold_ms": 60000,
+  "classes": [ { "name": "tourist", "priority": 2 }, { "name": "operator", "priority": 0 } ],
+  "services": [
+    {
+      "name": "walks", "key": { "segment": 0 }, "slices": 1,
+      "weights": { "imbalance": 1, "churn": 1, "unavailable_time": 1 },
+      "churn_budget_percent": 20, "queue_requests": 4, "retry_budget_percent": 10,
+      "objective": { "availability_percent": 99.9, "latency_ms": 250, "window_hours": 720 },
+      "routes": [
+        { "method": "GET", "prefix": "/", "idempotent": true, "deadline_ms": 4000 },
+        { "method": "POST", "prefix": "/", "idempotent": false, "deadline_ms": 4000 }
+      ]
+    },
+    {
+      "name": "desk", "slices": 1,
+      "weights": { "imbalance": 1, "churn": 1, "unavailable_time": 1 },
+      "churn_budget_percent": 20, "queue_requests": 4, "retry_budget_percent": 10,
+      "objective": { "availability_percent": 99.9, "latency_ms": 250, "window_hours": 720 },
+      "routes": [
+        { "method": "GET", "prefix": "/", "idempotent": true, "deadline_ms": 4000 },
+        { "method": "POST", "prefix": "/", "idempotent": false, "deadline_ms": 4000 }
+      ]
+    }
+  ]
+}"#;
+
+/// Lease long enough for any test.
+const LEASE: time::Duration = time::Duration::from_secs(600);
+
+/// Node with a runtime of its own.
+pub struct Host {
+    pub node: Arc<node::Node>,
+    pub caller: net::SocketAddr,
+    runtime: Option<runtime::Runtime>,
+}
+
+impl Host {
+    pub fn start() -> Self {
+        let runtime = runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .unwrap();
+        let any: net::SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let peer = free_addr();
+        let node = node::Node::new(settings::Settings {
+            region: "ie-east".to_owned(),
+            domain: "ie-east-a".to_owned(),
+            caller: any,
+            peer: ids::NodeAddr(peer),
+            admin: any,
+            platform: free_addr(),
+            peers: Vec::new(),
+        });
+        node.config
+            .offer(ids::DocRevision(1), DOCUMENT)
+            .expect("the test document is valid");
+        let listener = runtime.block_on(peer_server::bind(peer)).unwrap();
+        let served = Arc::clone(&node);
+        let traffic = counted::Traffic::from(&node.metrics.traffic);
+        runtime.spawn(peer_server::serve(listener, traffic, move |accepted| {
+            service::connection(Arc::clone(&served), accepted)
+        }));
+        runtime.spawn(backend::run(Arc::clone(&node)));
+        runtime.spawn(membership::run(Arc::clone(&node)));
+        let caller = runtime.block_on(async { router::start(&node) }).unwrap();
+        Self {
+            node,
+            caller,
+            runtime: Some(runtime),
+        }
+    }
+
+    /// Ends the node like a process: its listener and its tasks are gone.
+    pub fn kill(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_timeout(time::Duration::from_secs(5));
+        }
+    }
+
+    /// Announces a backend server of this node.
+    pub fn announce(&self, service: &str, addr: net::SocketAddr, slots: u32) {
+        self.node.backend.announce(Announcement {
+            service: service.to_owned(),
+            address: addr,
+            incarnation: 1,
+            slots,
+            connections: 120,
+            checks_tokens: true,
+            draining: false,
+            cold_start_ms: 0,
+        });
+    }
+
+    /// Takes a record in which a node owns everything; the owner also gets a lease.
+    pub fn learn(&self, service: &str, owner: Option<ids::NodeRef>, revision: u64) {
+        let record = record(service, owner, self.node.me, revision);
+        if owner == Some(self.node.me) {
+            self.lease(&record, LEASE);
+        }
+        self.node.records.offer(record);
+    }
+
+    pub fn lease(&self, record: &record::PartitionRecord, length: time::Duration) {
+        let until = clock::Instant::now() + length;
+        let record = Arc::new(record.clone());
+        self.node.grants.renew(record, until, &HashMap::new());
+    }
+
+    pub fn dropped(&self, place: &str, reason: &str) -> u64 {
+        let dropped = &self.node.metrics.dropped;
+        dropped.with_label_values(&[place, reason]).get()
+    }
+
+    pub fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.caller)
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+pub fn free_addr() -> net::SocketAddr {
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+pub fn record(
+    service: &str,
+    owner: Option<ids::NodeRef>,
+    writer: ids::NodeRef,
+    revision: u64,
+) -> record::PartitionRecord {
+    let mut slices = record::even_slices(1);
+    slices[0].owner = owner;
+    slices[0].version = ids::SliceVersion(revision);
+    let servers = owner.into_iter().map(|node| record::Server {
+        node,
+        domain: "ie-east-a".to_owned(),
+        draining: false,
+        checks: true,
+    });
+    record::PartitionRecord {
+        id: ids::PartitionId::first(service),
+        epoch: ids::Epoch(1),
+        revision: ids::Revision(revision),
+        coordinator: writer,
+        standbys: Vec::new(),
+        servers: servers.collect(),
+        slices,
+        intent: None,
+        writer: record::Writer {
+            node: writer,
+            number: revision,
+        },
+    }
+}
--- /dev/null
+++ b/tests/requests/limits.rs
@@ -0,0 +1,129 @@
+//! Queue, limits and failure detection of the gate.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time;
+
+use crate::caller::{call, start};
+use crate::eventually;
+use crate::fake::{Act, Fake};
+use crate::host::{self, Host};
+
+fn owner(fake: &Fake, slots: u32) -> Host {
+    let host = Host::start();
+    host.announce("walks", fake.addr, slots);
+    host.learn("walks", Some(host.node.me), 1);
+    host
+}
+
+/// Guards against more requests at the backend server than it has slots, and a queue without bound.
+#[test]
+fn full_queue_refuses_at_once() {
+    let fake = Fake::start(|_| Act::Hold);
+    let host = owner(&fake, 2);
+    let mut accepted = Vec::new();
+    for n in 0..6 {
+        accepted.push(start("POST", host.url(&format!("/walks/{n}")), Vec::new()));
+    }
+    eventually("two run and four wait", || host.node.gate.in_flight() == 6);
+    let got = call("POST", &host.url("/walks/k"), &[], "");
+    assert_eq!(got.status, 429);
+    assert_eq!(got.outcome(), "not-run overloaded");
+    assert!(!got.header("retry-after").is_empty());
+    assert!(got.elapsed < time::Duration::from_secs(2), "{got:?}");
+    fake.wait_for(2);
+    assert_eq!(fake.seen().len(), 2);
+    fake.release();
+    for request in accepted {
+        let got = request.join().unwrap();
+        assert!(
+            ["answered", "not-run overloaded"].contains(&got.outcome().as_str()),
+            "{got:?}"
+        );
+    }
+}
+
+/// Guards against an important request that is refused while less important ones wait.
+#[test]
+fn important_request_displaces_the_last() {
+    let fake = Fake::start(|_| Act::Hold);
+    let host = owner(&fake, 1);
+    let mut waiting = vec![start("POST", host.url("/walks/0"), Vec::new())];
+    fake.wait_for(1);
+    for n in 1..5 {
+        waiting.push(start("POST", host.url(&format!("/walks/{n}")), Vec::new()));
+    }
+    eventually("one runs and four wait", || host.node.gate.in_flight() == 5);
+    let operator = vec![("filbert-class", "operator".to_owned())];
+    let important = start("POST", host.url("/walks/urgent"), operator);
+    eventually("one is displaced", || {
+        host.dropped("gate", "overloaded") == 1
+    });
+    fake.release();
+    assert_eq!(important.join().unwrap().outcome(), "answered");
+    let refused = waiting
+        .into_iter()
+        .map(|w| w.join().unwrap().outcome())
+        .filter(|o| o != "answered")
+        .count();
+    assert!(refused >= 1);
+    assert_eq!(fake.seen()[1].path, "/urgent");
+}
+
+/// Guards against requests that are sent to a frozen server whose health endpoint still answers,
+/// and a server that stays out after it has recovered.
+#[test]
+fn frozen_server_is_down_until_it_answers() {
+    let frozen = Arc::new(AtomicBool::new(true));
+    let state = Arc::clone(&frozen);
+    let fake = Fake::start(move |_| {
+        if state.load(Ordering::SeqCst) {
+            Act::Hold
+        } else {
+            Act::Answer(200, String::new())
+        }
+    });
+    let host = owner(&fake, 4);
+    let mut changes = host.node.backend.changes();
+    changes.mark_unchanged();
+    let headers = [("filbert-deadline-ms", "200")];
+    for _ in 0..3 {
+        let got = call("POST", &host.url("/walks/k"), &headers, "");
+        assert_eq!(got.outcome(), "unknown timeout");
+    }
+    assert!(changes.has_changed().unwrap(), "three timeouts in a row");
+    frozen.store(false, Ordering::SeqCst);
+    eventually("the server is up again", || {
+        host.node.backend.state().is_some_and(|(_, s)| s.up)
+    });
+    let got = call("POST", &host.url("/walks/k"), &[], "");
+    assert_eq!(got.outcome(), "answered");
+}
+
+/// Guards against an unknown outcome where nothing was sent, and a server that is still offered.
+#[test]
+fn refused_connection_proves_not_run() {
+    let host = Host::start();
+    host.announce("walks", host::free_addr(), 4);
+    host.learn("walks", Some(host.node.me), 1);
+    let headers = [("filbert-deadline-ms", "200")];
+    let got = call("POST", &host.url("/walks/k"), &headers, "");
+    assert_eq!(got.outcome(), "not-run unreachable");
+    assert!(!host.node.backend.state().unwrap().1.up);
+}
+
+/// Guards against work for a backend server that no longer announces itself.
+#[test]
+fn silent_server_is_withdrawn() {
+    let fake = Fake::start(|_| Act::Answer(200, String::new()));
+    let host = owner(&fake, 4);
+    eventually("the server is withdrawn", || {
+        !host.node.backend.state().unwrap().1.up
+    });
+    let headers = [("filbert-deadline-ms", "100")];
+    let got = call("POST", &host.url("/walks/k"), &headers, "");
+    assert_eq!(got.outcome(), "not-run unreachable");
+    host.announce("walks", fake.addr, 4);
+    let got = call("POST", &host.url("/walks/k"), &[], "");
+    assert_eq!(got.outcome(), "answered");
+}
--- /dev/null
+++ b/tests/requests/routing.rs
@@ -0,0 +1,221 @@
+//! Routes from the entry to the owner, and owners that are lost on the way.
+
+use std::io::{Read, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::{net, thread, time};
+
+use filbertflow::state::ids;
+
+use crate::caller::{call, start};
+use crate::eventually;
+use crate::fake::{Act, Fake};
+use crate::host::{self, Host};
+
+fn answering() -> Fake {
+    Fake::start(|seen| Act::Answer(200, seen.path.clone()))
+}
+
+fn owner(fake: &Fake) -> Host {
+    let host = Host::start();
+    host.announce("walks", fake.addr, 4);
+    host.learn("walks", Some(host.node.me), 1);
+    host
+}
+
+/// Guards against a request that does not find its owner from another entry.
+#[test]
+fn request_takes_one_hop_to_its_owner() {
+    let fake = answering();
+    let owner = owner(&fake);
+    let entry = Host::start();
+    entry.learn("walks", Some(owner.node.me), 1);
+    let got = call("POST", &entry.url("/walks/k"), &[], "seats");
+    assert_eq!(got.outcome(), "answered");
+    assert_eq!(got.body, "/k");
+    assert_eq!(fake.seen()[0].body, b"seats");
+}
+
+/// Guards against a request that fails although its slice gets an owner in time.
+#[test]
+fn request_is_held_until_its_slice_has_an_owner() {
+    let fake = answering();
+    let owner = owner(&fake);
+    let entry = Host::start();
+    entry.learn("walks", None, 1);
+    let waiting = start("POST", entry.url("/walks/k"), Vec::new());
+    eventually("the request is held", || entry.node.router.held() == 1);
+    entry.learn("walks", Some(owner.node.me), 2);
+    assert_eq!(waiting.join().unwrap().outcome(), "answered");
+    assert_eq!(entry.node.router.held(), 0);
+}
+
+/// Guards against a request that is lost because its entry still knows an owner that has ended.
+#[test]
+fn request_follows_its_slice_to_the_next_owner() {
+    let fake = answering();
+    let owner = owner(&fake);
+    let entry = Host::start();
+    let ended = ids::NodeRef {
+        addr: ids::NodeAddr(host::free_addr()),
+        incarnation: ids::Incarnation(1),
+    };
+    entry.learn("walks", Some(ended), 1);
+    let waiting = start("POST", entry.url("/walks/k"), Vec::new());
+    eventually("the request is held", || entry.node.router.held() == 1);
+    entry.learn("walks", Some(owner.node.me), 2);
+    assert_eq!(waiting.join().unwrap().outcome(), "answered");
+    assert_eq!(fake.seen().len(), 1);
+}
+
+/// Guards against a caller that is kept waiting until its deadline for an owner.
+#[test]
+fn hold_ends_before_the_deadline() {
+    let entry = Host::start();
+    let headers = [("filbert-deadline-ms", "1000")];
+    let got = call("GET", &entry.url("/walks/k"), &headers, "");
+    assert_eq!(got.outcome(), "not-run no-owner");
+    assert!(got.elapsed < time::Duration::from_millis(1000), "{got:?}");
+}
+
+/// Guards against a message that takes effect at another incarnation than it was meant for.
+#[test]
+fn message_to_an_earlier_incarnation_does_not_run() {
+    let fake = answering();
+    let owner = owner(&fake);
+    let entry = Host::start();
+    let earlier = ids::NodeRef {
+        incarnation: ids::Incarnation(1),
+        ..owner.node.me
+    };
+    entry.learn("walks", Some(earlier), 1);
+    let headers = [("filbert-deadline-ms", "100")];
+    let got = call("POST", &entry.url("/walks/k"), &headers, "");
+    assert_eq!(got.outcome(), "not-run incarnation");
+    assert!(fake.seen().is_empty());
+}
+
+/// Connection between two nodes that can go silent; new connections work.
+struct Wire {
+    addr: net::SocketAddr,
+    silent: Arc<AtomicBool>,
+}
+
+impl Wire {
+    fn start(to: net::SocketAddr) -> Self {
+        let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let silent = Arc::new(AtomicBool::new(false));
+        let cut = Arc::clone(&silent);
+        thread::spawn(move || {
+            // Only the first connection goes silent.
+            let mut flag = Some(cut);
+            for from in listener.incoming().flatten() {
+                let flag = flag.take().unwrap_or_default();
+                let there = net::TcpStream::connect(to).unwrap();
+                pipe(&from, &there, &flag);
+                pipe(&there, &from, &flag);
+            }
+        });
+        Self { addr, silent }
+    }
+}
+
+fn pipe(from: &net::TcpStream, to: &net::TcpStream, silent: &Arc<AtomicBool>) {
+    let (mut from, mut to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
+    let silent = Arc::clone(silent);
+    thread::spawn(move || {
+        let mut buffer = [0; 4096];
+        while let Ok(n) = from.read(&mut buffer) {
+            if silent.load(Ordering::SeqCst) {
+                // Bytes vanish and the connection stays open.
+                continue;
+            }
+            if n == 0 || to.write_all(&buffer[..n]).is_err() {
+                to.shutdown(net::Shutdown::Both).ok();
+                return;
+            }
+        }
+    });
+}
+
+/// Guards against a response that is lost with a connection that went silent, and against a second
+/// run of its request.
+#[test]
+fn outcome_is_recovered_over_a_new_connection() {
+    let fake = Fake::start(|_| Act::Hold);
+    let owner = owner(&fake);
+    let wire = Wire::start(owner.node.me.addr.0);
+    let entry = Host::start();
+    let through = ids::NodeRef {
+        addr: ids::NodeAddr(wire.addr),
+        ..owner.node.me
+    };
+    entry.learn("walks", Some(through), 1);
+    let waiting = start("POST", entry.url("/walks/k"), Vec::new());
+    fake.wait_for(1);
+    wire.silent.store(true, Ordering::SeqCst);
+    fake.release();
+    let got = waiting.join().unwrap();
+    assert_eq!(got.outcome(), "answered");
+    assert_eq!(got.body, "held");
+    assert_eq!(fake.seen().len(), 1);
+}
+
+/// Guards against a caller that waits until its deadline for an owner whose process has ended, and
+/// against "not run" for a request that was running there.
+#[test]
+fn lost_owner_leaves_outcome_unknown_early() {
+    let fake = Fake::start(|_| Act::Hold);
+    let mut owner = owner(&fake);
+    let entry = Host::start();
+    entry.learn("walks", Some(owner.node.me), 1);
+    let waiting = start("POST", entry.url("/walks/k"), Vec::new());
+    fake.wait_for(1);
+    owner.kill();
+    let got = waiting.join().unwrap();
+    assert_eq!(got.outcome(), "unknown owner-lost");
+    assert!(got.elapsed < time::Duration::from_secs(3), "{got:?}");
+    assert_eq!(fake.seen().len(), 1);
+}
+
+/// Guards against an idempotent request without key that waits for a lease it does not need, and
+/// a non-idempotent one that runs without one.
+#[test]
+fn unkeyed_request_needs_a_lease_only_to_run_once() {
+    let fake = answering();
+    let host = Host::start();
+    host.announce("desk", fake.addr, 4);
+    let got = call("GET", &host.url("/desk/hours"), &[], "");
+    assert_eq!(got.outcome(), "answered");
+    let headers = [("filbert-deadline-ms", "100")];
+    let got = call("POST", &host.url("/desk/mail"), &headers, "");
+    assert_eq!(got.outcome(), "not-run no-owner");
+    assert_eq!(fake.seen().len(), 1);
+    host.learn("desk", Some(host.node.me), 1);
+    let got = call("POST", &host.url("/desk/mail"), &[], "");
+    assert_eq!(got.outcome(), "answered");
+    let seen = fake.seen();
+    assert_eq!(seen[1].headers["filbert-token"], "1.1");
+    assert!(!seen[0].headers.contains_key("filbert-token"));
+}
+
+/// Guards against a live server that is not used because another one fails.
+#[test]
+fn unkeyed_request_finds_a_live_server() {
+    let (good, bad) = (answering(), Fake::start(|_| Act::Close));
+    let failing = Host::start();
+    failing.announce("desk", bad.addr, 4);
+    let entry = Host::start();
+    entry.announce("desk", good.addr, 4);
+    entry.node.members.add_seeds([failing.node.me.addr]);
+    eventually("the entry knows the other server", || {
+        let members = entry.node.members.serving("desk");
+        members.iter().any(|m| m.node == failing.node.me && m.backend.up)
+    });
+    for _ in 0..20 {
+        let got = call("GET", &entry.url("/desk/hours"), &[], "");
+        assert_eq!(got.outcome(), "answered");
+    }
+    assert!(bad.seen().len() < 10, "{}", bad.seen().len());
+}
