--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,9 +1,12 @@
 //! Transport layer: connections to peers, to the platform's service and to the backend server.
 
+pub mod admin;
+pub mod admin_client;
 pub mod backend;
 pub mod counted;
 pub mod entry;
 pub mod error;
+pub mod grant;
 pub mod peer_server;
 pub mod peers;
 pub mod platform;
