Decode the percent-encoded key in the backend stand-in

Cause: the product encodes keys in the header filbert-key; the stand-in hashed the encoded text. Measured: nothing measured. Conclusion: keys with characters that a header can't carry reach the server unchanged.

--- a/standins/src/backend/server.rs
+++ b/standins/src/backend/server.rs
@@ -110,7 +110,7 @@
         let work = journal::Work {
             id: header("filbert-id"),
             attempt: header("filbert-attempt"),
-            key: header("filbert-key"),
+            key: decoded(&header("filbert-key")),
             token: header("filbert-token"),
             idempotent,
         };
@@ -201,6 +201,13 @@
     work.key.is_empty() && work.token.is_empty() && work.idempotent
 }
 
+/// Decodes the percent-encoding of a key.
+fn decoded(key: &str) -> String {
+    percent_encoding::percent_decode_str(key)
+        .decode_utf8_lossy()
+        .into_owned()
+}
+
 fn refusal(reason: &str) -> http::Reply {
     http::text(503, reason).with_header(http::header("filbert-refused", reason))
 }
