Let a node listen for peers at another address than its name

Cause: a node's peer address is both its name and the address that it binds, so a network fault could not be put between two nodes, and a node behind a port mapping could not run. Change: optional setting peer_listen; without it nothing changes. Measured: nothing measured. Conclusion: the process tests can put a relay in front of each node.

--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -87,9 +87,10 @@
     let mut terminate = unix::signal(unix::SignalKind::terminate())?;
     let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
     let peer_addr = settings.peer;
-    let listener = peer_server::bind(peer_addr.0)
+    let listen = settings.peer_listen.unwrap_or(peer_addr.0);
+    let listener = peer_server::bind(listen)
         .await
-        .wrap_err_with(|| format!("can't listen for peers at {peer_addr}"))?;
+        .wrap_err_with(|| format!("can't listen for peers at {listen}"))?;
     let node = node::Node::new(settings);
     let shared = Arc::clone(&node);
     let traffic = counted::Traffic::from(&node.metrics.traffic);
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -15,6 +15,8 @@
     failure_domain: Option<String>,
     caller: Option<String>,
     peer: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    peer_listen: Option<String>,
     admin: Option<String>,
     platform: Option<String>,
     peers: Option<Vec<Option<String>>>,
@@ -27,6 +29,7 @@
             failure_domain: Some(s.domain.clone()),
             caller: Some(s.caller.to_string()),
             peer: Some(s.peer.to_string()),
+            peer_listen: s.peer_listen.map(|a| a.to_string()),
             admin: Some(s.admin.to_string()),
             platform: Some(s.platform.to_string()),
             peers: Some(s.peers.iter().map(|p| Some(p.to_string())).collect()),
@@ -43,12 +46,16 @@
         let domain = checks.name("failure_domain", s.failure_domain);
         let caller = address(&mut checks, "caller", s.caller);
         let peer = address(&mut checks, "peer", s.peer);
+        let peer_listen = s
+            .peer_listen
+            .and_then(|a| address(&mut checks, "peer_listen", Some(a)));
         let admin = address(&mut checks, "admin", s.admin);
         let platform = address(&mut checks, "platform", s.platform);
         let peers = addresses(&mut checks, "peers", s.peers);
         let mut used: Vec<_> = [
             ("caller", caller),
             ("peer", peer),
+            ("peer_listen", peer_listen),
             ("admin", admin),
             ("platform", platform),
         ]
@@ -63,6 +70,7 @@
                 domain: domain?,
                 caller: caller?,
                 peer: ids::NodeAddr(peer?),
+                peer_listen,
                 admin: admin?,
                 platform: platform?,
                 peers: peers.into_iter().map(|(_, a)| ids::NodeAddr(a)).collect(),
--- a/src/state/settings.rs
+++ b/src/state/settings.rs
@@ -15,6 +15,9 @@
     pub caller: net::SocketAddr,
     /// Address for other nodes; the node's name.
     pub peer: ids::NodeAddr,
+    /// Address at which the node listens for other nodes, if it differs from its name, as behind a
+    /// port mapping.
+    pub peer_listen: Option<net::SocketAddr>,
     /// Address for operators, metrics and the backend server's announcements.
     pub admin: net::SocketAddr,
     /// Address of the platform's key-value service.
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -29,6 +29,7 @@
         domain: "ie-east-a".to_owned(),
         caller: free_addr(),
         peer: ids::NodeAddr(free_addr()),
+        peer_listen: None,
         admin: free_addr(),
         platform: free_addr(),
         peers: Vec::new(),
--- a/tests/ctl/fleet.rs
+++ b/tests/ctl/fleet.rs
@@ -34,6 +34,7 @@
             domain: format!("ie-east-{}", i % 2),
             caller: free_addr(),
             peer: *addr,
+            peer_listen: None,
             admin: free_addr(),
             platform: fake.addr,
             peers: addrs.clone(),
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -47,6 +47,7 @@
         domain: "ie-east-a".to_owned(),
         caller: ([127, 0, 0, 1], 8000).into(),
         peer: me.addr,
+        peer_listen: None,
         admin: ([127, 0, 0, 1], 9000).into(),
         platform: ([127, 0, 0, 1], 1).into(),
         peers: Vec::new(),
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -32,6 +32,7 @@
             domain: "ie-east-a".to_owned(),
             caller: nowhere,
             peer: ids::NodeAddr(addr),
+            peer_listen: None,
             admin: nowhere,
             platform: nowhere,
             peers,
--- a/tests/ownership/cluster.rs
+++ b/tests/ownership/cluster.rs
@@ -58,6 +58,7 @@
         domain: domain.to_owned(),
         caller: "127.0.0.1:0".parse().unwrap(),
         peer: ids::NodeAddr(peer),
+        peer_listen: None,
         admin: "127.0.0.1:0".parse().unwrap(),
         platform,
         peers: Vec::new(),
