--- /dev/null
+++ b/tests/common/mesh.rs
@@ -0,0 +1,454 @@
+//! Mesh of nodes with their backend servers and one key-value service.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+use std::time::Duration;
+
+use filbertflow::protocol::admin;
+use serde_json::{Value, json};
+
+use super::document::{Service, User};
+use super::process::{self, Process};
+use super::relay::{Net, Party};
+use super::{Network, Scratch, journal, wait_until};
+
+/// Time for a mesh to start; generous, because other tests use the machine as well.
+const START_LIMIT: Duration = Duration::from_secs(60);
+
+/// Time for a call to an admin or control address.
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+
+/// What a mesh consists of.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    pub user: User,
+    pub services: Vec<Service>,
+    /// Whether relays are put between the processes.
+    pub relays: bool,
+    /// Whether the backend servers check fencing tokens.
+    pub checks: bool,
+    pub hold_ms: u64,
+    pub service_ms: u64,
+}
+
+/// Running mesh.
+#[derive(Debug)]
+pub struct Mesh {
+    pub plan: Plan,
+    pub hosts: Vec<Host>,
+    pub net: Option<Net>,
+    platform: SocketAddr,
+    platform_control: SocketAddr,
+    _platform: Process,
+    scratch: Scratch,
+}
+
+/// Host with a node and a backend server.
+#[derive(Debug)]
+pub struct Host {
+    pub service: &'static str,
+    pub domain: &'static str,
+    pub caller: SocketAddr,
+    pub peer: SocketAddr,
+    pub admin: SocketAddr,
+    pub control: SocketAddr,
+    peer_listen: SocketAddr,
+    platform: SocketAddr,
+    server_addr: SocketAddr,
+    pub node: Option<Process>,
+    pub server: Option<Process>,
+    pub frozen: bool,
+}
+
+/// Which processes of a host are meant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    Node,
+    Server,
+    Both,
+}
+
+impl Part {
+    fn has_node(self) -> bool {
+        self != Self::Server
+    }
+
+    fn has_server(self) -> bool {
+        self != Self::Node
+    }
+}
+
+impl Mesh {
+    /// Starts all processes, submits the document and waits until every slice is served.
+    pub fn start(name: &str, plan: Plan) -> Self {
+        let scratch = Scratch::create(name);
+        let network = Network::choose();
+        let (platform, platform_control) = (network.free(1), network.free(1));
+        let args = options(&[
+            ("--listen", platform.to_string()),
+            ("--control", platform_control.to_string()),
+        ]);
+        let kv = process::standin("standin-kv");
+        let kv = Process::start(&kv, &args, &scratch.file("kv.log"));
+        let mut mesh = Self {
+            hosts: hosts(&plan, network, platform),
+            net: plan.relays.then(Net::start),
+            platform,
+            platform_control,
+            _platform: kv,
+            scratch,
+            plan,
+        };
+        mesh.open_relays();
+        let up = wait_until(START_LIMIT, || mesh.platform_counts().is_some());
+        assert!(up, "the key-value stand-in does not answer");
+        let submitted = mesh.submit(20, 0);
+        assert!(submitted.status.success(), "{submitted:?}");
+        for i in 0..mesh.hosts.len() {
+            mesh.start_part(i, Part::Both);
+        }
+        let ready = wait_until(START_LIMIT, || mesh.is_ready());
+        assert!(ready, "the mesh is not ready: {:#?}", mesh.statuses());
+        mesh
+    }
+
+    fn open_relays(&mut self) {
+        let Some(net) = &mut self.net else { return };
+        for (i, host) in self.hosts.iter().enumerate() {
+            net.open(host.peer, host.peer_listen, Party::Node(i));
+            net.open(host.platform, self.platform, Party::Platform);
+        }
+    }
+
+    /// Starts a node, its backend server or both.
+    pub fn start_part(&mut self, i: usize, part: Part) {
+        if part.has_node() {
+            let settings = self.settings(i);
+            let file = self.scratch.file(&format!("node{i}.json"));
+            fs::write(&file, settings.to_string()).unwrap();
+            let args = options(&[("--settings", file.display().to_string())]);
+            let log = self.scratch.file(&format!("node{i}.log"));
+            let node = Process::start(&process::node(), &args, &log);
+            if let Some(net) = &mut self.net {
+                net.identify(node.id(), Party::Node(i));
+            }
+            self.hosts[i].node = Some(node);
+        }
+        if part.has_server() {
+            let args = self.server_args(i);
+            let log = self.scratch.file(&format!("server{i}.log"));
+            let program = process::standin("standin-backend");
+            self.hosts[i].server = Some(Process::start(&program, &args, &log));
+        }
+    }
+
+    fn settings(&self, i: usize) -> Value {
+        let host = &self.hosts[i];
+        let peers: Vec<_> = self
+            .hosts
+            .iter()
+            .map(|h| h.peer)
+            .filter(|p| *p != host.peer)
+            .take(3)
+            .collect();
+        let mut settings = json!({
+            "region": self.plan.user.region(),
+            "failure_domain": host.domain,
+            "caller": host.caller,
+            "peer": host.peer,
+            "admin": host.admin,
+            "platform": host.platform,
+            "peers": peers,
+        });
+        if self.plan.relays {
+            settings["peer_listen"] = json!(host.peer_listen);
+        }
+        settings
+    }
+
+    fn server_args(&self, i: usize) -> Vec<String> {
+        let host = &self.hosts[i];
+        options(&[
+            ("--listen", host.server_addr.to_string()),
+            ("--control", host.control.to_string()),
+            ("--admin", host.admin.to_string()),
+            ("--service", host.service.to_owned()),
+            ("--name", format!("server{i}")),
+            ("--checks-tokens", self.plan.checks.to_string()),
+            ("--service-time-ms", self.plan.service_ms.to_string()),
+            ("--journal", self.journal_file(i).display().to_string()),
+        ])
+    }
+
+    fn journal_file(&self, i: usize) -> PathBuf {
+        self.scratch.file(&format!("server{i}.journal"))
+    }
+
+    /// Returns the journals of all servers.
+    pub fn journals(&self) -> Vec<journal::Line> {
+        (0..self.hosts.len())
+            .filter_map(|i| fs::read_to_string(self.journal_file(i)).ok())
+            .flat_map(|text| journal::parse(&text))
+            .collect()
+    }
+
+    /// Ends processes at once.
+    pub fn kill(&mut self, i: usize, part: Part) {
+        let host = &mut self.hosts[i];
+        if part.has_server() {
+            host.server = None;
+        }
+        if part.has_node() {
+            host.node = None;
+            host.frozen = false;
+            if let Some(net) = &mut self.net {
+                net.close(Party::Node(i));
+            }
+        }
+    }
+
+    /// Starts processes again that were killed.
+    pub fn restart(&mut self, i: usize, part: Part) {
+        if let Some(net) = self.net.as_mut().filter(|_| part.has_node()) {
+            let host = &self.hosts[i];
+            net.open(host.peer, host.peer_listen, Party::Node(i));
+        }
+        self.start_part(i, part);
+    }
+
+    /// Stops processes without ending them.
+    pub fn freeze(&mut self, i: usize, part: Part) {
+        let host = &mut self.hosts[i];
+        if let Some(node) = host.node.as_ref().filter(|_| part.has_node()) {
+            node.freeze();
+            host.frozen = true;
+        }
+        if let Some(server) = host.server.as_ref().filter(|_| part.has_server()) {
+            server.freeze();
+        }
+    }
+
+    /// Lets frozen processes continue.
+    pub fn thaw(&mut self, i: usize) {
+        let host = &mut self.hosts[i];
+        host.frozen = false;
+        for process in [&host.node, &host.server].into_iter().flatten() {
+            process.thaw();
+        }
+    }
+
+    /// Asks a node to stop after it has handed its slices over.
+    pub fn terminate(&mut self, i: usize) {
+        let host = &mut self.hosts[i];
+        if let Some(node) = &host.node {
+            node.terminate();
+        }
+        // It takes no new callers any more.
+        host.frozen = true;
+    }
+
+    /// Returns whether a node has ended by itself.
+    pub fn has_stopped(&mut self, i: usize) -> bool {
+        let node = self.hosts[i].node.as_mut();
+        node.is_none_or(|n| !n.is_running())
+    }
+
+    /// Returns the numbers of the hosts whose node runs and is not frozen.
+    pub fn live(&self) -> Vec<usize> {
+        let is_live = |i: &usize| self.hosts[*i].node.is_some() && !self.hosts[*i].frozen;
+        (0..self.hosts.len()).filter(is_live).collect()
+    }
+
+    /// Returns the status of each live node that answers.
+    pub fn statuses(&self) -> Vec<admin::Status> {
+        self.live()
+            .into_iter()
+            .filter_map(|i| get(self.hosts[i].admin, "/status"))
+            .collect()
+    }
+
+    fn is_ready(&self) -> bool {
+        let statuses = self.statuses();
+        let settled = |service: &Service| {
+            let known = partition(&statuses, service.name);
+            known.is_some_and(|p| {
+                p.unowned == 0
+                    && p.moving == 0
+                    && p.standbys.len() == 2
+                    && p.owners.len() == service.instances
+                    && p.slices == leased(&statuses, service.name)
+            })
+        };
+        let complete = |s: &admin::Status| {
+            let up = s.members.iter().filter(|m| m.up).count();
+            s.revision.0 > 0 && up == self.hosts.len()
+        };
+        statuses.len() == self.hosts.len()
+            && statuses.iter().all(complete)
+            && self.plan.services.iter().all(settled)
+    }
+
+    /// Returns the newest partition record that a live node knows.
+    pub fn partition(&self, service: &str) -> Option<admin::Partition> {
+        partition(&self.statuses(), service)
+    }
+
+    /// Returns the number of slices on which live nodes hold leases.
+    pub fn leased(&self, service: &str) -> usize {
+        leased(&self.statuses(), service)
+    }
+
+    /// Returns the host that owns a key, by the newest token that a live node knows.
+    pub fn owner(&self, service: &str, key: &str) -> Option<usize> {
+        let path = format!("/explain?service={service}&key={key}");
+        let known = self
+            .live()
+            .into_iter()
+            .filter_map(|i| get::<admin::Explanation>(self.hosts[i].admin, &path));
+        let newest = known.max_by_key(|e| {
+            let (epoch, version) = e.token.split_once('.').unwrap();
+            (
+                epoch.parse::<u64>().unwrap(),
+                version.parse::<u64>().unwrap(),
+            )
+        })?;
+        self.host_at(newest.owner?.address.0)
+    }
+
+    /// Returns the host whose node has this peer address.
+    pub fn host_at(&self, peer: SocketAddr) -> Option<usize> {
+        self.hosts.iter().position(|h| h.peer == peer)
+    }
+
+    /// Writes the document with this queue length, and submits it by `filbertflow-ctl`.
+    pub fn submit(&self, queue: u64, based_on: u64) -> Output {
+        self.submission(queue, based_on).output().unwrap()
+    }
+
+    /// Returns the command that submits the document.
+    pub fn submission(&self, queue: u64, based_on: u64) -> Command {
+        let plan = &self.plan;
+        let document = plan.user.document(&plan.services, queue, plan.hold_ms, &[]);
+        let file = self.scratch.file(&format!("document{queue}.json"));
+        fs::write(&file, document.to_string()).unwrap();
+        let file = file.display().to_string();
+        self.ctl(&["submit", &file, "--based-on", &based_on.to_string()])
+    }
+
+    /// Returns a command of `filbertflow-ctl` for this mesh.
+    pub fn ctl(&self, args: &[&str]) -> Command {
+        let mut command = Command::new(process::ctl());
+        command.args(args);
+        command.env("FILBERTFLOW_PLATFORM", self.platform.to_string());
+        if let Some(i) = self.live().first() {
+            command.env("FILBERTFLOW_ADMIN", self.hosts[*i].admin.to_string());
+        }
+        command
+    }
+
+    /// Sets the fault of the key-value service.
+    pub fn set_platform(&self, fault: &Value) {
+        post(self.platform_control, "/fault", fault);
+    }
+
+    /// Returns the counts of calls of the key-value service.
+    pub fn platform_counts(&self) -> Option<Value> {
+        get(self.platform_control, "/counts")
+    }
+
+    /// Sets the behaviour of a backend server.
+    pub fn set_server(&self, i: usize, mode: &Value) {
+        post(self.hosts[i].control, "/mode", mode);
+    }
+
+    /// Returns numbers of a backend server.
+    pub fn server_stats(&self, i: usize) -> Option<Value> {
+        get(self.hosts[i].control, "/stats")
+    }
+}
+
+fn partition(statuses: &[admin::Status], service: &str) -> Option<admin::Partition> {
+    let name = format!("{service}/0");
+    statuses
+        .iter()
+        .flat_map(|s| &s.partitions)
+        .filter(|p| p.partition == name)
+        .max_by_key(|p| (p.epoch, p.revision))
+        .cloned()
+}
+
+fn leased(statuses: &[admin::Status], service: &str) -> usize {
+    let name = format!("{service}/0");
+    statuses
+        .iter()
+        .flat_map(|s| &s.roles)
+        .filter(|r| r.partition == name)
+        .map(|r| r.leased_slices)
+        .sum()
+}
+
+fn hosts(plan: &Plan, network: Network, platform: SocketAddr) -> Vec<Host> {
+    let mut hosts = Vec::new();
+    for service in &plan.services {
+        for instance in 0..service.instances {
+            let number = u8::try_from(10 + hosts.len()).unwrap();
+            let domains = plan.user.domains();
+            let peer = network.free(number);
+            hosts.push(Host {
+                service: service.name,
+                domain: domains[instance % domains.len()],
+                caller: network.free(number),
+                peer,
+                admin: network.free(number),
+                control: network.free(number),
+                peer_listen: if plan.relays {
+                    network.free(number)
+                } else {
+                    peer
+                },
+                platform: if plan.relays {
+                    network.free(number)
+                } else {
+                    platform
+                },
+                server_addr: network.free(number),
+                node: None,
+                server: None,
+                frozen: false,
+            });
+        }
+    }
+    hosts
+}
+
+fn options(pairs: &[(&str, String)]) -> Vec<String> {
+    pairs
+        .iter()
+        .flat_map(|(name, value)| [(*name).to_owned(), value.clone()])
+        .collect()
+}
+
+fn get<T: serde::de::DeserializeOwned>(addr: SocketAddr, path: &str) -> Option<T> {
+    let response = attohttpc::get(format!("http://{addr}{path}"))
+        .timeout(CALL_LIMIT)
+        .send()
+        .ok()?;
+    let text = response.is_success().then(|| response.text())?.ok()?;
+    Some(serde_json::from_str(&text).unwrap_or_else(|e| panic!("{path}: {e}: {text}")))
+}
+
+fn post(addr: SocketAddr, path: &str, body: &Value) {
+    let response = attohttpc::post(format!("http://{addr}{path}"))
+        .timeout(CALL_LIMIT)
+        .text(body.to_string())
+        .send()
+        .unwrap();
+    let status = response.status();
+    assert!(
+        status.is_success(),
+        "{path}: {status}: {}",
+        response.text().unwrap()
+    );
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,93 @@
+//! Helper of the process tests: starts the real binaries and the stand-ins on loopback addresses,
+//! sends requests, puts faults between the processes and checks the journals.
+
+pub mod caller;
+pub mod document;
+pub mod journal;
+pub mod mesh;
+pub mod process;
+pub mod relay;
+pub mod sockets;
+
+use std::fs;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Interval at which a condition is checked.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Directory for the files of one test; it is kept if the test fails.
+#[derive(Debug)]
+pub struct Scratch {
+    path: PathBuf,
+}
+
+impl Scratch {
+    pub fn create(name: &str) -> Self {
+        let unique = uuid::Uuid::now_v7();
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{unique}"));
+        fs::create_dir_all(&path).unwrap();
+        Self { path }
+    }
+
+    pub fn file(&self, name: &str) -> PathBuf {
+        self.path.join(name)
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            eprintln!("files of the failed test: {}", self.path.display());
+        } else {
+            fs::remove_dir_all(&self.path).unwrap();
+        }
+    }
+}
+
+/// Loopback network of one mesh, 127.x.y.0/24. Meshes that run in parallel have different ones, so
+/// that a port that is free when it is chosen stays free until a process listens on it.
+#[derive(Debug, Clone, Copy)]
+pub struct Network {
+    process: u8,
+    mesh: u8,
+}
+
+impl Network {
+    pub fn choose() -> Self {
+        static NEXT: AtomicU8 = AtomicU8::new(0);
+        let process = 64 + u8::try_from(std::process::id() % 128).unwrap();
+        let mesh = NEXT.fetch_add(1, Ordering::Relaxed);
+        Self { process, mesh }
+    }
+
+    /// Returns a free address on a host of the network.
+    pub fn free(self, host: u8) -> SocketAddr {
+        let ip = IpAddr::V4(Ipv4Addr::new(127, self.process, self.mesh, host));
+        let listener = TcpListener::bind((ip, 0)).unwrap();
+        listener.local_addr().unwrap()
+    }
+}
+
+/// Waits until a condition holds; returns false when the limit has passed.
+pub fn wait_until(limit: Duration, mut condition: impl FnMut() -> bool) -> bool {
+    let end = Instant::now() + limit;
+    loop {
+        if condition() {
+            return true;
+        }
+        if Instant::now() >= end {
+            return false;
+        }
+        thread::sleep(POLL);
+    }
+}
+
+/// Reads `CLOCK_BOOTTIME` in nanoseconds, the clock of the journals.
+pub fn now() -> u64 {
+    let now = filbertflow::state::clock::Instant::now();
+    u64::try_from(now.since_boot().as_nanos()).unwrap()
+}
--- /dev/null
+++ b/tests/processes/checker.rs
@@ -0,0 +1,230 @@
+//! The journal checker fails on each violation, and on nothing else.
+
+use std::time::Duration;
+
+use crate::common::caller::{Call, Outcome, Request};
+use crate::common::journal::{self, Violation};
+
+const SECOND: u64 = 1_000_000_000;
+
+/// Builds a journal line; times are in nanoseconds.
+fn line(at: u64, event: &str, server: &str, id: &str, token: &str, idempotent: bool) -> String {
+    format!(
+        r#"{{"at":{at},"event":"{event}","server":"{server}","id":"{id}","attempt":"1","key":"walk","token":"{token}","idempotent":{idempotent}}}"#
+    )
+}
+
+/// Builds the lines of a request that ran.
+fn ran(from: u64, to: u64, server: &str, id: &str, token: &str) -> [String; 2] {
+    [
+        line(from, "start", server, id, token, false),
+        line(to, "end", server, id, token, false),
+    ]
+}
+
+fn call(id: &str, sent: u64, ended: u64, outcome: Outcome) -> Call {
+    let mut request = Request::new("walk-listings", "walk", "POST", Duration::ZERO);
+    id.clone_into(&mut request.id);
+    Call {
+        request,
+        sent,
+        ended,
+        outcome,
+        defect: None,
+    }
+}
+
+fn not_run() -> Outcome {
+    Outcome::NotRun("no-owner".to_owned())
+}
+
+fn check(lines: &[String], calls: &[Call]) -> Vec<Violation> {
+    journal::check(&journal::parse(&lines.join("\n")), calls)
+}
+
+/// Runs one case for each name; the text says which failure of the checker it guards against.
+macro_rules! cases {
+    ($($(#[doc = $guards:literal])+ $name:ident: $found:expr => $expected:expr;)+) => {
+        $(
+            $(#[doc = $guards])+
+            #[test]
+            fn $name() {
+                assert_eq!($found, $expected);
+            }
+        )+
+    };
+}
+
+cases! {
+    /// Guards against a checker that reports a correct change of owner.
+    accepts_owners_in_turn:
+        check(
+            &[
+                ran(10, 20, "a", "1", "1.1"),
+                ran(30, 40, "b", "2", "1.2"),
+                ran(50, 60, "a", "3", "2.3"),
+            ]
+            .concat(),
+            &[call("1", 5, 25, Outcome::Answered(200)), call("9", 5, 25, not_run())],
+        ) => vec![];
+
+    /// Guards against missing two servers that work on a key at the same time.
+    finds_overlapping_work:
+        check(
+            &[ran(10, 30, "a", "1", "1.1"), ran(20, 40, "b", "2", "1.2")].concat(),
+            &[],
+        ) => vec![two_owners()];
+
+    /// Guards against missing an old owner that works between two requests of the new one, at an
+    /// instant at which the new one happens to be idle.
+    finds_alternating_owners:
+        check(
+            &[
+                ran(10, 20, "a", "1", "1.1"),
+                ran(30, 40, "b", "2", "1.2"),
+                ran(50, 60, "a", "3", "1.1"),
+            ]
+            .concat(),
+            &[],
+        ) => vec![two_owners()];
+
+    /// Guards against missing one ownership given to two servers one after the other.
+    finds_shared_token:
+        check(
+            &[ran(10, 20, "a", "1", "1.1"), ran(30, 40, "b", "2", "1.1")].concat(),
+            &[],
+        ) => vec![Violation::SharedToken { key: "walk".to_owned(), token: "1.1".to_owned() }];
+
+    /// Guards against missing a duplicated purchase.
+    finds_second_run:
+        check(
+            &[ran(10, 20, "a", "1", "1.1"), ran(30, 40, "a", "1", "1.1")].concat(),
+            &[],
+        ) => vec![Violation::RanTwice { id: "1".to_owned() }];
+
+    /// Guards against missing a first run whose end is not in the journal, because its server was
+    /// killed.
+    finds_second_run_after_loss:
+        check(
+            &[
+                vec![line(10, "start", "a", "1", "1.1", false)],
+                ran(30, 40, "b", "1", "1.2").to_vec(),
+            ]
+            .concat(),
+            &[],
+        ) => vec![Violation::RanTwice { id: "1".to_owned() }];
+
+    /// Guards against counting work that was given up without effect as a run.
+    accepts_run_after_abort:
+        check(
+            &[
+                vec![
+                    line(10, "start", "a", "1", "1.1", false),
+                    line(25, "abort", "a", "1", "1.1", false),
+                ],
+                ran(30, 40, "b", "1", "1.2").to_vec(),
+            ]
+            .concat(),
+            &[],
+        ) => vec![];
+
+    /// Guards against reporting a repeated read.
+    accepts_repeated_read:
+        check(
+            &[
+                line(10, "start", "a", "1", "1.1", true),
+                line(20, "end", "a", "1", "1.1", true),
+                line(30, "start", "a", "1", "1.1", true),
+                line(40, "end", "a", "1", "1.1", true),
+            ],
+            &[],
+        ) => vec![];
+
+    /// Guards against missing a run that precedes the caller's "not run".
+    finds_run_before_not_run:
+        check(
+            &ran(10, 20, "a", "1", "1.1"),
+            &[call("1", 5, 25, not_run())],
+        ) => vec![Violation::RanAfterAll { id: "1".to_owned() }];
+
+    /// Guards against missing a run that starts after the caller was told "not run".
+    finds_run_after_not_run:
+        check(
+            &ran(30, 40, "a", "1", "1.1"),
+            &[call("1", 5, 25, not_run())],
+        ) => vec![Violation::RanAfterAll { id: "1".to_owned() }];
+
+    /// Guards against missing a repeated call that is told "not run" although the first call ran.
+    finds_not_run_after_run:
+        check(
+            &ran(10, 20, "a", "1", "1.1"),
+            &[
+                call("1", 5, 25, Outcome::Unknown("timeout".to_owned())),
+                call("1", 30, 35, not_run()),
+            ],
+        ) => vec![Violation::RanAfterAll { id: "1".to_owned() }];
+
+    /// Guards against reporting a caller that repeats a refused request with success.
+    accepts_run_of_repeated_call:
+        check(
+            &ran(35, 40, "a", "1", "1.1"),
+            &[call("1", 5, 25, not_run()), call("1", 30, 50, Outcome::Answered(200))],
+        ) => vec![];
+
+    /// Guards against missing an answer that no server gave.
+    finds_answer_without_run:
+        check(&[], &[call("1", 5, 25, Outcome::Answered(200))])
+            => vec![Violation::AnsweredWithoutRun { id: "1".to_owned() }];
+
+    /// Guards against missing an answer that belongs to another request.
+    finds_foreign_answer:
+        {
+            let mut foreign = call("1", 5, 25, Outcome::Answered(200));
+            foreign.defect = Some("body belongs to another request".to_owned());
+            check(&ran(10, 20, "a", "1", "1.1"), &[foreign])
+        } => vec![Violation::ForeignAnswer {
+            id: "1".to_owned(),
+            defect: "body belongs to another request".to_owned(),
+        }];
+
+    /// Guards against missing work that a leaving server still gets after the bound.
+    finds_work_after_drain:
+        check(
+            &[
+                vec![line(10, "drain", "a", "", "", false)],
+                ran(4 * SECOND, 4 * SECOND + 5, "a", "1", "1.1").to_vec(),
+                ran(6 * SECOND, 6 * SECOND + 5, "a", "2", "1.1").to_vec(),
+            ]
+            .concat(),
+            &[],
+        ) => vec![Violation::WorkAfterDrain { server: "a".to_owned(), id: "2".to_owned() }];
+
+    /// Guards against a checker that stops at a line which a killed server did not complete.
+    accepts_cut_last_line:
+        check(&[ran(10, 20, "a", "1", "1.1").to_vec(), vec!["{\"at\":3".to_owned()]].concat(), &[])
+            => vec![];
+}
+
+fn two_owners() -> Violation {
+    Violation::TwoOwners {
+        key: "walk".to_owned(),
+        servers: ["a".to_owned(), "b".to_owned()],
+    }
+}
+
+/// Guards against a caller that takes a truncated or foreign body for its answer.
+#[test]
+fn caller_notices_wrong_bodies() {
+    let request = Request::new("walk-listings", "walk", "GET", Duration::ZERO);
+    let body = |id: &str, key: &str| {
+        let path = &request.path;
+        format!(
+            r#"{{"id":"{id}","key":"{key}","method":"GET","path":"{path}","body":"","complete":true}}"#
+        )
+    };
+    let own = body(&request.id, "walk");
+    assert_eq!(request.defect_of(&own), None);
+    assert!(request.defect_of(&own[..own.len() / 2]).is_some());
+    assert!(request.defect_of(&body("another", "walk")).is_some());
+    assert!(request.defect_of(&body(&request.id, "another")).is_some());
+}
