Balance slices from the coordinator and bound control traffic

Cause: slices of lost and draining servers were placed by count alone, and every renewal carried a load report of all slices. Change: the coordinator calls balance::plan each second and for evacuations; load is reported once a second; a record change wakes an owner only if it is newer than the one applied.

--- a/src/coordination/coordinator.rs
+++ b/src/coordination/coordinator.rs
@@ -4,6 +4,8 @@
 //! has ended), the other writes the record, one write at a time (R12). The rules are enforced in
 //! [`lead`](crate::coordination::lead), under one lock for each decision.
 
+mod calls;
+
 use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time;
@@ -13,10 +15,9 @@
 use crate::coordination::{lead, node, store};
 use crate::protocol::{peer, record as wire};
 use crate::state::{clock, ids, record, timing};
-use crate::transport::error as transport;
 
-/// Time for one promise, ping or push; the next tick tries again.
-const CALL_LIMIT: time::Duration = time::Duration::from_millis(200);
+use calls::{ask, probe, push};
+pub use calls::{has_ended, ping};
 
 /// Interval at which the writer looks for work without being notified.
 const WRITER_TICK: time::Duration = time::Duration::from_millis(100);
@@ -30,6 +31,9 @@
 /// Age at which the environment of a partition is collected again.
 const SURROUNDINGS: time::Duration = time::Duration::from_millis(500);
 
+/// Interval at which the balance is planned.
+const BALANCE: time::Duration = time::Duration::from_secs(1);
+
 /// Partitions that this node coordinates.
 #[derive(Debug, Default)]
 pub struct Coordinator {
@@ -154,20 +158,28 @@
 /// Collects what the decisions about a partition need from the rest of the node.
 fn env(node: &node::Node, id: &ids::PartitionId) -> lead::Env {
     let document = node.config.current();
+    let drain = document.as_ref().map(|c| c.document.drain.clone());
+    let drain = drain.unwrap_or_default();
     let candidates = node.members.serving(&id.service).into_iter();
+    let candidates = candidates.filter(|m| !m.backend.draining && !drain.contains(&m.node.addr));
     lead::Env {
         domain: node.settings.domain.clone(),
-        drain: document
+        hold: document.as_ref().map(|c| c.document.hold),
+        policy: document
             .as_ref()
-            .map(|c| c.document.drain.clone())
-            .unwrap_or_default(),
-        hold: document.map(|c| c.document.hold),
+            .and_then(|c| c.document.service(&id.service))
+            .map(|s| lead::Policy {
+                weights: s.weights,
+                churn_budget: s.churn_budget,
+                slices: s.slices,
+            }),
         candidates: candidates
             .map(|m| lead::Candidate {
                 node: m.node,
                 domain: m.domain,
             })
             .collect(),
+        drain,
     }
 }
 
@@ -263,101 +275,6 @@
     });
 }
 
-async fn ask(node: Arc<node::Node>, id: ids::PartitionId, standby: ids::NodeRef) {
-    let reply = ask_once(&node, &id, standby, false).await;
-    let reply = match reply {
-        Ok((_, peer::PromiseReply::NeedRecord)) => ask_once(&node, &id, standby, true).await,
-        other => other,
-    };
-    let superseded = node.coordinator.with(&id, |led| match reply {
-        Ok((sent, peer::PromiseReply::Given { .. })) => {
-            led.promise(standby, sent);
-            None
-        }
-        Ok((_, peer::PromiseReply::Superseded(newer))) => Some(newer),
-        Ok((_, peer::PromiseReply::Incarnation(newer))) if newer > standby.incarnation => {
-            led.ended(standby);
-            None
-        }
-        Err(transport::Error::Refused) => {
-            led.ended(standby);
-            None
-        }
-        Ok(_) | Err(_) => {
-            led.refuse(standby);
-            None
-        }
-    });
-    if let Some(Some(newer)) = superseded
-        && let Ok(newer) = record::PartitionRecord::try_from(*newer)
-    {
-        node.records.offer(newer);
-    }
-}
-
-async fn ask_once(
-    node: &Arc<node::Node>,
-    id: &ids::PartitionId,
-    standby: ids::NodeRef,
-    full: bool,
-) -> Result<(clock::Instant, peer::PromiseReply), transport::Error> {
-    let Some(record) = node.coordinator.leads(id) else {
-        return Err(transport::Error::Unreachable("not coordinating".to_owned()));
-    };
-    let req = peer::Promise {
-        from: node.me,
-        to: standby.incarnation,
-        partition: id.clone(),
-        stamp: record.stamp(),
-        record: full.then(|| boxed(&record)),
-    };
-    let sent = clock::Instant::now();
-    let call = node
-        .peers
-        .call(standby.addr, CALL_LIMIT, |client, context| async move {
-            client.promise(context, req).await
-        });
-    Ok((sent, call.await?))
-}
-
-/// Looks for proof that a server's process has ended.
-async fn probe(node: Arc<node::Node>, id: ids::PartitionId, server: ids::NodeRef) {
-    if has_ended(&node, server).await {
-        let new = node.coordinator.with(&id, |led| led.ended(server));
-        if new == Some(true) {
-            tracing::warn!(event = 405, partition = %id, server = %server, "process of the server has ended");
-            node.coordinator.wake.notify_waiters();
-        }
-    }
-}
-
-/// Returns whether there is proof that a process has ended.
-pub async fn has_ended(node: &Arc<node::Node>, process: ids::NodeRef) -> bool {
-    match ping(node, process).await {
-        Ok(answering) => answering > process.incarnation,
-        Err(transport::Error::Refused) => true,
-        Err(_) => false,
-    }
-}
-
-/// Returns the incarnation that answers at an address.
-///
-/// # Errors
-///
-/// Returns the error of the call.
-pub async fn ping(
-    node: &Arc<node::Node>,
-    to: ids::NodeRef,
-) -> Result<ids::Incarnation, transport::Error> {
-    let ping = peer::Ping { from: node.me };
-    let call = node
-        .peers
-        .call(to.addr, CALL_LIMIT, |client, context| async move {
-            client.ping(context, ping).await
-        });
-    Ok(call.await?.from.incarnation)
-}
-
 async fn write_changes(node: Arc<node::Node>, id: ids::PartitionId, epoch: ids::Epoch) {
     let mut read_at = clock::Instant::now();
     let mut around = Surroundings::new(&node, &id);
@@ -493,25 +410,18 @@
     }
 }
 
-/// Sends a record to the nodes that it names, so that they act on it without delay.
-fn push(node: &Arc<node::Node>, record: &Arc<record::PartitionRecord>) {
-    let servers = record.servers.iter().map(|s| s.node);
-    let named: BTreeSet<_> = servers.chain(record.standbys.iter().copied()).collect();
-    for to in named.into_iter().filter(|n| n.addr != node.me.addr) {
-        let node = Arc::clone(node);
-        let wire = boxed(record);
-        tokio::spawn(async move {
-            let call = node
-                .peers
-                .call(to.addr, CALL_LIMIT, |client, context| async move {
-                    client.record(context, wire).await
-                });
-            if let Err(e) = call.await {
-                tracing::debug!(event = 413, peer = %to, error = %e, "record not delivered");
+/// Plans the balance of the partitions that this node coordinates.
+pub async fn run(node: Arc<node::Node>) {
+    let mut tick = tokio::time::interval(BALANCE);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tick.tick().await;
+        for id in node.coordinator.partitions() {
+            let env = env(&node, &id);
+            if env.policy.is_some() {
+                node.coordinator.with(&id, |led| led.rebalance(&env));
+                node.coordinator.wake.notify_waiters();
             }
-        });
+        }
     }
 }
-
-/// Runs the partitions that this node coordinates.
-pub async fn run(_node: Arc<node::Node>) {}
--- a/src/coordination/lead.rs
+++ b/src/coordination/lead.rs
@@ -11,19 +11,19 @@
 //!   the write takes slices from is granted nothing.
 //! - R11: adopting a record that this node did not write restarts the wait for all owners.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+mod placing;
+mod standbys;
+
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time;
 
-use crate::coordination::{place, store};
+use crate::coordination::store;
 use crate::protocol::peer;
 use crate::state::{clock, ids, record, timing};
 
-/// Number of standbys.
-const STANDBYS: usize = 2;
-
-/// Time after adoption in which a standby that has not promised yet is kept.
-const FIRST_PROMISE: time::Duration = time::Duration::from_millis(300);
+pub use placing::{Edit, Policy};
+pub use standbys::Candidate;
 
 /// Age of the last renewal after which an owner is probed; one renewal and some delay.
 const QUIET: time::Duration = time::Duration::from_millis(350);
@@ -31,9 +31,6 @@
 /// Gap between two ticks after which this process counts as paused.
 const PAUSED: time::Duration = time::Duration::from_millis(400);
 
-/// Time for which a candidate that did not promise is passed over.
-const PASSED_OVER: time::Duration = time::Duration::from_secs(2);
-
 /// State of a partition at its coordinator.
 #[derive(Debug)]
 pub struct Led {
@@ -54,6 +51,7 @@
     gone: BTreeSet<ids::NodeRef>,
     released: BTreeSet<(ids::KeyHash, ids::SliceVersion)>,
     requested: Vec<Edit>,
+    moved: Vec<(clock::Instant, ids::KeyHash)>,
 }
 
 /// Write whose result is not known.
@@ -68,35 +66,11 @@
 
 /// Last renewal of a server.
 #[derive(Debug, Clone)]
-pub struct Report {
-    /// Time of arrival.
-    pub at: clock::Instant,
-    /// State of its backend server.
-    pub state: peer::BackendState,
-    /// Failure domain.
-    pub domain: String,
-    /// Load.
-    pub load: peer::Load,
-}
-
-/// Change that balancing asks for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Edit {
-    /// Move the slice that starts here to a server.
-    Move(ids::KeyHash, ids::NodeRef),
-    /// Let a slice start here.
-    Split(ids::KeyHash),
-    /// Merge the slice that starts here with the next one.
-    Merge(ids::KeyHash),
-}
-
-/// Node that may become a standby.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Candidate {
-    /// Node.
-    pub node: ids::NodeRef,
-    /// Failure domain.
-    pub domain: String,
+struct Report {
+    at: clock::Instant,
+    state: peer::BackendState,
+    domain: String,
+    load: peer::Load,
 }
 
 /// What a coordinator takes from the rest of its node.
@@ -108,6 +82,8 @@
     pub drain: Vec<ids::NodeAddr>,
     /// Hold time in force; the one stored with the record if there is no document.
     pub hold: Option<time::Duration>,
+    /// How the service is balanced.
+    pub policy: Option<Policy>,
     /// Nodes that may become standbys.
     pub candidates: Vec<Candidate>,
 }
@@ -140,6 +116,7 @@
             gone: BTreeSet::new(),
             released: BTreeSet::new(),
             requested: Vec::new(),
+            moved: Vec::new(),
         };
         led.restart_waits();
         led
@@ -160,6 +137,7 @@
         if stored.record.intent.is_none() {
             self.contact = self.contact.max(Some(sent));
         }
+        self.note_moves(&stored.record);
         self.stored = stored;
         if !own {
             self.restart_waits();
@@ -240,9 +218,15 @@
             at: clock::Instant::now(),
             state: req.backend,
             domain: req.domain.clone(),
-            load: req.load.clone(),
+            load: req.load.clone().unwrap_or_default(),
         };
-        self.reports.insert(req.from, report);
+        let before = self.reports.insert(req.from, report);
+        if req.load.is_none()
+            && let Some(before) = before
+            && let Some(report) = self.reports.get_mut(&req.from)
+        {
+            report.load = before.load;
+        }
         let older = self
             .record()
             .servers
@@ -290,22 +274,6 @@
         })
     }
 
-    /// Adds changes that balancing asks for; they replace those that are still waiting.
-    pub fn request(&mut self, edits: Vec<Edit>) {
-        self.requested = edits;
-    }
-
-    /// Returns the last report of each server that is live.
-    #[must_use]
-    pub fn reports(&self, now: clock::Instant) -> BTreeMap<ids::NodeRef, &Report> {
-        let live = self.live(now);
-        self.reports
-            .iter()
-            .filter(|(n, _)| live.contains(n))
-            .map(|(n, r)| (*n, r))
-            .collect()
-    }
-
     /// Returns the servers that have not renewed for some time and may have ended.
     #[must_use]
     pub fn quiet(&self, now: clock::Instant) -> Vec<ids::NodeRef> {
@@ -316,21 +284,6 @@
             .collect()
     }
 
-    /// Returns the nodes to ask for a promise.
-    #[must_use]
-    pub fn asked(&self, env: &Env, now: clock::Instant) -> BTreeSet<ids::NodeRef> {
-        let usable = |n: ids::NodeRef| {
-            !self.gone.contains(&n)
-                && self
-                    .failed
-                    .get(&n)
-                    .is_none_or(|at| now.since(*at) > PASSED_OVER)
-        };
-        let mut asked: BTreeSet<_> = self.choose(env, usable).into_iter().collect();
-        asked.extend(self.needed());
-        asked
-    }
-
     /// Decides on the next write, and bars the owners that it takes slices from.
     pub fn plan(&mut self, env: &Env) -> Option<&Pending> {
         let now = clock::Instant::now();
@@ -363,88 +316,6 @@
         self.pending.as_ref()
     }
 
-    fn place(
-        &mut self,
-        new: &mut record::PartitionRecord,
-        env: &Env,
-        lost: &BTreeSet<ids::NodeRef>,
-        now: clock::Instant,
-    ) {
-        let live = self.live(now);
-        self.join(new, env, &live);
-        let kept: BTreeSet<_> = new
-            .servers
-            .iter()
-            .map(|s| s.node)
-            .filter(|n| !lost.contains(n))
-            .collect();
-        self.finish_moves(new, &kept);
-        place::reassign(new, lost, &live);
-        place::cancel(new, &kept);
-        place::drain(new, &live);
-        place::join(new, &live);
-        self.edit(new, &live);
-        place::forget(new, &kept);
-    }
-
-    fn join(&self, new: &mut record::PartitionRecord, env: &Env, live: &BTreeSet<ids::NodeRef>) {
-        for node in live {
-            let Some(report) = self.reports.get(node) else {
-                continue;
-            };
-            let server = record::Server {
-                node: *node,
-                domain: report.domain.clone(),
-                draining: report.state.draining || env.drain.contains(&node.addr),
-                checks: report.state.checks,
-            };
-            match new.servers.iter_mut().find(|s| s.node == *node) {
-                Some(known) => *known = server,
-                None => new.servers.push(server),
-            }
-        }
-    }
-
-    fn finish_moves(&mut self, new: &mut record::PartitionRecord, kept: &BTreeSet<ids::NodeRef>) {
-        let record = Arc::clone(self.record());
-        self.released.retain(|(start, version)| {
-            record
-                .slice_at(*start)
-                .is_some_and(|s| s.start == *start && s.version == *version && s.target.is_some())
-        });
-        for (start, _) in &self.released {
-            let index = new.index_of(*start);
-            let slice = new.slices[index];
-            // Without a usable target the owner gets the slice back under a new version.
-            let next = slice.target.filter(|t| kept.contains(t)).or(slice.owner);
-            if let Some(next) = next {
-                new.assign(index, next);
-            }
-        }
-    }
-
-    fn edit(&mut self, new: &mut record::PartitionRecord, live: &BTreeSet<ids::NodeRef>) {
-        for edit in std::mem::take(&mut self.requested) {
-            match edit {
-                Edit::Split(at) => {
-                    new.split(at);
-                }
-                Edit::Merge(start) => {
-                    let index = new.index_of(start);
-                    new.merge(index);
-                }
-                Edit::Move(start, to) => {
-                    let index = new.index_of(start);
-                    let slice = &mut new.slices[index];
-                    let fits = slice.start == start && slice.owner.is_some_and(|o| o != to);
-                    if fits && slice.target.is_none() && live.contains(&to) {
-                        slice.target = Some(to);
-                    }
-                }
-            }
-        }
-    }
-
     /// Returns the servers that report a backend server that is up.
     fn live(&self, now: clock::Instant) -> BTreeSet<ids::NodeRef> {
         self.reports
@@ -483,63 +354,4 @@
             .get(&standby)
             .is_some_and(|until| *until > now)
     }
-
-    /// Returns the standbys that the next record is to name.
-    fn standbys(&self, env: &Env, now: clock::Instant) -> Vec<ids::NodeRef> {
-        let current = &self.record().standbys;
-        let usable = |n: ids::NodeRef| {
-            let early = now.since(self.adopted) < FIRST_PROMISE && current.contains(&n);
-            !self.gone.contains(&n) && (self.promised(n, now) || early)
-        };
-        let mut chosen = self.choose(env, usable);
-        // An equal set in another order is no change.
-        if chosen.len() == current.len() && chosen.iter().all(|n| current.contains(n)) {
-            chosen.clone_from(current);
-        }
-        chosen
-    }
-
-    /// Chooses standbys in as many failure domains as possible, current ones first.
-    fn choose(&self, env: &Env, usable: impl Fn(ids::NodeRef) -> bool) -> Vec<ids::NodeRef> {
-        let record = self.record();
-        let mut pool: Vec<_> = self.pool(env);
-        pool.retain(|c| c.node.addr != self.me.addr && usable(c.node));
-        let mut domains = vec![env.domain.clone()];
-        let mut chosen = Vec::new();
-        while chosen.len() < STANDBYS && !pool.is_empty() {
-            let best = (0..pool.len()).min_by_key(|i| {
-                let c = &pool[*i];
-                let shared = domains.contains(&c.domain);
-                (shared, !record.standbys.contains(&c.node), c.node)
-            });
-            let best = pool.swap_remove(best.unwrap_or_default());
-            domains.push(best.domain);
-            chosen.push(best.node);
-        }
-        chosen
-    }
-
-    fn pool(&self, env: &Env) -> Vec<Candidate> {
-        let record = self.record();
-        let mut pool = env.candidates.clone();
-        let servers = record.servers.iter().map(|s| Candidate {
-            node: s.node,
-            domain: s.domain.clone(),
-        });
-        pool.extend(servers);
-        pool.extend(record.standbys.iter().map(|s| Candidate {
-            node: *s,
-            domain: String::new(),
-        }));
-        let mut seen = BTreeSet::new();
-        pool.retain(|c| seen.insert(c.node));
-        // Of several incarnations at an address only the newest can be alive.
-        let newest = pool.iter().fold(HashMap::new(), |mut newest, c| {
-            let known = newest.entry(c.node.addr).or_insert(c.node.incarnation);
-            *known = c.node.incarnation.max(*known);
-            newest
-        });
-        pool.retain(|c| newest.get(&c.node.addr) == Some(&c.node.incarnation));
-        pool
-    }
 }
--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -8,11 +8,15 @@
 //!   older than the one applied ([`Owner::accept`]).
 //! - R8: the backend server gets each grant with its tokens and with the end of the node's lease.
 
+mod leave;
+
 use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::{net, time};
 
+use tokio::sync::watch;
+
 use crate::coordination::{coordinator, grants, node, succession};
 use crate::protocol::{backend, peer};
 use crate::state::{clock, ids, record, timing};
@@ -24,6 +28,10 @@
 /// Pause after a renewal that brought no lease.
 const RETRY: time::Duration = time::Duration::from_millis(50);
 
+/// Interval between load reports; with one in every renewal, control traffic of a node with many
+/// slices would come close to its limit of 12 KB/s.
+const REPORT: time::Duration = time::Duration::from_secs(1);
+
 /// Renewals and moves of this node's own slices.
 #[derive(Debug, Default)]
 pub struct Owner {
@@ -37,6 +45,7 @@
     applied: Option<Arc<record::PartitionRecord>>,
     released: clock::Instant,
     renewed: clock::Instant,
+    reported: clock::Instant,
     handed: grants::Horizons,
     moving: HashSet<(ids::KeyHash, ids::SliceVersion)>,
 }
@@ -105,6 +114,18 @@
         table.entry(id.clone()).or_default().released = clock::Instant::now();
     }
 
+    /// Returns whether the next renewal is to carry a load report.
+    fn report_due(&self, id: &ids::PartitionId) -> bool {
+        let mut table = self.lock();
+        let owned = table.entry(id.clone()).or_default();
+        let now = clock::Instant::now();
+        let due = now.since(owned.reported) >= REPORT;
+        if due {
+            owned.reported = now;
+        }
+        due
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<ids::PartitionId, Owned>> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -139,7 +160,8 @@
 where
     F: Fn() -> Option<(String, peer::BackendState)> + Send,
 {
-    let mut changes = node.records.changes();
+    let mut records = node.records.changes();
+    let mut states = node.backend.changes();
     let mut was = None;
     loop {
         let start = clock::Instant::now();
@@ -150,17 +172,40 @@
         }
         was.clone_from(&id);
         let mut pause = timing::LEASE_RENEWAL;
-        if let (Some(id), Some((_, state))) = (id, state) {
+        if let (Some(id), Some((_, state))) = (&id, state) {
             if !state.up {
-                surrender(&node, &id);
+                surrender(&node, id);
             }
-            if renew(&node, &id, state).await == Renewal::Refused {
+            if renew(&node, id, state).await == Renewal::Refused {
                 pause = RETRY;
             }
         }
         let wait = (start + pause).left().max(RETRY / 2);
-        // A new record may assign slices to this node, or name another coordinator.
-        drop(tokio::time::timeout(wait, changes.changed()).await);
+        let changed = async {
+            tokio::select! {
+                () = outdated(&node, id.as_ref(), &mut records) => {}
+                // The sender lives as long as the node.
+                _ = states.changed() => {}
+            }
+        };
+        drop(tokio::time::timeout(wait, changed).await);
+    }
+}
+
+/// Waits until a record is known that is newer than the one applied: it may assign slices to this
+/// node, or name another coordinator.
+async fn outdated(
+    node: &Arc<node::Node>,
+    id: Option<&ids::PartitionId>,
+    records: &mut watch::Receiver<u64>,
+) {
+    loop {
+        // The sender lives as long as the node.
+        drop(records.changed().await);
+        let known = id.and_then(|id| node.records.get(id));
+        if known.is_some_and(|r| r.stamp() > node.owner.stamp(&r.id)) {
+            return;
+        }
     }
 }
 
@@ -191,7 +236,7 @@
             draining: state.draining || node.owner.draining.load(Ordering::Relaxed),
             ..state
         },
-        load: node.gate.load(),
+        load: node.owner.report_due(id).then(|| node.gate.load()),
     };
     let sent = clock::Instant::now();
     let reply = match call(node, to, req).await {
@@ -260,7 +305,7 @@
     deliver(node, &record, until).await;
     let handed = handed(node, &record);
     node.grants.renew(Arc::clone(&record), until, &handed);
-    start_moves(node, &record);
+    leave::start_moves(node, &record);
     Renewal::Applied
 }
 
@@ -315,182 +360,3 @@
     });
     owned.handed.clone()
 }
-
-fn start_moves(node: &Arc<node::Node>, record: &Arc<record::PartitionRecord>) {
-    for (i, slice) in record.slices.iter().enumerate() {
-        let (Some(target), true) = (slice.target, slice.owner == Some(node.me)) else {
-            continue;
-        };
-        let new = {
-            let mut table = node.owner.lock();
-            let owned = table.entry(record.id.clone()).or_default();
-            owned.moving.insert((slice.start, slice.version))
-        };
-        if new {
-            let leaving = Leaving {
-                id: record.id.clone(),
-                start: slice.start,
-                end: record.end_of(i),
-                version: slice.version,
-                target,
-            };
-            node.grants
-                .stop(&leaving.id, leaving.start, leaving.end, leaving.version);
-            tokio::spawn(leave(Arc::clone(node), leaving));
-        }
-    }
-}
-
-/// Slice that this node is handing to another.
-#[derive(Debug, Clone)]
-struct Leaving {
-    id: ids::PartitionId,
-    start: ids::KeyHash,
-    end: ids::KeyHash,
-    version: ids::SliceVersion,
-    target: ids::NodeRef,
-}
-
-async fn leave(node: Arc<node::Node>, leaving: Leaving) {
-    tracing::info!(event = 423, partition = %leaving.id, start = leaving.start.0, target = %leaving.target, "releasing the slice");
-    drained(&node, &leaving).await;
-    while leaving.is_current(&node) && !hand_over(&node, &leaving).await {
-        tokio::time::sleep(RETRY).await;
-    }
-    node.owner.release(&leaving.id);
-    while leaving.is_current(&node) {
-        give_up(&node, &leaving).await;
-        tokio::time::sleep(RETRY).await;
-    }
-    let mut table = node.owner.lock();
-    if let Some(owned) = table.get_mut(&leaving.id) {
-        owned.moving.remove(&(leaving.start, leaving.version));
-    }
-}
-
-/// Waits until no request of the slice is running.
-async fn drained(node: &Arc<node::Node>, leaving: &Leaving) {
-    let mut finished = node.grants.finished();
-    while node.grants.running(&leaving.id, leaving.start, leaving.end) > 0 {
-        // The sender lives as long as the node.
-        drop(finished.changed().await);
-    }
-}
-
-impl Leaving {
-    /// Returns whether the newest record still moves the slice away from this node.
-    fn is_current(&self, node: &Arc<node::Node>) -> bool {
-        let record = node.records.get(&self.id);
-        let slice = record.as_ref().and_then(|r| r.slice_at(self.start));
-        slice.is_some_and(|s| {
-            s.start == self.start
-                && s.version == self.version
-                && s.owner == Some(node.me)
-                && s.target == Some(self.target)
-        })
-    }
-}
-
-/// Sends recent outcomes to the next owner; returns whether it has taken all of them.
-async fn hand_over(node: &Arc<node::Node>, leaving: &Leaving) -> bool {
-    let outcomes = node
-        .outcomes
-        .collect(&leaving.id, leaving.start, leaving.end);
-    let held = node.grants.horizon(&leaving.id, leaving.start);
-    let Some(held) = held else { return false };
-    let horizon = held.max(node.outcomes.evicted_before());
-    let mut parts = chunks(outcomes);
-    let last = parts.pop().unwrap_or_default();
-    for part in parts {
-        if !send_part(node, leaving, part, time::Duration::MAX).await {
-            return false;
-        }
-    }
-    send_part(node, leaving, last, horizon).await
-}
-
-/// Divides outcomes so that each part fits well into a frame.
-fn chunks(outcomes: Vec<peer::Finished>) -> Vec<Vec<peer::Finished>> {
-    let mut parts = vec![Vec::new()];
-    let mut size = 0;
-    for finished in outcomes {
-        let body = match &finished.outcome {
-            peer::Outcome::Answered(answer) => answer.body.len(),
-            peer::Outcome::NotRun(_) | peer::Outcome::Unknown(_) => 0,
-        };
-        size += body + OUTCOME_OVERHEAD;
-        if size > PART {
-            parts.push(Vec::new());
-            size = body + OUTCOME_OVERHEAD;
-        }
-        if let Some(part) = parts.last_mut() {
-            part.push(finished);
-        }
-    }
-    parts
-}
-
-/// Encoded size of an outcome without its body, in bytes, rounded up.
-const OUTCOME_OVERHEAD: usize = 256;
-
-/// Size of one handover message, in bytes; an answer's body has at most 1 MiB.
-const PART: usize = peer::MAX_FRAME / 2;
-
-async fn send_part(
-    node: &Arc<node::Node>,
-    leaving: &Leaving,
-    outcomes: Vec<peer::Finished>,
-    horizon: time::Duration,
-) -> bool {
-    let req = peer::Handover {
-        from: node.me,
-        to: leaving.target.incarnation,
-        partition: leaving.id.clone(),
-        start: leaving.start,
-        version: leaving.version,
-        horizon,
-        outcomes,
-    };
-    let to = leaving.target.addr;
-    let call = node
-        .peers
-        .call(to, RENEWAL_LIMIT, |client, context| async move {
-            client.handover(context, req).await
-        });
-    match call.await {
-        Ok(reply) => reply == peer::HandoverReply::Taken,
-        Err(e) => {
-            tracing::warn!(event = 424, partition = %leaving.id, target = %leaving.target, error = %e, "handover failed");
-            false
-        }
-    }
-}
-
-/// Tells the coordinator that the slice is no longer served here.
-async fn give_up(node: &Arc<node::Node>, leaving: &Leaving) {
-    let Some(record) = node.records.get(&leaving.id) else {
-        return;
-    };
-    let to = record.coordinator;
-    let req = peer::Release {
-        from: node.me,
-        to: to.incarnation,
-        partition: leaving.id.clone(),
-        slices: vec![(leaving.start, leaving.version)],
-    };
-    let reply = if to == node.me {
-        Ok(coordinator::release(node, req).await)
-    } else {
-        let call = node
-            .peers
-            .call(to.addr, RENEWAL_LIMIT, |client, context| async move {
-                client.release(context, req).await
-            });
-        call.await
-    };
-    if let Ok(peer::ReleaseReply::Done(record)) = reply
-        && let Ok(record) = record::PartitionRecord::try_from(*record)
-    {
-        node.records.offer(record);
-    }
-}
--- a/src/coordination/place.rs
+++ b/src/coordination/place.rs
@@ -2,13 +2,30 @@
 //!
 //! Plain functions on a record; the caller has checked that each loss is final (R5).
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::state::{ids, record};
 
 /// Slices that may be in motion at once; a moving slice refuses requests for a short time.
 const MOVES_AT_ONCE: usize = 16;
 
+/// New owner that balancing has planned for the slice with this start.
+pub type Planned = BTreeMap<ids::KeyHash, ids::NodeRef>;
+
+/// Returns the planned server for a slice if it can take it, otherwise the one with the fewest
+/// slices.
+fn choose(
+    record: &record::PartitionRecord,
+    live: &BTreeSet<ids::NodeRef>,
+    planned: &Planned,
+    index: usize,
+) -> Option<ids::NodeRef> {
+    let next = planned.get(&record.slices[index].start).copied();
+    let usable =
+        |n: &ids::NodeRef| live.contains(n) && record.server(*n).is_some_and(|s| !s.draining);
+    next.filter(usable).or_else(|| emptiest(record, live))
+}
+
 /// Returns the server with the fewest slices among those that may get more.
 #[must_use]
 pub fn emptiest(
@@ -28,6 +45,7 @@
     record: &mut record::PartitionRecord,
     lost: &BTreeSet<ids::NodeRef>,
     live: &BTreeSet<ids::NodeRef>,
+    planned: &Planned,
 ) {
     for i in 0..record.slices.len() {
         let slice = record.slices[i];
@@ -38,7 +56,8 @@
             .target
             .filter(|t| live.contains(t) && record.server(*t).is_some_and(|s| !s.draining));
         let heir = slice.owner.and_then(|o| restarted(record, o, live));
-        if let Some(next) = ready.or(heir).or_else(|| emptiest(record, live)) {
+        let next = ready.or(heir).or_else(|| choose(record, live, planned, i));
+        if let Some(next) = next {
             record.assign(i, next);
         }
     }
@@ -72,7 +91,11 @@
 }
 
 /// Starts moves away from draining servers.
-pub fn drain(record: &mut record::PartitionRecord, live: &BTreeSet<ids::NodeRef>) {
+pub fn drain(
+    record: &mut record::PartitionRecord,
+    live: &BTreeSet<ids::NodeRef>,
+    planned: &Planned,
+) {
     let draining: BTreeSet<_> = record
         .servers
         .iter()
@@ -87,7 +110,7 @@
         if moving(record) >= MOVES_AT_ONCE {
             return;
         }
-        if let Some(next) = emptiest(record, live) {
+        if let Some(next) = choose(record, live, planned, i) {
             record.slices[i].target = Some(next);
         }
     }
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -212,8 +212,8 @@
     pub domain: String,
     /// State of the owner's backend server.
     pub backend: BackendState,
-    /// Load since the previous renewal.
-    pub load: Load,
+    /// Load since the previous report; not every renewal carries one.
+    pub load: Option<Load>,
 }
 
 /// State of a backend server as its node sees it.
--- a/tests/ownership/chaos.rs
+++ b/tests/ownership/chaos.rs
@@ -51,7 +51,7 @@
     println!("{} admissions", observer.finish());
 }
 
-fn fault(rng: &mut StdRng, platform: &Fake, nodes: &mut Vec<TestNode>, observer: &Observer) {
+fn fault(rng: &mut StdRng, platform: &Fake, nodes: &mut [TestNode], observer: &Observer) {
     let running = nodes.iter().filter(|n| n.is_alive() && !n.is_paused());
     let spare = running.count() > MIN_RUNNING;
     let i = rng.random_range(0..nodes.len());
--- a/tests/ownership/cluster.rs
+++ b/tests/ownership/cluster.rs
@@ -312,9 +312,9 @@
 
 pub fn bare(platform: SocketAddr) -> Bare {
     let runtime = tokio::runtime::Runtime::new().unwrap();
-    let _inside = runtime.enter();
+    let inside = runtime.enter();
     let node = node::Node::new(settings(platform, free_addr(), "ie-east-a"));
-    drop(_inside);
+    drop(inside);
     Bare { node, runtime }
 }
 
--- a/tests/ownership/lead.rs
+++ b/tests/ownership/lead.rs
@@ -4,11 +4,11 @@
 
 use filbertflow::coordination::{lead, store};
 use filbertflow::protocol::peer;
-use filbertflow::state::{clock, ids, record, timing};
+use filbertflow::state::{clock, document, ids, record, timing};
 
 use crate::cluster::{UP, partition, wait_for};
 
-const HOLD: Duration = Duration::from_secs(60);
+const HOLD: Duration = Duration::from_mins(1);
 
 pub fn node(port: u16) -> ids::NodeRef {
     ids::NodeRef {
@@ -68,7 +68,7 @@
         stamp: (ids::Epoch(1), ids::Revision(1)),
         domain: "ie-east-a".to_owned(),
         backend: peer::BackendState { checks, ..UP },
-        load: peer::Load::default(),
+        load: None,
     }
 }
 
@@ -330,3 +330,67 @@
     let owner = planned.map_or(Some(node(A)), |p| p.write.record.slices[0].owner);
     assert_eq!(owner, Some(node(A)));
 }
+
+/// Guards against an overloaded server that keeps all its slices although balance would move some.
+#[test]
+fn load_of_an_overloaded_server_is_moved() {
+    let mut balanced = record(&[], true);
+    balanced.slices = record::even_slices(16);
+    for (i, slice) in balanced.slices.iter_mut().enumerate() {
+        slice.owner = Some(node(if i < 8 { A } else { B }));
+    }
+    let starts: Vec<_> = balanced.slices.iter().map(|s| s.start).collect();
+    let now = clock::Instant::now();
+    let mut led = lead::Led::new(node(ME), stored(balanced, HOLD), now);
+    let mut loaded = renewal(A, true);
+    loaded.load = Some(peer::Load {
+        rate: 8000.0,
+        slices: starts[..8].iter().map(|s| (*s, 1000.0)).collect(),
+        hot: Vec::new(),
+    });
+    led.report(&loaded);
+    led.report(&renewal(B, true));
+    let env = lead::Env {
+        policy: Some(lead::Policy {
+            weights: document::Weights {
+                imbalance: 1.0,
+                churn: 1.0,
+                unavailable: 1.0,
+            },
+            churn_budget: 100.0,
+            slices: 16,
+        }),
+        ..lead::Env::default()
+    };
+    assert!(led.plan(&env).is_none());
+    led.rebalance(&env);
+    let planned = led.plan(&env).unwrap();
+    let moves = planned
+        .write
+        .record
+        .slices
+        .iter()
+        .filter(|s| s.target == Some(node(B)));
+    let moves = moves.count();
+    assert!((3..=5).contains(&moves), "{moves} moves");
+}
+
+/// Guards against a split that changes owner or version, and against a split of a moving slice.
+#[test]
+fn split_is_written_unless_the_slice_moves() {
+    let mut led = led(&[], true);
+    renew(&mut led, A, true);
+    renew(&mut led, B, true);
+    led.request(vec![lead::Edit::Split(ids::KeyHash(77))]);
+    let planned = led.plan(&lead::Env::default()).unwrap();
+    let planned = (*planned.write.record).clone();
+    assert_eq!(planned.slices.len(), 3);
+    assert_eq!(planned.slices[1].start, ids::KeyHash(77));
+    assert_eq!(planned.slices[1].owner, planned.slices[0].owner);
+    assert_eq!(planned.slices[1].version, planned.slices[0].version);
+    let mut moving = planned;
+    moving.slices[0].target = Some(node(B));
+    led.adopt(stored(moving, HOLD), clock::Instant::now());
+    led.request(vec![lead::Edit::Split(ids::KeyHash(5))]);
+    assert!(led.plan(&lead::Env::default()).is_none());
+}
