Test and describe the way of a document to all nodes

Cause: the bound of 5 s and the rule that a node never moves to a lower revision need tests with several nodes.

--- a/tests/ctl/fake.rs
+++ b/tests/ctl/fake.rs
@@ -31,6 +31,7 @@
     late: Vec<platform::Put>,
     down: bool,
     writes: usize,
+    reads: usize,
 }
 
 #[derive(Debug, Clone)]
@@ -82,6 +83,23 @@
         self.shared.1.notify_all();
     }
 
+    /// Number of watches that were answered.
+    pub fn reads(&self) -> usize {
+        self.shared.0.lock().unwrap().reads
+    }
+
+    /// Shows an older revision of the document, like a service restored from a backup.
+    pub fn roll_back(&self, revision: u64) {
+        let mut state = self.shared.0.lock().unwrap();
+        let mut stored = state.stored().unwrap();
+        stored.revision = ids::DocRevision(revision);
+        state.revision += 1;
+        let entry = (stored.encode(), state.revision);
+        state.entries.insert(config::KEY.to_owned(), entry);
+        drop(state);
+        self.shared.1.notify_all();
+    }
+
     fn answer(&self, mut request: tiny_http::Request) {
         let mut body = String::new();
         request.as_reader().read_to_string(&mut body).unwrap();
@@ -136,6 +154,7 @@
                 return (503, String::new());
             }
             if left.is_zero() || state.is_newer(&prefix, after) {
+                state.reads += 1;
                 return (200, state.listing(&prefix, after));
             }
             state = self.shared.1.wait_timeout(state, left).unwrap().0;
--- a/tests/ctl/fleet.rs
+++ b/tests/ctl/fleet.rs
@@ -12,7 +12,7 @@
 /// Nodes with membership, document and admin address.
 pub struct Fleet {
     nodes: Vec<Arc<node::Node>>,
-    _servers: Vec<transport::admin::Server>,
+    servers: Vec<transport::admin::Server>,
     runtime: Option<tokio::runtime::Runtime>,
 }
 
@@ -23,22 +23,33 @@
 
 /// Starts nodes in two failure domains.
 pub fn start(fake: &Fake, count: usize) -> Fleet {
-    let runtime = tokio::runtime::Runtime::new().unwrap();
-    let guard = runtime.enter();
-    let addrs: Vec<_> = (0..count).map(|_| ids::NodeAddr(free_addr())).collect();
-    let mut nodes = Vec::new();
-    let mut servers = Vec::new();
-    for (i, addr) in addrs.iter().enumerate() {
+    let mut fleet = Fleet {
+        nodes: Vec::new(),
+        servers: Vec::new(),
+        runtime: Some(tokio::runtime::Runtime::new().unwrap()),
+    };
+    for _ in 0..count {
+        fleet.add(fake);
+    }
+    fleet.wait(|n| n.members.live().len() == count);
+    fleet
+}
+
+impl Fleet {
+    /// Starts one more node, which knows the others as peers.
+    pub fn add(&mut self, fake: &Fake) {
+        let runtime = self.runtime.as_ref().unwrap();
+        let _guard = runtime.enter();
         let node = node::Node::new(settings::Settings {
             region: "ie-east".to_owned(),
-            domain: format!("ie-east-{}", i % 2),
+            domain: format!("ie-east-{}", self.nodes.len() % 2),
             caller: free_addr(),
-            peer: *addr,
+            peer: ids::NodeAddr(free_addr()),
             admin: free_addr(),
             platform: fake.addr,
-            peers: addrs.clone(),
+            peers: self.nodes.iter().map(|n| n.me.addr).collect(),
         });
-        let listener = runtime.block_on(peer_server::bind(addr.0)).unwrap();
+        let listener = runtime.block_on(peer_server::bind(node.me.addr.0)).unwrap();
         let shared = Arc::clone(&node);
         let traffic = counted::Traffic::from(&node.metrics.traffic);
         runtime.spawn(peer_server::serve(listener, traffic, move |accepted| {
@@ -46,20 +57,14 @@
         }));
         runtime.spawn(membership::run(Arc::clone(&node)));
         runtime.spawn(config::run(Arc::clone(&node)));
-        servers.push(admin::start(Arc::clone(&node)).unwrap());
-        nodes.push(node);
+        self.servers.push(admin::start(Arc::clone(&node)).unwrap());
+        self.nodes.push(node);
+    }
+
+    pub fn nodes(&self) -> &[Arc<node::Node>] {
+        &self.nodes
     }
-    drop(guard);
-    let fleet = Fleet {
-        nodes,
-        _servers: servers,
-        runtime: Some(runtime),
-    };
-    fleet.wait(|n| n.members.live().len() == count);
-    fleet
-}
 
-impl Fleet {
     pub fn admin(&self) -> SocketAddr {
         self.nodes[0].settings.admin
     }
--- a/tests/ctl/main.rs
+++ b/tests/ctl/main.rs
@@ -9,6 +9,7 @@
 mod fake;
 mod fleet;
 mod run;
+mod spread;
 mod status;
 mod submit;
 mod usage;
