--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -12,6 +12,7 @@
 pub mod node;
 pub mod outcomes;
 pub mod owner;
+pub mod packing;
 pub mod placement;
 pub mod records;
 pub mod router;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -2,7 +2,7 @@
 
 use xxhash_rust::xxh3;
 
-use crate::coordination::{balance, weight};
+use crate::coordination::{balance, packing, weight};
 use crate::state::{ids, record};
 
 /// Points of each server on the ring.
@@ -34,7 +34,8 @@
     let mut loads: Vec<_> = takers(input)
         .map(|s| (s, f64::from(s.slots.max(1)) / slots * BOUND))
         .collect();
-    let weights = weight::of_slices(input);
+    let spread = packing::Packing::new(input);
+    let weights = weight::parts(input).into_iter().map(|p| spread.size(p));
     let mut owners = Vec::new();
     for (slice, weight) in input.record.slices.iter().zip(weights) {
         loads.sort_by_key(|(s, _)| std::cmp::Reverse(score(s.node.addr, slice.start.0)));
--- a/src/state/sketch.rs
+++ b/src/state/sketch.rs
@@ -98,7 +98,7 @@
         let least = self
             .counters
             .iter()
-            .min_by(|a, b| a.1.count.total_cmp(&b.1.count));
+            .min_by(|a, b| a.1.count.total_cmp(&b.1.count).then(a.0.cmp(b.0)));
         let Some((&key, &counter)) = least else {
             return 0.0;
         };
