--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,5 +1,9 @@
 //! Commands: one module each, with its usage text and options on top.
 
+pub mod check;
+pub mod ctl;
+pub mod diff;
+pub mod drain;
 pub mod exit;
 pub mod load;
 pub mod logging;
@@ -10,3 +14,11 @@
 pub mod scenario;
 pub mod tally;
 pub mod workload;
+pub mod explain;
+pub mod logging;
+pub mod node;
+pub mod progress;
+pub mod shared;
+pub mod status;
+pub mod submission;
+pub mod submit;
--- a/src/protocol/backend.rs
+++ b/src/protocol/backend.rs
@@ -1,8 +1,11 @@
 //! Messages to and from the backend server beside a node: JSON and headers over HTTP.
 
+use std::time;
+
 use serde::{Deserialize, Serialize};
 
 use crate::protocol::peer;
+use crate::state::{clock, ids, record};
 
 /// Header with the identifier of a request, in requests and responses.
 pub const ID: &str = "filbert-id";
@@ -25,6 +28,15 @@
 /// Largest body of a response, in bytes; a peer message with it must fit a frame.
 pub const MAX_BODY: u64 = 3 << 20;
 
+/// Bytes of a key that a header can't carry, and the escape character itself.
+const ESCAPED: &percent_encoding::AsciiSet = &percent_encoding::CONTROLS.add(b'%').add(b' ');
+
+/// Encodes a key for the header `filbert-key`.
+#[must_use]
+pub fn encode_key(key: &str) -> String {
+    percent_encoding::utf8_percent_encode(key, ESCAPED).to_string()
+}
+
 /// Notice by which a backend server makes itself known to its node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
@@ -121,3 +133,55 @@
         }
     }
 }
+
+/// Grant of slices, sent with each renewal of the node's lease; it replaces the one before.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantBody {
+    /// Service.
+    pub service: String,
+    /// Slices that the server may serve.
+    pub slices: Vec<GrantSlice>,
+    /// Validity from the moment of sending, in milliseconds.
+    pub valid_ms: u64,
+    /// End of the validity on `CLOCK_BOOTTIME` in milliseconds. Server and node share a host and
+    /// its clock, so a grant that waited in the socket of a frozen server is expired when it is
+    /// read, and a step of the wall clock does not extend it.
+    pub expires_ms: u64,
+}
+
+/// Slice of a grant; both ends are part of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantSlice {
+    /// First hash.
+    pub start: ids::KeyHash,
+    /// Last hash.
+    pub end: ids::KeyHash,
+    /// Fencing token, `EPOCH.VERSION` as in the header of a request.
+    pub token: String,
+}
+
+impl GrantBody {
+    /// Lists the slices that a record assigns to a node, under a lease with this time left.
+    #[must_use]
+    pub fn new(
+        owner: ids::NodeRef,
+        record: &record::PartitionRecord,
+        left: time::Duration,
+    ) -> Self {
+        let slices = record.slices.iter().enumerate();
+        let held = slices.filter(|(_, s)| s.owner == Some(owner));
+        let until = clock::Instant::now() + left;
+        Self {
+            service: record.id.service.clone(),
+            slices: held
+                .map(|(i, s)| GrantSlice {
+                    start: s.start,
+                    end: record.end_of(i),
+                    token: record.token(s).to_string(),
+                })
+                .collect(),
+            valid_ms: u64::try_from(left.as_millis()).unwrap_or_default(),
+            expires_ms: u64::try_from(until.since_boot().as_millis()).unwrap_or_default(),
+        }
+    }
+}
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,9 +1,13 @@
 //! Protocol layer: wire types and their conversion to and from the state layer.
 
+pub mod admin;
 pub mod backend;
 pub mod caller;
 pub mod check;
+pub mod config;
+pub mod difference;
 pub mod document;
+pub mod edit;
 pub mod error;
 pub mod member;
 pub mod peer;
