--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -1,5 +1,7 @@
 //! Comparison of balance policies on recorded workloads.
 
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 use filbertflow::cmd::{replay, scenario};
 use filbertflow::coordination::balance;
 
