--- a/tests/ctl/fleet.rs
+++ b/tests/ctl/fleet.rs
@@ -47,6 +47,7 @@
             peer: ids::NodeAddr(free_addr()),
             admin: free_addr(),
             platform: fake.addr,
+            peer_listen: None,
             peers: self.nodes.iter().map(|n| n.me.addr).collect(),
         });
         let listener = runtime.block_on(peer_server::bind(node.me.addr.0)).unwrap();
