Claim at once when coordinator and standbys have ended

Cause: after a restart of all nodes a partition waited for the whole hold time, which must be longer than an outage of the platform's service. Change: proof of termination of coordinator and all standbys, as in R5, stands in for the hold time. Conclusion: hold_ms can be long; it only matters for hosts that vanished.

--- a/src/coordination/succession.rs
+++ b/src/coordination/succession.rs
@@ -3,7 +3,8 @@
 //! Enforces the claimant's side of R6: a node that is neither coordinator nor standby announces
 //! its claim in the record and claims only if the record has not changed for the hold time stored
 //! with it. Any write of the coordinator cancels the claim, because the compare-and-swap of the
-//! claim expects the announcement.
+//! claim expects the announcement. The hold time is not needed if there is proof, as in R5, that
+//! the processes of coordinator and standbys have all ended.
 
 use std::sync::Arc;
 use std::time;
@@ -92,9 +93,14 @@
     node.records.offer((*stored.record).clone());
     let record = &stored.record;
     let newer = known.is_some_and(|epoch| record.epoch > epoch);
-    if newer || record.standbys.contains(&node.me) || any_answers(node, record).await {
+    if newer || record.standbys.contains(&node.me) {
         return;
     }
+    match roles(node, record).await {
+        Roles::Answer => return,
+        Roles::Ended => return claim(node, &stored).await,
+        Roles::Silent => {}
+    }
     let announced = match record.intent {
         Some(intent) if intent.node != node.me => {
             // The other claimant may have been lost too; it gets twice the time it needs.
@@ -114,15 +120,30 @@
     }
 }
 
-/// Returns whether the coordinator or a standby answers.
-async fn any_answers(node: &Arc<node::Node>, record: &record::PartitionRecord) -> bool {
+/// State of coordinator and standbys as seen from here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Roles {
+    /// At least one answers.
+    Answer,
+    /// None answers, and at least one may still run.
+    Silent,
+    /// The processes of all have ended, so that none can act or claim any more.
+    Ended,
+}
+
+async fn roles(node: &Arc<node::Node>, record: &record::PartitionRecord) -> Roles {
+    let mut roles = Roles::Ended;
     for role in record.standbys.iter().chain([&record.coordinator]) {
+        if coordinator::has_ended(node, *role).await {
+            continue;
+        }
         let answering = coordinator::ping(node, *role).await;
         if answering.is_ok_and(|i| i == role.incarnation) {
-            return true;
+            return Roles::Answer;
         }
+        roles = Roles::Silent;
     }
-    false
+    roles
 }
 
 /// Waits, and returns whether the record is not known to have changed until then.
@@ -175,15 +196,16 @@
     }
 }
 
-async fn claim(node: &Arc<node::Node>, announced: &store::Stored) {
-    let mut record = standby::succeed(node.me, &announced.record);
+async fn claim(node: &Arc<node::Node>, stored: &store::Stored) {
+    let mut record = standby::succeed(node.me, &stored.record);
     // None of the standbys answers; the first coordinator's task names new ones.
     record.standbys.clear();
     let write = store::Write {
         record: Arc::new(record),
-        hold: announced.hold,
-        expect: announced.at,
+        hold: stored.hold,
+        expect: stored.at,
     };
+    tracing::warn!(event = 431, partition = %write.record.id, epoch = %write.record.epoch, "claiming the abandoned partition");
     let sent = clock::Instant::now();
     take(node, settle(node, &write).await, sent);
 }
--- a/tests/ownership/claims.rs
+++ b/tests/ownership/claims.rs
@@ -173,27 +173,29 @@
     });
 }
 
-/// R6: guards against a partition that nobody claims after its coordinator and standbys are lost.
-#[test]
-fn abandoned_partition_is_claimed_after_the_hold_time() {
-    let platform = Fake::start();
+/// Starts four nodes, stops those that are coordinator or standby, and returns the fourth.
+fn abandon(platform: &Fake, stop: fn(&mut TestNode)) -> (Vec<TestNode>, usize, Observer) {
     let domains = ["ie-east-a", "ie-east-b", "ie-east-c", "ie-east-a"];
-    let mut nodes = cluster::cluster(&platform, &domains);
+    let mut nodes = cluster::cluster(platform, &domains);
     let runtime = tokio::runtime::Runtime::new().unwrap();
-    set_hold(&platform, &runtime, Duration::from_secs(1));
+    set_hold(platform, &runtime, Duration::from_secs(1));
     let record = nodes[0].record().unwrap();
     let observer = Observer::watch(&nodes);
-    let mut rest = Vec::new();
-    for (i, node) in nodes.iter_mut().enumerate() {
-        let role = record.coordinator == node.me() || record.standbys.contains(&node.me());
-        if role {
-            node.kill();
-        } else {
-            rest.push(i);
-        }
+    let role = |n: &TestNode| record.coordinator == n.me() || record.standbys.contains(&n.me());
+    let rest = nodes.iter().position(|n| !role(n)).unwrap();
+    for node in nodes.iter_mut().filter(|n| role(n)) {
+        stop(node);
     }
-    let rest: Vec<&TestNode> = rest.into_iter().map(|i| &nodes[i]).collect();
-    assert_eq!(rest.len(), 1);
+    (nodes, rest, observer)
+}
+
+/// R6: guards against a claim before the hold time while a role may still run, and against a
+/// partition that nobody claims.
+#[test]
+fn silent_partition_is_claimed_after_the_hold_time() {
+    let platform = Fake::start();
+    let (mut nodes, rest, observer) = abandon(&platform, TestNode::pause);
+    let runtime = tokio::runtime::Runtime::new().unwrap();
     let client = client::Client::new(platform.addr);
     let read = || {
         let read = runtime.block_on(store::read(&client, &partition()));
@@ -201,11 +203,32 @@
     };
     wait_for("the claim to be announced", || read().intent.is_some());
     let announced = clock::Instant::now();
-    wait_for("the claim", || read().epoch == record.epoch.next());
+    wait_for("the claim", || read().epoch > ids::Epoch(1));
     let waited = clock::Instant::now().since(announced);
     // The announcement was written before it was seen here.
     assert!(waited > Duration::from_millis(500), "{waited:?}");
-    wait_for("all keys to be served again", || cluster::all_served(&rest));
+    wait_for("all keys to be served again", || {
+        cluster::all_served(&[&nodes[rest]])
+    });
+    nodes.iter_mut().for_each(TestNode::resume);
+    wait_for("one coordinator", || {
+        nodes.iter().filter(|n| n.leads()).count() == 1
+    });
+    observer.finish();
+}
+
+/// R6: guards against a wait for the hold time although coordinator and standbys have ended, as
+/// after a restart of all nodes.
+#[test]
+fn partition_of_ended_processes_is_claimed_at_once() {
+    let platform = Fake::start();
+    let (nodes, rest, observer) = abandon(&platform, TestNode::kill);
+    wait_for("all keys to be served again", || {
+        let record = nodes[rest].record().unwrap();
+        assert_eq!(record.intent, None, "the claim was announced");
+        cluster::all_served(&[&nodes[rest]])
+    });
+    assert_eq!(nodes[rest].record().unwrap().epoch, ids::Epoch(2));
     observer.finish();
 }
 
