Bound the wait of a new connection to the admin address

Cause: unfinished_bodies_do_not_stop_other_calls failed in 3 of 6 runs. tiny_http counts a thread as waiting until it has taken its task, so it queues further connections for it, and a queued one waits until another connection is closed. wait_ends_when_all_nodes_have_it failed once because a port chosen free was taken before it was bound. Change: a thread opens and closes a connection to the listener every 50 ms, which makes tiny_http serve the queue; tests listen on loopback addresses of their own. Conclusion: the entry and the stand-ins listen with tiny_http too and should hold a waker.

--- a/src/coordination/gate/run.rs
+++ b/src/coordination/gate/run.rs
@@ -180,9 +180,8 @@
     let client = node.gate.client();
     let addr = server.addr;
     let path = format!("/-/cancel/{id}");
-    let mut asked = tokio::task::spawn_blocking(move || {
-        client.control("POST", addr, &path, CANCEL_TIMEOUT)
-    });
+    let mut asked =
+        tokio::task::spawn_blocking(move || client.control("POST", addr, &path, CANCEL_TIMEOUT));
     let answer = tokio::select! {
         result = &mut pending => return Some(result.unwrap_or_else(lost)),
         answer = &mut asked => answer,
--- a/src/transport/admin.rs
+++ b/src/transport/admin.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::{io, net, thread};
 
-use crate::transport::error;
+use crate::transport::{error, wake};
 
 /// Threads that answer.
 const WORKERS: usize = 4;
@@ -49,6 +49,7 @@
 pub struct Server {
     server: Arc<tiny_http::Server>,
     workers: Vec<thread::JoinHandle<()>>,
+    _waker: wake::Waker,
 }
 
 impl std::fmt::Debug for Server {
@@ -83,7 +84,11 @@
                 .spawn(move || work(&server, &*shared))?;
             workers.push(worker);
         }
-        Ok(Self { server, workers })
+        Ok(Self {
+            server,
+            workers,
+            _waker: wake::Waker::start(addr)?,
+        })
     }
 }
 
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -10,3 +10,4 @@
 pub mod peer_server;
 pub mod peers;
 pub mod platform;
+pub mod wake;
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -1,6 +1,7 @@
 //! Answers of the admin address.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::{fs, net, time};
 
 use filbertflow::coordination::{admin, node};
@@ -14,8 +15,19 @@
     _runtime: tokio::runtime::Runtime,
 }
 
+/// Returns a free address on a loopback address of its own, on which no other process and no
+/// outgoing connection takes the port before it is bound.
 fn free_addr() -> net::SocketAddr {
-    let listener = net::TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let ip = [
+        127,
+        64 + high % 64,
+        low,
+        NEXT.fetch_add(1, Ordering::Relaxed),
+    ];
+    let listener =
+        net::TcpListener::bind((net::Ipv4Addr::from(ip), 0)).expect("loopback has a free port");
     listener
         .local_addr()
         .expect("a bound socket has an address")
--- a/tests/ctl/fleet.rs
+++ b/tests/ctl/fleet.rs
@@ -1,7 +1,8 @@
 //! Nodes of one process, without backend servers.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
 
 use filbertflow::coordination::{admin, config, membership, node, service};
 use filbertflow::state::{ids, settings};
@@ -16,8 +17,18 @@
     runtime: Option<tokio::runtime::Runtime>,
 }
 
+/// Returns a free address on a loopback address of its own, on which no other process and no
+/// outgoing connection takes the port before it is bound.
 fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let ip = [
+        127,
+        64 + high % 64,
+        low,
+        NEXT.fetch_add(1, Ordering::Relaxed),
+    ];
+    let listener = TcpListener::bind((Ipv4Addr::from(ip), 0)).unwrap();
     listener.local_addr().unwrap()
 }
 
--- a/tests/request_laws.rs
+++ b/tests/request_laws.rs
@@ -373,10 +373,7 @@
 /// Guards against outcomes that are lost when a slice moves.
 #[test]
 fn outcomes_move_with_their_slice() {
-    let (old, new) = (
-        outcomes::Outcomes::default(),
-        outcomes::Outcomes::default(),
-    );
+    let (old, new) = (outcomes::Outcomes::default(), outcomes::Outcomes::default());
     let partition = ids::PartitionId::first("walks");
     let id = ids::RequestId::create();
     if let outcomes::Begin::Run(guard) = old.begin(start(id, 0)) {
--- a/tests/requests/outcomes.rs
+++ b/tests/requests/outcomes.rs
@@ -6,9 +6,9 @@
 use filbertflow::state::{ids, timing};
 
 use crate::caller::{call, start};
+use crate::eventually;
 use crate::fake::{Act, Fake};
 use crate::host::{self, Host};
-use crate::eventually;
 
 fn owner(fake: &Fake, slots: u32) -> Host {
     let host = Host::start();
@@ -275,7 +275,9 @@
     eventually("the second request waits", || {
         host.node.gate.in_flight() == 2
     });
-    host.node.grants.drop_lease(&ids::PartitionId::first("walks"));
+    host.node
+        .grants
+        .drop_lease(&ids::PartitionId::first("walks"));
     fake.release();
     assert_eq!(running.join().unwrap().body, "held");
     let got = queued.join().unwrap();
@@ -293,6 +295,8 @@
     host.lease(&record, lease);
     let got = call("POST", &host.url("/walks/k"), &[], "");
     assert_eq!(got.outcome(), "answered");
-    let left: u128 = fake.seen()[0].headers["filbert-deadline-ms"].parse().unwrap();
+    let left: u128 = fake.seen()[0].headers["filbert-deadline-ms"]
+        .parse()
+        .unwrap();
     assert!(left < lease.as_millis(), "deadline {left}");
 }
--- a/tests/requests/routing.rs
+++ b/tests/requests/routing.rs
@@ -211,7 +211,9 @@
     entry.node.members.add_seeds([failing.node.me.addr]);
     eventually("the entry knows the other server", || {
         let members = entry.node.members.serving("desk");
-        members.iter().any(|m| m.node == failing.node.me && m.backend.up)
+        members
+            .iter()
+            .any(|m| m.node == failing.node.me && m.backend.up)
     });
     for _ in 0..20 {
         let got = call("GET", &entry.url("/desk/hours"), &[], "");
