--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -16,6 +16,7 @@
 pub mod node;
 pub mod outcomes;
 pub mod owner;
+pub mod packing;
 pub mod pick;
 pub mod place;
 pub mod placement;
