Add filbertflow-report

Cause: operators had no view of how fast a service spends its error budget. The load tool shares option parsing with the other commands. Conclusion: tried against a small admin address only, not against running nodes.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! Commands: one module each, with its usage text and options on top.
 
+pub mod burn;
 pub mod check;
 pub mod ctl;
 pub mod diff;
@@ -12,9 +13,11 @@
 pub mod policy;
 pub mod progress;
 pub mod replay;
+pub mod report;
 pub mod run;
 pub mod scenario;
 pub mod shared;
+pub mod snapshot;
 pub mod status;
 pub mod submission;
 pub mod submit;
--- a/src/cmd/policy.rs
+++ b/src/cmd/policy.rs
@@ -1,11 +1,9 @@
 //! `filbertflow-load policy`: compares balance policies on recorded workloads.
 
-use std::fmt;
-
 use gumdrop::Options;
 use serde::Serialize;
 
-use crate::cmd::{exit, replay, scenario};
+use crate::cmd::{replay, scenario, shared};
 use crate::coordination::balance;
 
 const USAGE: &str = "\
@@ -62,13 +60,13 @@
 ///
 /// Returns an error with its exit code if the usage is invalid.
 pub fn run(args: &[String]) -> eyre::Result<()> {
-    let args = Args::parse_args_default(args).map_err(bad)?;
-    if args.help {
-        println!("{USAGE}\n{}", Args::usage());
+    let Some(args) = shared::parse::<Args>(args, USAGE)? else {
         return Ok(());
-    }
+    };
     if !(args.rate >= 1.0 && args.rate <= MAX_RATE) {
-        return Err(bad(format!("--rate: expected 1 to {MAX_RATE}")).into());
+        return Err(shared::bad_input(format!(
+            "--rate: expected 1 to {MAX_RATE}"
+        )));
     }
     let rows = compare(&args)?;
     if args.json {
@@ -79,11 +77,6 @@
     Ok(())
 }
 
-fn bad(message: impl fmt::Display) -> exit::Failure {
-    let message = format!("{message}\nTry filbertflow-load policy --help.");
-    exit::Failure::new(exit::Exit::BadInput, message)
-}
-
 fn compare(args: &Args) -> eyre::Result<Vec<Row>> {
     let mut rows = Vec::new();
     for deployment in scenario::deployments()? {
--- a/src/cmd/run.rs
+++ b/src/cmd/run.rs
@@ -5,13 +5,13 @@
 
 use std::io::Write as _;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::{fmt, fs, io, net, thread, time};
+use std::{fs, io, net, thread, time};
 
 use eyre::WrapErr;
 use gumdrop::Options;
 use serde::Serialize;
 
-use crate::cmd::{exit, tally, workload};
+use crate::cmd::{exit, shared, tally, workload};
 use crate::protocol::caller;
 use crate::state::ids;
 
@@ -143,13 +143,11 @@
 ///
 /// Returns an error with its exit code if the usage is invalid, or an answer is wrong.
 pub fn run(args: &[String]) -> eyre::Result<()> {
-    let args = Args::parse_args_default(args).map_err(bad)?;
-    if args.help {
-        println!("{USAGE}\n{}", Args::usage());
+    let Some(args) = shared::parse::<Args>(args, USAGE)? else {
         return Ok(());
-    }
-    let target = target(&args).map_err(bad)?;
-    let jobs = plan(&args).map_err(bad)?;
+    };
+    let target = target(&args).map_err(shared::bad_input)?;
+    let jobs = plan(&args).map_err(shared::bad_input)?;
     let finished = send_all(&target, &jobs, workers(&args));
     if let Some(file) = &args.log {
         write_log(file, &jobs, &finished).wrap_err_with(|| format!("can't write {file}"))?;
@@ -167,11 +165,6 @@
     }
 }
 
-fn bad(message: impl fmt::Display) -> exit::Failure {
-    let message = format!("{message}\nTry filbertflow-load run --help.");
-    exit::Failure::new(exit::Exit::BadInput, message)
-}
-
 fn target(args: &Args) -> Result<Target, String> {
     let addrs = args.to.split(',').filter(|a| !a.is_empty());
     let addrs: Vec<net::SocketAddr> = addrs
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -9,6 +9,7 @@
 pub mod document;
 pub mod edit;
 pub mod error;
+pub mod exposition;
 pub mod member;
 pub mod peer;
 pub mod platform;
--- a/src/transport/admin_client.rs
+++ b/src/transport/admin_client.rs
@@ -41,11 +41,34 @@
     get(addr, "/explain", &[("service", service), ("key", key)])
 }
 
+/// Reads the document in force on a node.
+///
+/// # Errors
+///
+/// Returns [`error::Error::Rejected`] if the node has none.
+pub fn document(addr: net::SocketAddr) -> Result<admin::Document, error::Error> {
+    get(addr, "/document", &[])
+}
+
+/// Reads the metrics of a node in text format.
+///
+/// # Errors
+///
+/// Returns an error if the node does not answer.
+pub fn metrics(addr: net::SocketAddr) -> Result<String, error::Error> {
+    text(addr, "/metrics", &[])
+}
+
 fn get<T: de::DeserializeOwned>(
     addr: net::SocketAddr,
     path: &str,
     query: &[(&str, &str)],
 ) -> Result<T, error::Error> {
+    let text = text(addr, path, query)?;
+    Ok(serde_json::from_str(&text).map_err(protocol::Error::from)?)
+}
+
+fn text(addr: net::SocketAddr, path: &str, query: &[(&str, &str)]) -> Result<String, error::Error> {
     let response = attohttpc::get(format!("http://{addr}{path}"))
         .params(query)
         .timeout(CALL_TIMEOUT)
@@ -56,7 +79,7 @@
         .text()
         .map_err(|e| error::Error::Unreachable(e.to_string()))?;
     if status.is_success() {
-        return Ok(serde_json::from_str(&text).map_err(protocol::Error::from)?);
+        return Ok(text);
     }
     let refused = serde_json::from_str::<admin::Refused>(&text);
     Err(error::Error::Rejected {
--- /dev/null
+++ b/tests/burn.rs
@@ -0,0 +1,190 @@
+//! Error budget burn from snapshots of counters.
+
+use std::time;
+
+use filbertflow::cmd::{burn, snapshot};
+use filbertflow::protocol::{exposition, source};
+use filbertflow::state::{document, ids};
+
+const SERVICE: &str = "walk-listings";
+const MINUTE: u64 = 60_000;
+
+/// Start of all runs, in milliseconds since the Unix epoch.
+const BEGIN: u64 = 1_700_000_000_000;
+
+fn document() -> document::Document {
+    let text = include_str!("../examples/consortium.jsonc");
+    source::document("consortium.jsonc", text).expect("the example is valid")
+}
+
+fn count(class: &str, outcome: &str, reason: &str, n: f64) -> snapshot::Count {
+    snapshot::Count {
+        service: SERVICE.to_owned(),
+        class: class.to_owned(),
+        outcome: outcome.to_owned(),
+        reason: reason.to_owned(),
+        count: n,
+    }
+}
+
+/// Creates the counters of a node that started at a minute: fast and late answers, refusals.
+fn node(start: u64, fast: f64, late: f64, refused: f64) -> snapshot::Node {
+    snapshot::Node {
+        incarnation: ids::Incarnation((BEGIN + start * MINUTE) * 1000),
+        requests: vec![
+            count("tourist", "answered", "", fast + late),
+            count("tourist", "not-run", "no-owner", refused),
+            count("tourist", "not-run", "cancelled", 1000.0),
+        ],
+        latency: vec![snapshot::Latency {
+            service: SERVICE.to_owned(),
+            class: "tourist".to_owned(),
+            count: fast + late,
+            buckets: vec![(0.1, fast), (0.25, fast), (0.5, fast + late)],
+        }],
+    }
+}
+
+fn at(minute: u64, nodes: Vec<snapshot::Node>) -> snapshot::Snapshot {
+    let nodes = nodes.into_iter().enumerate();
+    snapshot::Snapshot {
+        at_ms: BEGIN + minute * MINUTE,
+        nodes: nodes.map(|(i, n)| (format!("127.0.0.{i}:1"), n)).collect(),
+    }
+}
+
+fn class(snapshots: &[snapshot::Snapshot], name: &str) -> burn::Class {
+    let windows = burn::Windows {
+        short: time::Duration::from_secs(300),
+        long: time::Duration::from_secs(3600),
+    };
+    let services = burn::compute(&document(), snapshots, windows);
+    let service = services.into_iter().find(|s| s.service == SERVICE);
+    let classes = service.expect("the service is in the document").classes;
+    let class = classes.into_iter().find(|c| c.class == name);
+    class.expect("the class is in the document")
+}
+
+fn close(a: f64, b: f64) -> bool {
+    (a - b).abs() < 1e-6 * b.abs().max(1.0)
+}
+
+/// Guards against counters since the start of a process that are taken for those of the window.
+#[test]
+fn burn_counts_the_window_only() {
+    let snapshots = [
+        at(0, vec![node(0, 0.0, 0.0, 0.0)]),
+        at(60, vec![node(0, 5000.0, 0.0, 5000.0)]),
+        at(65, vec![node(0, 5990.0, 5.0, 5005.0)]),
+    ];
+    let tourist = class(&snapshots, "tourist");
+    assert!(close(tourist.short.requests, 1000.0), "{tourist:?}");
+    assert!(close(tourist.short.bad, 10.0), "{tourist:?}");
+    assert!(close(tourist.short.rate, 10.0), "{tourist:?}");
+    assert!(close(tourist.long.requests, 11_000.0), "{tourist:?}");
+}
+
+/// Guards against a restart that hides requests, or counts the earlier ones twice.
+#[test]
+fn restarted_process_counts_from_zero() {
+    let snapshots = [
+        at(60, vec![node(0, 1000.0, 0.0, 0.0)]),
+        at(62, vec![node(0, 1500.0, 0.0, 0.0)]),
+        at(64, vec![node(63, 90.0, 0.0, 10.0)]),
+    ];
+    let tourist = class(&snapshots, "tourist");
+    assert!(close(tourist.short.requests, 600.0), "{tourist:?}");
+    assert!(close(tourist.short.bad, 10.0), "{tourist:?}");
+}
+
+/// Guards against a node that was not asked before and whose whole past counts as just now.
+#[test]
+fn node_that_appears_late_gives_a_base_only() {
+    let old = || node(0, 1_000_000.0, 0.0, 500_000.0);
+    let snapshots = [
+        at(60, vec![node(0, 1000.0, 0.0, 0.0)]),
+        at(64, vec![node(0, 1100.0, 0.0, 0.0), old()]),
+    ];
+    let tourist = class(&snapshots, "tourist");
+    assert!(close(tourist.short.requests, 100.0), "{tourist:?}");
+    assert!(close(tourist.short.bad, 0.0), "{tourist:?}");
+}
+
+/// Guards against a young fleet whose first minutes are lost for lack of an earlier snapshot.
+#[test]
+fn fleet_that_started_in_the_window_counts_from_its_start() {
+    let snapshots = [at(63, vec![node(60, 990.0, 0.0, 10.0)])];
+    let tourist = class(&snapshots, "tourist");
+    assert!(close(tourist.short.requests, 1000.0), "{tourist:?}");
+    assert!(close(tourist.short.covered_seconds, 180.0), "{tourist:?}");
+}
+
+/// Guards against a budget that looks untouched because only a part of its window was observed, or
+/// overspent because that part is taken for the whole.
+#[test]
+fn budget_is_spent_in_proportion_to_the_covered_time() {
+    let day = 24 * 60;
+    let snapshots = [
+        at(0, vec![node(0, 0.0, 0.0, 0.0)]),
+        at(3 * day, vec![node(0, 9950.0, 0.0, 50.0)]),
+    ];
+    let all = class(&snapshots, "all");
+    assert!(close(all.budget_left_percent, 50.0), "{all:?}");
+}
+
+/// Guards against requests that callers gave up being counted as failures of the service.
+#[test]
+fn cancelled_requests_are_left_out() {
+    let snapshots = [at(63, vec![node(60, 10.0, 0.0, 0.0)])];
+    let all = class(&snapshots, "all");
+    assert!(close(all.short.requests, 10.0), "{all:?}");
+}
+
+/// Guards against label values with quotes, commas or braces that end the sample early.
+#[test]
+fn samples_with_escaped_labels_are_read() {
+    let text = "# HELP x y\nx{a=\"q\\\"},{\",b=\"\\\\n\"} 4.5 1700000000000\ny 1\n";
+    let samples = exposition::parse(text).unwrap();
+    assert_eq!(samples.len(), 2);
+    assert_eq!(samples[0].label("a"), "q\"},{");
+    assert_eq!(samples[0].label("b"), "\\n");
+    assert!(close(samples[0].value, 4.5));
+    for broken in ["x{a=\"1\" 4", "x{a=1} 4", "x{a=\"1\"}", "x y"] {
+        assert!(exposition::parse(broken).is_err(), "{broken}");
+    }
+}
+
+/// Guards against names of metrics or labels that the node exports differently.
+#[test]
+fn counters_of_a_real_registry_are_read() {
+    let metrics = filbertflow::metrics::Metrics::default();
+    let labels = [SERVICE, "tourist", "answered"];
+    metrics
+        .requests
+        .with_label_values(&[SERVICE, "tourist", "answered", ""])
+        .inc();
+    metrics.latency.with_label_values(&labels).observe(0.2);
+    let samples = exposition::parse(&metrics.text()).unwrap();
+    let node = snapshot::read(ids::Incarnation(1), &samples);
+    assert_eq!(node.requests, [count("tourist", "answered", "", 1.0)]);
+    assert!(close(node.latency[0].count, 1.0));
+    assert!(node.latency[0].buckets.contains(&(0.1, 0.0)));
+    assert!(node.latency[0].buckets.contains(&(0.25, 1.0)));
+}
+
+/// Guards against a history that loses its snapshots or grows without end.
+#[test]
+fn history_keeps_a_bounded_number_of_snapshots() {
+    let file = std::env::temp_dir().join(format!("filbertflow-burn-{}", std::process::id()));
+    let file = file.to_str().unwrap();
+    let snapshots: Vec<_> = (0..2000)
+        .map(|i| at(i, vec![node(0, 1.0, 0.0, 0.0)]))
+        .collect();
+    snapshot::save(file, &snapshots, time::Duration::from_secs(365 * 86_400)).unwrap();
+    let kept = snapshot::load(file).unwrap();
+    std::fs::remove_file(file).unwrap();
+    assert!((200..=400).contains(&kept.len()), "{}", kept.len());
+    assert_eq!(kept.first(), snapshots.first());
+    assert_eq!(kept.last(), snapshots.last());
+    assert!(snapshot::load(file).unwrap().is_empty());
+}
