--- a/tests/burn.rs
+++ b/tests/burn.rs
@@ -55,8 +55,8 @@
 
 fn class(snapshots: &[snapshot::Snapshot], name: &str) -> burn::Class {
     let windows = burn::Windows {
-        short: time::Duration::from_secs(300),
-        long: time::Duration::from_secs(3600),
+        short: time::Duration::from_mins(5),
+        long: time::Duration::from_hours(1),
     };
     let services = burn::compute(&document(), snapshots, windows);
     let service = services.into_iter().find(|s| s.service == SERVICE);
@@ -180,7 +180,7 @@
     let snapshots: Vec<_> = (0..2000)
         .map(|i| at(i, vec![node(0, 1.0, 0.0, 0.0)]))
         .collect();
-    snapshot::save(file, &snapshots, time::Duration::from_secs(365 * 86_400)).unwrap();
+    snapshot::save(file, &snapshots, time::Duration::from_hours(365 * 24)).unwrap();
     let kept = snapshot::load(file).unwrap();
     std::fs::remove_file(file).unwrap();
     assert!((200..=400).contains(&kept.len()), "{}", kept.len());
