Keep unreachable standbys in the record when no other node promises

Cause: a coordinator that was cut off from all nodes but not from the platform's service wrote a record without standbys. Change: standbys that have not ended are kept if no node has promised. Measured: coordinator_cut_off failed before (56 answers in 60 s at the cut-off node only), and passes after, with keys served within 2 s. Conclusion: a standby succeeds as soon as its promise has run out.

--- a/src/coordination/lead/standbys.rs
+++ b/src/coordination/lead/standbys.rs
@@ -48,6 +48,12 @@
             !self.gone.contains(&n) && (self.promised(n, now) || early)
         };
         let mut chosen = self.choose(env, usable);
+        // Standbys that may be alive but can't be reached must stay able to succeed: a coordinator
+        // that struck them off would be cut off together with the partition for good.
+        let may_claim = current.iter().any(|n| !self.gone.contains(n));
+        if chosen.is_empty() && may_claim {
+            return current.clone();
+        }
         // An equal set in another order is no change.
         if chosen.len() == current.len() && chosen.iter().all(|n| current.contains(n)) {
             chosen.clone_from(current);
