Open peer connections from the address of peer_listen

Cause: a relay between nodes can't tell who opens a connection; looking up the socket's owner took too long with 34,000 sockets in TIME_WAIT on the machine. Change: with peer_listen set, connections are opened from its IP address. Measured: nothing measured. Conclusion: the relays know both ends of each connection.

--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -59,7 +59,7 @@
         let traffic = counted::Traffic::from(&metrics.traffic);
         Arc::new(Self {
             me,
-            peers: peers::Pool::new(me, traffic),
+            peers: peers::Pool::new(me, settings.peer_listen.map(|a| a.ip()), traffic),
             metrics,
             platform: platform::Client::new(settings.platform),
             members: membership::Members::new(me, &settings),
--- a/src/state/settings.rs
+++ b/src/state/settings.rs
@@ -16,7 +16,7 @@
     /// Address for other nodes; the node's name.
     pub peer: ids::NodeAddr,
     /// Address at which the node listens for other nodes, if it differs from its name, as behind a
-    /// port mapping.
+    /// port mapping; connections to other nodes are opened from its IP address.
     pub peer_listen: Option<net::SocketAddr>,
     /// Address for operators, metrics and the backend server's announcements.
     pub admin: net::SocketAddr,
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -9,7 +9,7 @@
 use std::future::Future;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::{fmt, io, time};
+use std::{fmt, io, net as addresses, time};
 
 use tarpc::tokio_serde::formats;
 use tarpc::{client, context};
@@ -34,6 +34,7 @@
 
 struct Shared {
     me: ids::NodeRef,
+    source: Option<addresses::IpAddr>,
     traffic: counted::Traffic,
     peers: Mutex<HashMap<ids::NodeAddr, Handle>>,
 }
@@ -120,12 +121,17 @@
 }
 
 impl Pool {
-    /// Creates a pool without connections.
+    /// Creates a pool without connections. They are opened from `source` if there is one.
     #[must_use]
-    pub fn new(me: ids::NodeRef, traffic: counted::Traffic) -> Self {
+    pub fn new(
+        me: ids::NodeRef,
+        source: Option<addresses::IpAddr>,
+        traffic: counted::Traffic,
+    ) -> Self {
         Self {
             shared: Arc::new(Shared {
                 me,
+                source,
                 traffic,
                 peers: Mutex::default(),
             }),
@@ -179,7 +185,7 @@
             .or_insert_with(|| {
                 let (asks, rx) = mpsc::channel(MAX_IN_FLIGHT);
                 let traffic = self.shared.traffic.clone();
-                tokio::spawn(run(self.shared.me, addr, traffic, rx));
+                tokio::spawn(run(self.shared.me, addr, self.shared.source, traffic, rx));
                 Handle { asks }
             })
             .clone()
@@ -232,6 +238,7 @@
 async fn run(
     me: ids::NodeRef,
     addr: ids::NodeAddr,
+    source: Option<addresses::IpAddr>,
     traffic: counted::Traffic,
     mut asks: mpsc::Receiver<Ask>,
 ) {
@@ -249,7 +256,7 @@
                 }
                 let result = match &open {
                     Some(o) => Ok(o.connection.clone()),
-                    None => dial(addr, traffic.clone()).await.map(|o| open.insert(o).connection.clone()),
+                    None => dial(addr, source, traffic.clone()).await.map(|o| open.insert(o).connection.clone()),
                 };
                 // The asker may have been cancelled meanwhile; the connection is kept.
                 drop(ask.send(result));
@@ -317,8 +324,28 @@
     }
 }
 
-async fn dial(addr: ids::NodeAddr, traffic: counted::Traffic) -> Result<Open, error::Error> {
-    let attempt = tokio::time::timeout(timing::CONNECT_TIMEOUT, net::TcpStream::connect(addr.0));
+/// Opens a connection from a given address of this host, or from any.
+async fn open_socket(
+    addr: ids::NodeAddr,
+    source: Option<addresses::IpAddr>,
+) -> io::Result<net::TcpStream> {
+    let Some(source) = source else {
+        return net::TcpStream::connect(addr.0).await;
+    };
+    let socket = match source {
+        addresses::IpAddr::V4(_) => net::TcpSocket::new_v4()?,
+        addresses::IpAddr::V6(_) => net::TcpSocket::new_v6()?,
+    };
+    socket.bind((source, 0).into())?;
+    socket.connect(addr.0).await
+}
+
+async fn dial(
+    addr: ids::NodeAddr,
+    source: Option<addresses::IpAddr>,
+    traffic: counted::Traffic,
+) -> Result<Open, error::Error> {
+    let attempt = tokio::time::timeout(timing::CONNECT_TIMEOUT, open_socket(addr, source));
     let stream = match attempt.await {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
