--- a/tests/common/mesh.rs
+++ b/tests/common/mesh.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Command, Output};
+use std::thread;
 use std::time::Duration;
 
 use filbertflow::protocol::admin;
+use filbertflow::state::timing;
 use serde_json::{Value, json};
 
 use super::document::{Service, User};
@@ -92,9 +94,11 @@
         ]);
         let kv = process::standin("standin-kv");
         let kv = Process::start(&kv, &args, &scratch.file("kv.log"));
+        let hosts = hosts(&plan, network, platform);
+        let ips: Vec<_> = hosts.iter().map(|h| h.peer.ip()).collect();
         let mut mesh = Self {
-            hosts: hosts(&plan, network, platform),
-            net: plan.relays.then(Net::start),
+            net: plan.relays.then(|| Net::start(&ips)),
+            hosts,
             platform,
             platform_control,
             _platform: kv,
@@ -111,14 +115,16 @@
         }
         let ready = wait_until(START_LIMIT, || mesh.is_ready());
         assert!(ready, "the mesh is not ready: {:#?}", mesh.statuses());
+        // Identifiers that callers create earlier than this count as possibly run already.
+        thread::sleep(2 * timing::CLOCK_SKEW);
         mesh
     }
 
     fn open_relays(&mut self) {
         let Some(net) = &mut self.net else { return };
         for (i, host) in self.hosts.iter().enumerate() {
-            net.open(host.peer, host.peer_listen, Party::Node(i));
-            net.open(host.platform, self.platform, Party::Platform);
+            net.open(host.peer, host.peer_listen, i);
+            net.open_platform(host.platform, self.platform, i);
         }
     }
 
@@ -130,11 +136,7 @@
             fs::write(&file, settings.to_string()).unwrap();
             let args = options(&[("--settings", file.display().to_string())]);
             let log = self.scratch.file(&format!("node{i}.log"));
-            let node = Process::start(&process::node(), &args, &log);
-            if let Some(net) = &mut self.net {
-                net.identify(node.id(), Party::Node(i));
-            }
-            self.hosts[i].node = Some(node);
+            self.hosts[i].node = Some(Process::start(&process::node(), &args, &log));
         }
         if part.has_server() {
             let args = self.server_args(i);
@@ -213,7 +215,7 @@
     pub fn restart(&mut self, i: usize, part: Part) {
         if let Some(net) = self.net.as_mut().filter(|_| part.has_node()) {
             let host = &self.hosts[i];
-            net.open(host.peer, host.peer_listen, Party::Node(i));
+            net.open(host.peer, host.peer_listen, i);
         }
         self.start_part(i, part);
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,7 +7,6 @@
 pub mod mesh;
 pub mod process;
 pub mod relay;
-pub mod sockets;
 
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
--- a/tests/common/relay.rs
+++ b/tests/common/relay.rs
@@ -4,7 +4,7 @@
 //! would. A silenced connection delivers nothing any more and is not closed.
 
 use std::collections::{BTreeMap, HashSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -14,8 +14,6 @@
 use tokio::sync::watch;
 use tokio::task::{AbortHandle, JoinSet};
 
-use super::sockets;
-
 /// End of a connection: a node by its number, or the platform's service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Party {
@@ -39,8 +37,8 @@
     runtime: Runtime,
     faults: Arc<watch::Sender<Faults>>,
     relays: BTreeMap<(Party, SocketAddr), AbortHandle>,
-    /// Process identifiers of the nodes, by which the dialing end of a connection is known.
-    dialers: Arc<watch::Sender<BTreeMap<u32, Party>>>,
+    /// Nodes by the address from which they open connections.
+    dialers: BTreeMap<IpAddr, Party>,
 }
 
 /// One relayed connection.
@@ -59,7 +57,10 @@
 }
 
 impl Net {
-    pub fn start() -> Self {
+    /// Starts without relays; `hosts` are the addresses of the nodes.
+    pub fn start(hosts: &[IpAddr]) -> Self {
+        let parties = (0..).map(Party::Node);
+        let dialers = hosts.iter().copied().zip(parties).collect();
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(2)
             .enable_all()
@@ -69,18 +70,34 @@
             runtime,
             faults: Arc::new(watch::Sender::default()),
             relays: BTreeMap::new(),
-            dialers: Arc::new(watch::Sender::default()),
+            dialers,
         }
     }
 
-    /// Relays connections to `listen` on to `target`.
-    pub fn open(&mut self, listen: SocketAddr, target: SocketAddr, party: Party) {
+    /// Relays connections to a node on to the address at which it listens.
+    pub fn open(&mut self, listen: SocketAddr, target: SocketAddr, node: usize) {
+        let party = Party::Node(node);
+        let dialers = self.dialers.clone();
+        let known = move |addr: SocketAddr| dialers.get(&addr.ip()).copied();
+        self.relay(listen, target, party, known);
+    }
+
+    /// Relays connections of a node on to the platform's service.
+    pub fn open_platform(&mut self, listen: SocketAddr, target: SocketAddr, node: usize) {
+        self.relay(listen, target, Party::Platform, move |_| {
+            Some(Party::Node(node))
+        });
+    }
+
+    fn relay<F>(&mut self, listen: SocketAddr, target: SocketAddr, party: Party, dialer: F)
+    where
+        F: Fn(SocketAddr) -> Option<Party> + Send + 'static,
+    {
         let listener = self.runtime.block_on(TcpListener::bind(listen)).unwrap();
         let faults = Arc::clone(&self.faults);
-        let dialers = Arc::clone(&self.dialers);
         let task = self
             .runtime
-            .spawn(accept(listener, target, party, faults, dialers));
+            .spawn(accept(listener, target, party, faults, dialer));
         self.relays.insert((party, listen), task.abort_handle());
     }
 
@@ -94,14 +111,6 @@
         });
     }
 
-    /// Names the node that a process is.
-    pub fn identify(&self, pid: u32, party: Party) {
-        self.dialers.send_modify(|d| {
-            d.retain(|_, p| *p != party);
-            d.insert(pid, party);
-        });
-    }
-
     /// Delivers nothing in one direction any more.
     pub fn cut(&self, from: Party, to: Party) {
         self.faults.send_modify(|f| {
@@ -122,26 +131,22 @@
     }
 }
 
-async fn accept(
+async fn accept<F>(
     listener: TcpListener,
     target: SocketAddr,
     party: Party,
     faults: Arc<watch::Sender<Faults>>,
-    dialers: Arc<watch::Sender<BTreeMap<u32, Party>>>,
-) {
+    dialer: F,
+) where
+    F: Fn(SocketAddr) -> Option<Party>,
+{
     // Dropped with this task, which closes the relayed connections too.
     let mut links = JoinSet::new();
     loop {
-        let Ok((near, dialer_addr)) = listener.accept().await else {
-            continue;
-        };
-        let pids: Vec<u32> = dialers.borrow().keys().copied().collect();
-        let lookup = tokio::task::spawn_blocking(move || sockets::owner(dialer_addr, &pids));
-        let known = lookup.await.unwrap();
-        let Some(dialer) = known.and_then(|pid| dialers.borrow().get(&pid).copied()) else {
-            // The dialer has ended or closed the connection already.
+        let Ok((near, from)) = listener.accept().await else {
             continue;
         };
+        let dialer = dialer(from).unwrap_or_else(|| panic!("{from} is no node of the mesh"));
         let mut number = 0;
         faults.send_modify(|f| {
             number = f.connections;
