--- /dev/null
+++ b/benches/mesh/faults.rs
@@ -0,0 +1,289 @@
+//! Imbalance, churn and unavailable time for each fault, for both users at their sizes.
+
+use std::collections::BTreeMap;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::common::document::User;
+use crate::common::journal::{self, Event};
+use crate::common::mesh::{Mesh, Part, Plan};
+use crate::common::{now, wait_until};
+use crate::{probe, table};
+
+/// Keys that callers ask for all the time.
+const PROBED: usize = 64;
+
+/// Keys whose owner is compared.
+const SAMPLED: usize = 500;
+
+/// Time of steady load before the fault.
+const BEFORE: Duration = Duration::from_secs(2);
+
+/// Time of load after the mesh has settled, over which the load's imbalance is counted.
+const AFTER: Duration = Duration::from_secs(4);
+
+/// Time of the platform's outage.
+const OUTAGE: Duration = Duration::from_secs(10);
+
+/// Time for which a load on few keys lasts.
+const SURGE: Duration = Duration::from_secs(20);
+
+/// Time for the mesh to settle after a fault.
+const SETTLE: Duration = Duration::from_secs(30);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    Join,
+    Drain,
+    Kill,
+    Domain,
+    Platform,
+    Surge,
+    Billing,
+}
+
+impl Fault {
+    const ALL: [Self; 7] = [
+        Self::Join,
+        Self::Drain,
+        Self::Kill,
+        Self::Domain,
+        Self::Platform,
+        Self::Surge,
+        Self::Billing,
+    ];
+
+    fn name(self) -> &'static str {
+        match self {
+            Self::Join => "join",
+            Self::Drain => "drain",
+            Self::Kill => "kill",
+            Self::Domain => "failure domain lost",
+            Self::Platform => "platform outage 10 s",
+            Self::Surge => "evening surge, 4 keys",
+            Self::Billing => "billing day, 40 keys",
+        }
+    }
+
+    /// Number of keys that most of the load goes to.
+    fn hot(self) -> Option<usize> {
+        match self {
+            Self::Surge => Some(4),
+            Self::Billing => Some(40),
+            _ => None,
+        }
+    }
+}
+
+/// Runs the measurement; arguments choose faults by the begin of their name.
+pub fn run(args: &[&str]) {
+    table::header(&[
+        "user",
+        "fault",
+        "imbalance of load",
+        "imbalance of keys",
+        "churn",
+        "unavailable p50 ms",
+        "p99 ms",
+        "max ms",
+        "answered",
+        "not run",
+        "unknown",
+        "no response",
+        "violations",
+    ]);
+    for user in [User::Consortium, User::Thrissur] {
+        for fault in Fault::ALL {
+            if args.is_empty() || args.iter().any(|a| fault.name().starts_with(a)) {
+                measure(user, fault);
+            }
+        }
+    }
+}
+
+fn measure(user: User, fault: Fault) {
+    let plan = Plan {
+        user,
+        services: user.services(),
+        relays: false,
+        checks: true,
+        hold_ms: 10_000,
+        service_ms: 2,
+    };
+    let service = plan.services[0].name;
+    let mut mesh = Mesh::start("faults", plan);
+    let target = pick(&mesh, service);
+    if fault == Fault::Join {
+        mesh.kill(target, Part::Both);
+        settle(&mesh, service);
+    }
+    let keys: Vec<_> = (0..PROBED).map(|i| format!("key-{i}")).collect();
+    let probe = probe::Probe::start(service, &keys, entries(&mesh));
+    thread::sleep(BEFORE);
+    let owners = owners(&mesh, service);
+    let at = now();
+    strike(&mut mesh, fault, target, &probe, service);
+    settle(&mesh, service);
+    let settled = now();
+    thread::sleep(AFTER);
+    let moved = self::owners(&mesh, service);
+    let calls = probe.stop();
+    let lines = mesh.journals();
+    report(&Found {
+        user,
+        fault,
+        load: load(&mesh, &lines, service, settled),
+        keys: shares(&mesh, &moved, service),
+        churn: churn(&owners, &moved),
+        calls: &calls,
+        at,
+        violations: journal::check(&lines, &calls).len(),
+    });
+}
+
+/// Returns a host of the service that does not coordinate it, so that one process is lost and not
+/// two roles; the loss of both is a scenario of the tests.
+fn pick(mesh: &Mesh, service: &str) -> usize {
+    let coordinator = mesh.partition(service).map(|p| p.coordinator);
+    let found = mesh
+        .hosts
+        .iter()
+        .position(|h| h.service == service && coordinator.is_none_or(|c| c.0 != h.peer));
+    found.expect("a service has several hosts")
+}
+
+fn entries(mesh: &Mesh) -> Vec<std::net::SocketAddr> {
+    mesh.live()
+        .into_iter()
+        .map(|i| mesh.hosts[i].caller)
+        .collect()
+}
+
+fn strike(mesh: &mut Mesh, fault: Fault, target: usize, probe: &probe::Probe, service: &str) {
+    match fault {
+        Fault::Join => mesh.start_part(target, Part::Both),
+        Fault::Drain => {
+            let addr = mesh.hosts[target].peer.to_string();
+            let output = mesh.ctl(&["drain", &addr, "--wait"]).output();
+            let output = output.expect("the command runs");
+            assert!(output.status.success(), "{output:?}");
+        }
+        Fault::Kill => {
+            mesh.kill(target, Part::Both);
+            probe.use_entries(entries(mesh));
+        }
+        Fault::Domain => {
+            let domain = mesh.hosts[target].domain;
+            for i in 0..mesh.hosts.len() {
+                if mesh.hosts[i].domain == domain {
+                    mesh.kill(i, Part::Both);
+                }
+            }
+            probe.use_entries(entries(mesh));
+        }
+        Fault::Platform => {
+            mesh.set_platform(&json!({ "mode": "down" }));
+            thread::sleep(OUTAGE);
+            mesh.set_platform(&json!({ "mode": "up" }));
+        }
+        Fault::Surge | Fault::Billing => {
+            let hot = fault.hot().unwrap_or_default();
+            let keys: Vec<_> = (0..hot).map(|i| format!("hot-{i}")).collect();
+            let surge = probe::Probe::start(service, &keys, entries(mesh));
+            thread::sleep(SURGE);
+            surge.stop();
+        }
+    }
+}
+
+fn settle(mesh: &Mesh, service: &str) {
+    let settled = wait_until(SETTLE, || {
+        let Some(p) = mesh.partition(service) else {
+            return false;
+        };
+        let live = p.owners.iter().all(|o| {
+            mesh.host_at(o.address.0)
+                .is_some_and(|i| mesh.hosts[i].node.is_some())
+        });
+        live && p.unowned == 0 && p.moving == 0 && p.slices == mesh.leased(service)
+    });
+    assert!(
+        settled,
+        "the mesh does not settle: {:#?}",
+        mesh.partition(service)
+    );
+}
+
+type Owners = BTreeMap<String, Option<usize>>;
+
+fn owners(mesh: &Mesh, service: &str) -> Owners {
+    (0..SAMPLED)
+        .map(|i| format!("key-{i}"))
+        .map(|key| (key.clone(), mesh.owner(service, &key)))
+        .collect()
+}
+
+fn churn(before: &Owners, after: &Owners) -> f64 {
+    let moved = before
+        .iter()
+        .filter(|(k, o)| after.get(*k) != Some(*o))
+        .count();
+    moved as f64 / before.len() as f64
+}
+
+/// Hosts of the service whose node runs.
+fn serving(mesh: &Mesh, service: &str) -> Vec<usize> {
+    let live = mesh.live();
+    live.into_iter()
+        .filter(|i| mesh.hosts[*i].service == service)
+        .collect()
+}
+
+fn shares(mesh: &Mesh, owners: &Owners, service: &str) -> f64 {
+    let counts: Vec<_> = serving(mesh, service)
+        .into_iter()
+        .map(|i| owners.values().filter(|o| **o == Some(i)).count() as f64)
+        .collect();
+    table::imbalance(&counts)
+}
+
+fn load(mesh: &Mesh, lines: &[journal::Line], service: &str, from: u64) -> f64 {
+    let started = |i: usize| {
+        let name = format!("server{i}");
+        let own = lines.iter().filter(|l| l.server == name && l.at >= from);
+        own.filter(|l| l.event == Event::Start).count() as f64
+    };
+    let counts: Vec<_> = serving(mesh, service).into_iter().map(started).collect();
+    table::imbalance(&counts)
+}
+
+struct Found<'a> {
+    user: User,
+    fault: Fault,
+    load: f64,
+    keys: f64,
+    churn: f64,
+    calls: &'a [crate::common::caller::Call],
+    at: u64,
+    violations: usize,
+}
+
+fn report(found: &Found<'_>) {
+    let gaps = probe::gaps(found.calls, found.at);
+    let outcomes = probe::outcomes(found.calls);
+    let mut cells = vec![
+        format!("{:?}", found.user),
+        found.fault.name().to_owned(),
+        format!("{:.2}", found.load),
+        format!("{:.2}", found.keys),
+        format!("{:.1}%", found.churn * 100.0),
+        table::ms(table::percentile(&gaps, 50)),
+        table::ms(table::percentile(&gaps, 99)),
+        table::ms(table::percentile(&gaps, 100)),
+    ];
+    cells.extend(outcomes.iter().map(ToString::to_string));
+    cells.push(found.violations.to_string());
+    table::row(&cells);
+}
--- /dev/null
+++ b/benches/mesh/goodput.rs
@@ -0,0 +1,114 @@
+//! Goodput and latency below, at and above the capacity of the slots, with retries and without.
+
+use std::process::Command;
+
+use serde_json::{Value, json};
+
+use crate::common::document::User;
+use crate::common::mesh::{Mesh, Plan};
+use crate::common::process;
+use crate::table;
+
+/// Service time of the backend servers; long enough that the machine itself is not the limit.
+const SERVICE_MS: u64 = 100;
+
+/// Slots of each backend server.
+const SLOTS: u64 = 20;
+
+/// Length of each run, in seconds.
+const SECONDS: &str = "10";
+
+/// Deadline of a request, in milliseconds.
+const DEADLINE_MS: &str = "1000";
+
+/// Longest queue that a document may state.
+const LONGEST_QUEUE: u64 = 10_000;
+
+/// Seed of keys and times.
+const SEED: &str = "1";
+
+/// Runs the measurement.
+pub fn run() {
+    table::header(&[
+        "limits and retries",
+        "load / capacity",
+        "requests/s",
+        "answered/s",
+        "p50 ms",
+        "p99 ms",
+        "failed p99 ms",
+        "not run",
+        "unknown",
+    ]);
+    for limited in [true, false] {
+        for load in [0.5, 1.0, 2.0] {
+            measure(limited, load);
+        }
+    }
+}
+
+fn measure(limited: bool, load: f64) {
+    let user = User::Consortium;
+    let service = user.services()[0];
+    let mesh = Mesh::start(
+        "goodput",
+        Plan {
+            user,
+            services: vec![service],
+            relays: false,
+            checks: true,
+            hold_ms: 10_000,
+            service_ms: SERVICE_MS,
+        },
+    );
+    if !limited {
+        lift_limits(&mesh);
+    }
+    let slots = SLOTS * service.instances as u64;
+    let rate = load * slots as f64 * 1e3 / SERVICE_MS as f64;
+    let found = send(&mesh, service.name, rate);
+    let number = |path: &str| {
+        found
+            .pointer(path)
+            .and_then(Value::as_f64)
+            .unwrap_or_default()
+    };
+    let seconds: f64 = SECONDS.parse().expect("the constant is a number");
+    table::row(&[
+        if limited { "on" } else { "off" }.to_owned(),
+        format!("{load}"),
+        format!("{rate:.0}"),
+        format!("{:.0}", number("/outcomes/answered") / seconds),
+        format!("{:.0}", number("/answered_ms/p50")),
+        format!("{:.0}", number("/answered_ms/p99")),
+        format!("{:.0}", number("/failed_ms/p99")),
+        format!("{}", number("/outcomes/not-run")),
+        format!("{}", number("/outcomes/unknown")),
+    ]);
+}
+
+/// Submits a document with the longest queue and without retries.
+fn lift_limits(mesh: &Mesh) {
+    let plan = &mesh.plan;
+    let mut document = plan.user.document(&plan.services, 20, plan.hold_ms, &[]);
+    for service in document["services"].as_array_mut().into_iter().flatten() {
+        service["queue_requests"] = json!(LONGEST_QUEUE);
+        service["retry_budget_percent"] = json!(0);
+    }
+    let mut submission = mesh.submission_of(&document, "unlimited.json", 1);
+    let output = submission.arg("--wait").output().expect("the command runs");
+    assert!(output.status.success(), "{output:?}");
+}
+
+fn send(mesh: &Mesh, service: &str, rate: f64) -> Value {
+    let entries: Vec<_> = mesh.hosts.iter().map(|h| h.caller.to_string()).collect();
+    let output = Command::new(process::load())
+        .args(["run", "--to", &entries.join(","), "--service", service])
+        .args(["--rate", &rate.to_string(), "--seconds", SECONDS])
+        .args(["--deadline-ms", DEADLINE_MS, "--seed", SEED])
+        .args(["--spread", "uniform", "--writes", "0.2", "--json"])
+        .output()
+        .expect("the load tool runs");
+    assert!(output.status.success(), "{output:?}");
+    serde_json::from_slice(&output.stdout).expect("the load tool prints JSON")
+}
--- /dev/null
+++ b/benches/mesh/main.rs
@@ -0,0 +1,52 @@
+//! Measurements on a running mesh of real processes on loopback addresses.
+//!
+//! `cargo bench --bench mesh -- COMMAND`, after `cargo build --release --workspace`; the commands
+//! are listed by `help`. Every table names the command that printed it.
+
+#[expect(
+    dead_code,
+    reason = "the tests use more of the helper than the measurements"
+)]
+#[expect(clippy::unwrap_used, reason = "a measurement fails by panicking")]
+#[path = "../../tests/common/mod.rs"]
+mod common;
+mod demo;
+mod faults;
+mod goodput;
+mod overhead;
+mod probe;
+mod slopes;
+mod table;
+
+use std::process::ExitCode;
+
+const USAGE: &str = "\
+Measures a mesh of real processes on loopback addresses.
+
+Usage:
+    cargo bench --bench mesh -- COMMAND
+
+Commands:
+    demo       start the Consortium's mesh, break it, and check what held
+    faults     imbalance, churn and unavailable time for each fault
+    goodput    goodput and latency at 0.5, 1 and 2 times the capacity
+    overhead   added latency of the path at low load
+    slopes     control traffic, processor time and memory by number of nodes";
+
+fn main() -> ExitCode {
+    // Cargo adds the option to every benchmark.
+    let args: Vec<_> = std::env::args()
+        .skip(1)
+        .filter(|a| a != "--bench")
+        .collect();
+    let args: Vec<_> = args.iter().map(String::as_str).collect();
+    match args.as_slice() {
+        ["demo"] => return demo::run(),
+        ["faults", rest @ ..] => faults::run(rest),
+        ["goodput"] => goodput::run(),
+        ["overhead"] => overhead::run(),
+        ["slopes"] => slopes::run(),
+        _ => println!("{USAGE}"),
+    }
+    ExitCode::SUCCESS
+}
--- a/tests/common/mesh.rs
+++ b/tests/common/mesh.rs
@@ -15,7 +15,7 @@
 use super::{Network, Scratch, journal, wait_until};
 
 /// Time for a mesh to start; generous, because other tests use the machine as well.
-const START_LIMIT: Duration = Duration::from_secs(60);
+const START_LIMIT: Duration = Duration::from_mins(1);
 
 /// Time for a call to an admin or control address.
 const CALL_LIMIT: Duration = Duration::from_secs(5);
@@ -56,7 +56,7 @@
     pub control: SocketAddr,
     peer_listen: SocketAddr,
     platform: SocketAddr,
-    server_addr: SocketAddr,
+    pub server_addr: SocketAddr,
     pub node: Option<Process>,
     pub server: Option<Process>,
     pub frozen: bool,
@@ -331,7 +331,12 @@
     pub fn submission(&self, queue: u64, based_on: u64) -> Command {
         let plan = &self.plan;
         let document = plan.user.document(&plan.services, queue, plan.hold_ms, &[]);
-        let file = self.scratch.file(&format!("document{queue}.json"));
+        self.submission_of(&document, &format!("document{queue}.json"), based_on)
+    }
+
+    /// Returns the command that submits a document.
+    pub fn submission_of(&self, document: &Value, name: &str, based_on: u64) -> Command {
+        let file = self.scratch.file(name);
         fs::write(&file, document.to_string()).unwrap();
         let file = file.display().to_string();
         self.ctl(&["submit", &file, "--based-on", &based_on.to_string()])
@@ -358,6 +363,13 @@
         get(self.platform_control, "/counts")
     }
 
+    /// Returns the metrics of a node in text format.
+    pub fn metrics(&self, i: usize) -> String {
+        let url = format!("http://{}/metrics", self.hosts[i].admin);
+        let response = attohttpc::get(url).timeout(CALL_LIMIT).send().unwrap();
+        response.text().unwrap()
+    }
+
     /// Sets the behaviour of a backend server.
     pub fn set_server(&self, i: usize, mode: &Value) {
         post(self.hosts[i].control, "/mode", mode);
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -76,6 +76,11 @@
     PathBuf::from(env!("CARGO_BIN_EXE_filbertflow-ctl"))
 }
 
+/// Returns the path of `filbertflow-load`.
+pub fn load() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_filbertflow-load"))
+}
+
 /// Returns the path of a stand-in, which is built beside the product's binaries.
 pub fn standin(name: &str) -> PathBuf {
     let path = node().with_file_name(name);
--- a/tests/requests/host.rs
+++ b/tests/requests/host.rs
@@ -65,6 +65,7 @@
             peer: ids::NodeAddr(peer),
             admin: any,
             platform: free_addr(),
+            peer_listen: None,
             peers: Vec::new(),
         });
         node.config
