Name nodes in ownership events and describe them

Cause: events 410 to 412 printed nodes in debug form; a field 'target' clashed with the target of the log line.

--- a/src/coordination/coordinator.rs
+++ b/src/coordination/coordinator.rs
@@ -395,7 +395,7 @@
 fn log_changes(old: &record::PartitionRecord, new: &record::PartitionRecord) {
     let id = &new.id;
     if old.standbys != new.standbys {
-        tracing::info!(event = 410, partition = %id, revision = %new.revision, standbys = ?new.standbys, "standbys changed");
+        tracing::info!(event = 410, partition = %id, revision = %new.revision, standbys = names(&new.standbys), "standbys changed");
     }
     for slice in &new.slices {
         let Some(before) = old.slice_at(slice.start) else {
@@ -403,13 +403,22 @@
         };
         let start = slice.start.0;
         if before.owner != slice.owner {
-            tracing::info!(event = 411, partition = %id, start, from = ?before.owner, to = ?slice.owner, version = %slice.version, "slice has a new owner");
+            tracing::info!(event = 411, partition = %id, start, from = name(before.owner), to = name(slice.owner), version = %slice.version, "slice has a new owner");
         } else if before.target != slice.target {
-            tracing::info!(event = 412, partition = %id, start, owner = ?slice.owner, target = ?slice.target, "move of the slice changed");
+            tracing::info!(event = 412, partition = %id, start, owner = name(slice.owner), to = name(slice.target), "move of the slice changed");
         }
     }
 }
 
+fn name(node: Option<ids::NodeRef>) -> String {
+    node.map_or_else(|| "none".to_owned(), |n| n.to_string())
+}
+
+fn names(nodes: &[ids::NodeRef]) -> String {
+    let names: Vec<_> = nodes.iter().map(ToString::to_string).collect();
+    names.join(" ")
+}
+
 /// Plans the balance of the partitions that this node coordinates.
 pub async fn run(node: Arc<node::Node>) {
     let mut tick = tokio::time::interval(BALANCE);
--- a/src/coordination/owner/leave.rs
+++ b/src/coordination/owner/leave.rs
@@ -46,7 +46,7 @@
 }
 
 async fn leave(node: Arc<node::Node>, leaving: Leaving) {
-    tracing::info!(event = 423, partition = %leaving.id, start = leaving.start.0, target = %leaving.target, "releasing the slice");
+    tracing::info!(event = 423, partition = %leaving.id, start = leaving.start.0, to = %leaving.target, "releasing the slice");
     drained(&node, &leaving).await;
     while leaving.is_current(&node) && !hand_over(&node, &leaving).await {
         tokio::time::sleep(RETRY).await;
@@ -154,7 +154,7 @@
     match call.await {
         Ok(reply) => reply == peer::HandoverReply::Taken,
         Err(e) => {
-            tracing::warn!(event = 424, partition = %leaving.id, target = %leaving.target, error = %e, "handover failed");
+            tracing::warn!(event = 424, partition = %leaving.id, to = %leaving.target, error = %e, "handover failed");
             false
         }
     }
