--- a/src/coordination/backend.rs
+++ b/src/coordination/backend.rs
@@ -1,9 +1,11 @@
 //! Backend server beside this node: what it announces and how it behaves.
 //!
 //! Announcements and the health endpoint are hints: the health endpoint of a server whose requests
-//! all time out may still answer. What counts is how requests end. After [`MAX_TIMEOUTS`] timeouts
-//! in a row, or a refused connection, the server is down until it answers a probe; it then starts
-//! slowly and is down again after one further timeout.
+//! all time out may still answer. What counts is how requests end. After three timeouts in a row, or
+//! a refused connection, the server is down until it answers a probe; it then starts slowly and is
+//! down again after one further timeout. If no request was answered in between, the next probe is
+//! made only after the lease has ended, so that the slices of a server with a misleading health
+//! endpoint move to others.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -34,6 +36,13 @@
 /// Connections left to grants, cancels and probes.
 const RESERVED_CONNECTIONS: u32 = 4;
 
+/// Time until the first probe of a server that was down before and has not answered a request since.
+/// It exceeds the length of a lease; it doubles with each further time.
+const RELAPSE: time::Duration = time::Duration::from_secs(2);
+
+/// Relapses after which the time no longer doubles.
+const MAX_DOUBLINGS: u32 = 4;
+
 /// Requests in flight at the begin of a slow start.
 const FIRST_LIMIT: u32 = 2;
 
@@ -55,6 +64,8 @@
     timeouts: u32,
     silent: bool,
     down: bool,
+    probe_at: clock::Instant,
+    relapses: u32,
 }
 
 /// Server as it is now.
@@ -148,6 +159,7 @@
             && known.announcement.incarnation == incarnation
         {
             known.timeouts = 0;
+            known.relapses = 0;
         }
     }
 
@@ -169,8 +181,11 @@
             let mut slot = self.lock();
             match slot.as_mut() {
                 Some(known) if known.announcement.incarnation == incarnation && !known.down => {
-                    known.down = is_down(known);
-                    known.down
+                    let down = is_down(known);
+                    if down {
+                        known.stop(clock::Instant::now());
+                    }
+                    down
                 }
                 _ => false,
             }
@@ -185,7 +200,8 @@
         }
     }
 
-    fn recover(&self, incarnation: u64) {
+    /// Notes that the server has answered a probe.
+    pub fn recover(&self, incarnation: u64) {
         let changed = {
             let mut slot = self.lock();
             match slot.as_mut() {
@@ -202,15 +218,14 @@
         }
     }
 
-    /// Withdraws a silent server; returns the address to probe if the server is down.
-    fn check(&self) -> Option<(u64, net::SocketAddr)> {
-        let now = clock::Instant::now();
+    /// Withdraws a silent server; returns the incarnation and address to probe, if that is due.
+    #[must_use]
+    pub fn check(&self, now: clock::Instant) -> Option<(u64, net::SocketAddr)> {
         let mut slot = self.lock();
         let known = slot.as_mut()?;
         let silent = now.since(known.heard) > timing::ANNOUNCEMENT_EXPIRY;
-        let probe = known
-            .down
-            .then_some((known.announcement.incarnation, known.announcement.address));
+        let due = known.down && known.probe_at <= now;
+        let probe = due.then_some((known.announcement.incarnation, known.announcement.address));
         if silent && !known.silent {
             known.silent = true;
             tracing::warn!(event = 504, service = %known.announcement.service, "backend server is silent, withdrawing it");
@@ -236,6 +251,8 @@
             timeouts: 0,
             silent: false,
             down: false,
+            probe_at: now,
+            relapses: 0,
         }
     }
 
@@ -252,6 +269,17 @@
         changed
     }
 
+    fn stop(&mut self, now: clock::Instant) {
+        self.down = true;
+        let doublings = self.relapses.saturating_sub(1).min(MAX_DOUBLINGS);
+        let wait = match self.relapses {
+            0 => time::Duration::ZERO,
+            _ => RELAPSE * 2_u32.pow(doublings),
+        };
+        self.probe_at = now + wait;
+        self.relapses += 1;
+    }
+
     /// Starts the server slowly, one timeout away from being down again.
     fn restart(&mut self, now: clock::Instant) {
         self.down = false;
@@ -303,7 +331,7 @@
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tick.tick().await;
-        let probe = node.backend.check();
+        let probe = node.backend.check(clock::Instant::now());
         node.gate.sweep(node.backend.server());
         let Some((incarnation, addr)) = probe else {
             continue;
--- a/src/coordination/router.rs
+++ b/src/coordination/router.rs
@@ -309,6 +309,13 @@
         active.values().map(|c| c.requests).sum()
     }
 
+    /// Returns the identifiers of the requests in progress that entered here.
+    #[must_use]
+    pub fn active_ids(&self) -> Vec<ids::RequestId> {
+        let active = self.active.lock().unwrap_or_else(PoisonError::into_inner);
+        active.keys().copied().collect()
+    }
+
     /// Returns the number of requests that wait for an owner or a live server.
     #[must_use]
     pub fn held(&self) -> usize {
--- a/src/coordination/router/attempt.rs
+++ b/src/coordination/router/attempt.rs
@@ -86,13 +86,13 @@
         | peer::NotRunReason::Draining
         | peer::NotRunReason::Cold
         | peer::NotRunReason::Fenced
-        | peer::NotRunReason::Barred
         | peer::NotRunReason::Cancelled => true,
         peer::NotRunReason::NotOwner
         | peer::NotRunReason::Moving
         | peer::NotRunReason::NoOwner
         | peer::NotRunReason::Unreachable
         | peer::NotRunReason::Expired
+        | peer::NotRunReason::Barred
         | peer::NotRunReason::RetryBudget
         | peer::NotRunReason::Incarnation => false,
     }
@@ -169,11 +169,9 @@
                 None => refusal(peer::NotRunReason::NoOwner, OWNER_RETRY),
             };
             if !self.wait().await {
-                let refusal = if self.cancel.is_cancelled() {
-                    self::refusal(peer::NotRunReason::Cancelled, time::Duration::ZERO)
-                } else {
-                    refusal
-                };
+                if self.cancel.is_cancelled() {
+                    return self.cancelled(send::withdrawn(self.req));
+                }
                 return conclude(self.req, self.maybe_ran, refusal);
             }
         }
--- a/src/coordination/router/send.rs
+++ b/src/coordination/router/send.rs
@@ -48,7 +48,7 @@
     let left = req.deadline.left();
     let connected = tokio::select! {
         connected = tokio::time::timeout(left, node.peers.connect(to.addr)) => connected,
-        () = cancel.cancelled() => return Sent::Cancelled(cancelled()),
+        () = cancel.cancelled() => return Sent::Cancelled(withdrawn(req)),
     };
     let Ok(Ok(connection)) = connected else {
         return Sent::Unsent;
@@ -143,6 +143,16 @@
     })
 }
 
+/// Outcome of a request that was cancelled before the owner looked into its log, which alone tells
+/// whether an earlier call with the caller's identifier ran.
+pub const fn withdrawn(req: &Accepted) -> peer::Outcome {
+    if req.fresh || req.idempotent {
+        cancelled()
+    } else {
+        peer::Outcome::Unknown(peer::UnknownReason::Cancelled)
+    }
+}
+
 /// Learns what became of a cancelled attempt. Dropping the call has told the server to cancel it.
 async fn settle(
     node: &Arc<node::Node>,
@@ -159,7 +169,10 @@
     let asked = ask(node, to, req.id, attempt, limit);
     match tokio::time::timeout(CANCEL_WAIT, asked).await {
         Ok(Ok(Some(outcome))) => match outcome {
-            peer::Outcome::NotRun(_) => cancelled(),
+            peer::Outcome::NotRun(refusal) => match refusal.reason {
+                peer::NotRunReason::Barred => withdrawn(req),
+                _ => cancelled(),
+            },
             peer::Outcome::Unknown(_) => unknown,
             answered @ peer::Outcome::Answered(_) => answered,
         },
--- a/src/coordination/router/spread.rs
+++ b/src/coordination/router/spread.rs
@@ -33,7 +33,7 @@
     let mut last = attempt::refusal(peer::NotRunReason::NoOwner, SERVER_RETRY);
     if !appear(node, req, cancel).await {
         if cancel.is_cancelled() {
-            last.reason = peer::NotRunReason::Cancelled;
+            return send::withdrawn(req);
         }
         return attempt::conclude(req, maybe_ran, last);
     }
--- a/tests/requests/host.rs
+++ b/tests/requests/host.rs
@@ -95,16 +95,7 @@
 
     /// Announces a backend server of this node.
     pub fn announce(&self, service: &str, addr: net::SocketAddr, slots: u32) {
-        self.node.backend.announce(Announcement {
-            service: service.to_owned(),
-            address: addr,
-            incarnation: 1,
-            slots,
-            connections: 120,
-            checks_tokens: true,
-            draining: false,
-            cold_start_ms: 0,
-        });
+        self.node.backend.announce(announcement(service, addr, slots));
     }
 
     /// Takes a record in which a node owns everything; the owner also gets a lease.
@@ -138,6 +129,19 @@
     }
 }
 
+pub fn announcement(service: &str, addr: net::SocketAddr, slots: u32) -> Announcement {
+    Announcement {
+        service: service.to_owned(),
+        address: addr,
+        incarnation: 1,
+        slots,
+        connections: 120,
+        checks_tokens: true,
+        draining: false,
+        cold_start_ms: 0,
+    }
+}
+
 /// Returns an address at which nothing listens. Each has an IP number of its own, so that no other
 /// test takes over its port.
 pub fn free_addr() -> net::SocketAddr {
--- a/tests/requests/limits.rs
+++ b/tests/requests/limits.rs
@@ -4,6 +4,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time;
 
+use filbertflow::coordination::backend;
+use filbertflow::protocol::backend::Announcement;
+use filbertflow::state::clock;
+
 use crate::caller::{call, start};
 use crate::eventually;
 use crate::fake::{Act, Fake};
@@ -129,3 +133,82 @@
     let got = call("POST", &host.url("/walks/k"), &[], "");
     assert_eq!(got.outcome(), "answered");
 }
+
+/// Guards against a server that keeps its slices because its health endpoint answers while all its
+/// requests time out.
+#[test]
+fn relapsed_server_is_probed_only_after_its_lease() {
+    let server = backend::Backend::default();
+    server.announce(host::announcement("walks", host::free_addr(), 4));
+    let up = || server.state().is_some_and(|(_, s)| s.up);
+    let now = clock::Instant::now();
+    for _ in 0..3 {
+        assert!(up());
+        server.timed_out(1);
+    }
+    assert!(!up());
+    assert!(server.check(now + time::Duration::from_millis(500)).is_some());
+    server.recover(1);
+    assert!(up());
+    server.timed_out(1);
+    assert!(!up(), "one further timeout is enough");
+    assert!(server.check(now + time::Duration::from_millis(1500)).is_none());
+    assert!(server.check(now + time::Duration::from_secs(60)).is_some());
+    server.recover(1);
+    server.answered(1);
+    for _ in 0..3 {
+        assert!(up());
+        server.timed_out(1);
+    }
+    assert!(server.check(clock::Instant::now()).is_some());
+}
+
+/// Guards against more connections than the backend server accepts.
+#[test]
+fn connections_bound_the_requests_in_flight() {
+    let fake = Fake::start(|_| Act::Hold);
+    let host = Host::start();
+    host.node.backend.announce(Announcement {
+        connections: 5,
+        ..host::announcement("walks", fake.addr, 4)
+    });
+    host.learn("walks", Some(host.node.me), 1);
+    let first = start("POST", host.url("/walks/a"), Vec::new());
+    let second = start("POST", host.url("/walks/b"), Vec::new());
+    eventually("both are at the gate", || host.node.gate.in_flight() == 2);
+    fake.wait_for(1);
+    assert_eq!(fake.seen().len(), 1);
+    fake.release();
+    for request in [first, second] {
+        assert_eq!(request.join().unwrap().outcome(), "answered");
+    }
+}
+
+/// Guards against work for a backend server that is leaving, later than the bound of 5 s.
+#[test]
+fn draining_server_gets_no_work_after_a_time() {
+    let fake = Fake::start(|_| Act::Answer(200, String::new()));
+    let host = owner(&fake, 4);
+    let drain = || {
+        host.node.backend.announce(Announcement {
+            draining: true,
+            ..host::announcement("walks", fake.addr, 4)
+        });
+    };
+    let started = time::Instant::now();
+    drain();
+    let first = call("POST", &host.url("/walks/k"), &[], "");
+    assert_eq!(first.outcome(), "answered", "its slices have not moved yet");
+    eventually("new work is refused", || {
+        drain();
+        let headers = [("filbert-deadline-ms", "200")];
+        let got = call("POST", &host.url("/walks/k"), &headers, "");
+        got.outcome() == "not-run draining"
+    });
+    assert!(started.elapsed() > time::Duration::from_secs(1));
+    let seen = fake.seen().len();
+    drain();
+    let headers = [("filbert-deadline-ms", "200")];
+    call("POST", &host.url("/walks/k"), &headers, "");
+    assert_eq!(fake.seen().len(), seen);
+}
--- a/tests/requests/outcomes.rs
+++ b/tests/requests/outcomes.rs
@@ -253,6 +253,22 @@
     assert_eq!(got.outcome(), "not-run cancelled");
 }
 
+/// Guards against "not run" for a cancelled request that an earlier call may have run.
+#[test]
+fn cancel_without_owner_proves_nothing_for_own_id() {
+    for (own, outcome) in [(true, "unknown cancelled"), (false, "not-run cancelled")] {
+        let host = Host::start();
+        let id = ids::RequestId::create().to_string();
+        // The class is only there to have a header.
+        let header = if own { "filbert-id" } else { "filbert-class" };
+        let waiting = start("POST", host.url("/walks/a"), vec![(header, id.clone())]);
+        eventually("the request is held", || host.node.router.held() == 1);
+        let id = host.node.router.active_ids().remove(0);
+        call("DELETE", &host.url(&format!("/-/requests/{id}")), &[], "");
+        assert_eq!(waiting.join().unwrap().outcome(), outcome);
+    }
+}
+
 /// Guards against a cancel of an unknown request that is reported as done.
 #[test]
 fn cancel_of_unknown_request_is_refused() {
