--- a/tests/processes/scenarios.rs
+++ b/tests/processes/scenarios.rs
@@ -97,6 +97,10 @@
     /// Guards against an owner that serves without contact to its coordinator.
     owner_cut_off,
 
+    /// Guards against two owners when the backend server checks no tokens and nothing reaches its
+    /// node.
+    unchecked_owner_cut_off,
+
     /// Guards against an owner that counts its lease from answers and not from its requests.
     cut_from_owner,
 
