--- a/tests/processes/load.rs
+++ b/tests/processes/load.rs
@@ -6,6 +6,8 @@
 use std::thread;
 use std::time::Duration;
 
+use filbertflow::state::ids::KeyHash;
+
 use crate::common::caller::{Call, Outcome, Request};
 
 /// Calls of all callers of a session.
@@ -105,7 +107,10 @@
         };
         let entry = {
             let entries = entries.lock().unwrap();
-            entries[(caller + n) % entries.len()]
+            // Every key is asked for at every entry, in an order that repeats between runs.
+            let mixed = KeyHash::of(&format!("{caller}/{n}")).0;
+            let i = mixed % u64::try_from(entries.len()).unwrap();
+            entries[usize::try_from(i).unwrap()]
         };
         Request::new(&self.service, &key, method, self.deadline).send(entry)
     }
--- a/tests/processes/scenarios.rs
+++ b/tests/processes/scenarios.rs
@@ -91,6 +91,12 @@
     /// Guards against keys of living owners that are lost with one owner in an outage.
     platform_down_owner_killed,
 
+    /// Guards against a standby that gives up its claim in an outage.
+    platform_down_coordinator_killed,
+
+    /// Guards against keys that stay with incarnations that have all ended.
+    all_restarted,
+
     /// Guards against a lost answer of the store that is taken for a failed write.
     platform_loses_answers,
 
--- a/tests/processes/target.rs
+++ b/tests/processes/target.rs
@@ -10,8 +10,8 @@
 pub type Marks = BTreeMap<String, BTreeSet<usize>>;
 
 /// Takes the hosts that a command names: those with `owner=KEY`, `coordinator=SERVICE`,
-/// `standby=SERVICE`, `standbys=SERVICE`, `domain=NAME`, `mark=NAME`, or `other=SERVICE`, which is
-/// a host that owns none of the named and neither coordinates nor stands by.
+/// `standby=SERVICE`, `standbys=SERVICE`, `domain=NAME`, `mark=NAME`, `beside=MARK`, which is a live
+/// host that is not marked, or `other=SERVICE`, which neither coordinates nor stands by.
 pub fn hosts(case: &mut TestCase, mesh: &Mesh, marks: &Marks) -> BTreeSet<usize> {
     let mut hosts = BTreeSet::new();
     let service = case.try_take_arg::<String>("of").unwrap();
@@ -39,6 +39,11 @@
         let marked = marks.get(&mark);
         hosts.extend(marked.unwrap_or_else(|| panic!("{mark} is not marked")));
     }
+    for mark in take(case, "beside") {
+        let marked = &marks[&mark];
+        let other = mesh.live().into_iter().find(|i| !marked.contains(i));
+        hosts.insert(other.expect("a host that is not marked lives"));
+    }
     for service in take(case, "other") {
         let roles = roles(mesh, &service);
         let other =
