Ask the drained node itself whether it owns keys

Change: the wait asks the drained node for its leases, and says if that node does not answer. Conclusion: "owns no keys" is either confirmed by the node or marked as not confirmed.

--- a/src/cmd/drain.rs
+++ b/src/cmd/drain.rs
@@ -80,8 +80,13 @@
         let nodes = progress::wait_in_force(admin, revision)?;
         shared::print(&format!("in force on {nodes} nodes\n"))?;
         if !args.undo {
-            progress::wait_drained(admin, node)?;
-            shared::print(&format!("{node} owns no keys\n"))?;
+            let confirmed = progress::wait_drained(admin, node)?;
+            let by = if confirmed {
+                ""
+            } else {
+                ", but does not answer itself; check its address"
+            };
+            shared::print(&format!("{node} owns no keys{by}\n"))?;
         }
     }
     Ok(())
--- a/src/cmd/progress.rs
+++ b/src/cmd/progress.rs
@@ -106,19 +106,21 @@
     }
 }
 
-/// Waits until a node owns no slices.
+/// Waits until a node owns no slices, and returns whether the node itself has confirmed it.
 ///
 /// # Errors
 ///
 /// Returns an error that tells how many it still owns after a minute.
-pub fn wait_drained(admin: net::SocketAddr, node: ids::NodeAddr) -> eyre::Result<()> {
+pub fn wait_drained(admin: net::SocketAddr, node: ids::NodeAddr) -> eyre::Result<bool> {
     let limit = time::Instant::now() + WAIT_LIMIT;
     loop {
         let left = match admin_client::status(admin) {
             Ok(status) => {
-                let drain = status.drains.iter().find(|d| d.address == node);
-                match drain.map(|d| d.slices_left) {
-                    Some(0) => return Ok(()),
+                // The asked node may not know all records yet; the drained one knows its leases.
+                let own = own_status(&status, node);
+                let confirmed = own.is_some();
+                match left(&own.unwrap_or(status), node) {
+                    Some(0) => return Ok(confirmed),
                     Some(left) => format!("{left} slices left"),
                     None => "drain is not in force".to_owned(),
                 }
@@ -129,6 +131,19 @@
     }
 }
 
+fn own_status(status: &admin::Status, node: ids::NodeAddr) -> Option<admin::Status> {
+    let member = status.members.iter().find(|m| m.address == node)?;
+    let own = admin_client::status(member.admin.parse().ok()?).ok()?;
+    (own.node.address == node).then_some(own)
+}
+
+fn left(status: &admin::Status, node: ids::NodeAddr) -> Option<usize> {
+    let drain = status.drains.iter().find(|d| d.address == node)?;
+    let own = status.node.address == node;
+    let leased: usize = status.roles.iter().map(|r| r.leased_slices).sum();
+    Some(drain.slices_left.max(if own { leased } else { 0 }))
+}
+
 fn give_up(limit: time::Instant, message: impl FnOnce() -> String) -> eyre::Result<()> {
     if time::Instant::now() >= limit {
         return Err(exit::Failure::new(exit::Exit::Failure, message()).into());
--- a/tests/ctl/drain.rs
+++ b/tests/ctl/drain.rs
@@ -1,7 +1,9 @@
 //! `drain`.
 
+use filbertflow::transport::admin_client;
+
 use crate::fake::{Fake, Fault};
-use crate::run;
+use crate::{fleet, run, status};
 
 const NODE: &str = "127.0.1.1:7101";
 
@@ -101,3 +103,45 @@
     let run = run::ctl(fake.addr, &["drain", NODE]);
     assert_eq!((run.code, fake.writes()), (2, 0), "{}", run.err);
 }
+
+/// Guards against a wait that ends while the node still owns keys, because the asked node does not
+/// know of them.
+#[test]
+fn wait_asks_the_drained_node() {
+    let fake = Fake::start();
+    fake.put(&run::example());
+    let fleet = fleet::start(&fake, 2);
+    let node = &fleet.nodes()[1];
+    node.records.offer(status::record(node.me));
+    let name = node.me.addr.to_string();
+    let args = ["drain", name.as_str(), "--wait"];
+    let mut waiting = run::start(fake.addr, Some(fleet.admin()), &args);
+    fleet.wait(|n| n.config.revision().0 == 2);
+    // Far more calls than a command that does not wait would make before it ends.
+    for _ in 0..200 {
+        admin_client::status(fleet.admin()).unwrap();
+    }
+    assert!(waiting.try_wait().unwrap().is_none(), "ended too early");
+    let mut moved = status::record(fleet.node().me);
+    moved.revision = filbertflow::state::ids::Revision(2);
+    node.records.offer(moved);
+    let run = run::finish(waiting);
+    assert_eq!(run.code, 0, "{}", run.err);
+    assert!(
+        run.out.ends_with(&format!("{name} owns no keys\n")),
+        "{}",
+        run.out
+    );
+}
+
+/// Guards against a misspelt address that looks like a drained node.
+#[test]
+fn wait_for_an_unknown_node_says_so() {
+    let fake = Fake::start();
+    fake.put(&run::example());
+    let fleet = fleet::start(&fake, 1);
+    let args = ["drain", NODE, "--wait"];
+    let run = run::finish(run::start(fake.addr, Some(fleet.admin()), &args));
+    assert_eq!(run.code, 0, "{}", run.err);
+    assert!(run.out.contains("does not answer itself"), "{}", run.out);
+}
