--- a/src/cmd/drain.rs
+++ b/src/cmd/drain.rs
@@ -78,7 +78,7 @@
     let revision = shared::block_on(change(&client, node, args.undo))?;
     if let Some(admin) = admin {
         let nodes = progress::wait_in_force(admin, revision)?;
-        shared::print(&format!("in force on {nodes} nodes\n"))?;
+        shared::print(&format!("in force on all {nodes} known nodes\n"))?;
         if !args.undo {
             let confirmed = progress::wait_drained(admin, node)?;
             let by = if confirmed {
--- a/src/cmd/submit.rs
+++ b/src/cmd/submit.rs
@@ -102,7 +102,9 @@
     if let Some(admin) = admin {
         let nodes = progress::wait_in_force(admin, revision)?;
         let seconds = start.elapsed().as_secs_f64();
-        shared::print(&format!("in force on {nodes} nodes after {seconds:.2} s\n"))?;
+        shared::print(&format!(
+            "in force on all {nodes} known nodes after {seconds:.2} s\n"
+        ))?;
     }
     Ok(())
 }
--- a/src/transport/admin.rs
+++ b/src/transport/admin.rs
@@ -47,7 +47,7 @@
 
 /// Answers calls until it is dropped.
 pub struct Server {
-    server: Arc<tiny_http::Server>,
+    http: Arc<tiny_http::Server>,
     workers: Vec<thread::JoinHandle<()>>,
     _waker: wake::Waker,
 }
@@ -85,7 +85,7 @@
             workers.push(worker);
         }
         Ok(Self {
-            server,
+            http: server,
             workers,
             _waker: wake::Waker::start(addr)?,
         })
@@ -96,7 +96,7 @@
     fn drop(&mut self) {
         // Each worker consumes one wake-up; one that reads a body ends with it and is not awaited.
         for _ in &self.workers {
-            self.server.unblock();
+            self.http.unblock();
         }
     }
 }
--- a/tests/ctl/submit.rs
+++ b/tests/ctl/submit.rs
@@ -157,6 +157,10 @@
     let args = ["submit", CONSORTIUM, "--based-on", "0", "--wait"];
     let run = run::finish(run::start(fake.addr, Some(fleet.admin()), &args));
     assert_eq!(run.code, 0, "{}", run.err);
-    assert!(run.out.contains("in force on 5 nodes after"), "{}", run.out);
+    assert!(
+        run.out.contains("in force on all 5 known nodes after"),
+        "{}",
+        run.out
+    );
     assert_eq!(fleet.revisions(), [1; 5]);
 }
--- /dev/null
+++ b/tests/reference.rs
@@ -0,0 +1,74 @@
+//! Reference of settings and document in the operator's guide.
+
+#![expect(clippy::unwrap_used, reason = "a failed step ends the test")]
+
+use std::collections::BTreeSet;
+use std::fs;
+
+use filbertflow::protocol::source;
+use filbertflow::state::error;
+
+/// Returns the known fields of an object, from the message about an unknown one.
+fn known(problems: &error::Error) -> BTreeSet<String> {
+    let error::Error::Source(problems) = problems else {
+        panic!("{problems}");
+    };
+    let lists = problems
+        .iter()
+        .filter_map(|p| p.message.split_once("expected one of "));
+    lists
+        .flat_map(|(_, names)| names.split(", ").map(str::to_owned))
+        .collect()
+}
+
+/// Returns the fields that the tables of a section describe.
+fn described(heading: &str) -> BTreeSet<String> {
+    let text = fs::read_to_string("docs/operators.md").unwrap();
+    let section = text
+        .split("\n## ")
+        .find(|s| s.starts_with(heading))
+        .unwrap();
+    let cells = section.lines().filter_map(|l| l.strip_prefix("| `"));
+    cells
+        .map(|c| c.split('`').next().unwrap().to_owned())
+        .collect()
+}
+
+/// Guards against a setting that the guide does not describe, or that is gone.
+#[test]
+fn settings_reference_is_complete() {
+    let problems = source::settings("settings", "{ \"?\": 0 }").unwrap_err();
+    assert_eq!(described("Settings reference"), known(&problems));
+}
+
+/// Guards against a field of the document that the guide does not describe, or that is gone.
+#[test]
+fn document_reference_is_complete() {
+    let text = "{ \"?\": 0, \"classes\": [{ \"?\": 0 }], \"services\": [{ \"?\": 0, \"key\": { \"?\": 0 }, \
+                \"weights\": { \"?\": 0 }, \"objective\": { \"?\": 0 }, \"routes\": [{ \"?\": 0 }] }] }";
+    let problems = source::document("document", text).unwrap_err();
+    assert_eq!(described("Document reference"), known(&problems));
+}
+
+/// Guards against a first fleet that a newcomer can't start, because a command or an option of the
+/// guide no longer exists.
+#[test]
+fn guide_names_existing_options() {
+    let text = fs::read_to_string("docs/operators.md").unwrap();
+    let code: String = [
+        "ctl", "submit", "diff", "status", "drain", "explain", "check", "node",
+    ]
+    .iter()
+    .map(|name| fs::read_to_string(format!("src/cmd/{name}.rs")).unwrap())
+    .collect();
+    let commands = text.lines().filter(|l| {
+        let line = l.trim();
+        line.starts_with("filbertflow-ctl") || line.starts_with("filbertflow-node")
+    });
+    for option in commands
+        .flat_map(str::split_whitespace)
+        .filter(|w| w.starts_with("--"))
+    {
+        assert!(code.contains(option), "no option {option}");
+    }
+}
