--- a/tests/requests/host.rs
+++ b/tests/requests/host.rs
@@ -63,6 +63,7 @@
             domain: "ie-east-a".to_owned(),
             caller: any,
             peer: ids::NodeAddr(peer),
+            peer_listen: None,
             admin: any,
             platform: free_addr(),
             peers: Vec::new(),
@@ -95,7 +96,9 @@
 
     /// Announces a backend server of this node.
     pub fn announce(&self, service: &str, addr: net::SocketAddr, slots: u32) {
-        self.node.backend.announce(announcement(service, addr, slots));
+        self.node
+            .backend
+            .announce(announcement(service, addr, slots));
     }
 
     /// Takes a record in which a node owns everything; the owner also gets a lease.
--- a/tests/requests/limits.rs
+++ b/tests/requests/limits.rs
@@ -139,7 +139,8 @@
 #[test]
 fn relapsed_server_is_probed_only_after_its_lease() {
     let server = backend::Backend::default();
-    server.announce(host::announcement("walks", host::free_addr(), 4));
+    let announcement = host::announcement("walks", host::free_addr(), 4);
+    server.announce(announcement.clone());
     let up = || server.state().is_some_and(|(_, s)| s.up);
     let now = clock::Instant::now();
     for _ in 0..3 {
@@ -147,13 +148,23 @@
         server.timed_out(1);
     }
     assert!(!up());
-    assert!(server.check(now + time::Duration::from_millis(500)).is_some());
+    assert!(
+        server
+            .check(now + time::Duration::from_millis(500))
+            .is_some()
+    );
     server.recover(1);
     assert!(up());
     server.timed_out(1);
     assert!(!up(), "one further timeout is enough");
-    assert!(server.check(now + time::Duration::from_millis(1500)).is_none());
-    assert!(server.check(now + time::Duration::from_secs(60)).is_some());
+    assert!(
+        server
+            .check(now + time::Duration::from_millis(1500))
+            .is_none()
+    );
+    assert!(server.check(now + time::Duration::from_mins(1)).is_some());
+    // The check has withdrawn the server, which was silent for a minute.
+    server.announce(announcement);
     server.recover(1);
     server.answered(1);
     for _ in 0..3 {
