--- a/src/coordination/balance.rs
+++ b/src/coordination/balance.rs
@@ -22,10 +22,10 @@
 const COOL: f64 = 0.03;
 
 /// Share of its fair part below which a server is filled even if no other is overloaded.
-const UNDERUSED: f64 = 0.5;
+const UNDERUSED: f64 = 0.75;
 
 /// Share of its fair part up to which such a server is filled at least.
-const FILLED: f64 = 0.75;
+const FILLED: f64 = 0.85;
 
 /// Excess of keys, beyond the hysteresis, that is tolerated for the sake of balanced load.
 const KEY_EXCESS: f64 = 0.25;
