Wait for promises to end instead of polling records

Cause: a standby walked all known records every 25 ms, which at 1,000 partitions would cost a share of the core by itself. Change: only own duties are kept, and the task sleeps until the first promise ends or a record changes.

--- a/src/coordination/standby.rs
+++ b/src/coordination/standby.rs
@@ -11,13 +11,18 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time;
 
+use tokio::sync::watch;
+
 use crate::coordination::{coordinator, node, store};
 use crate::protocol::{peer, record as wire};
 use crate::state::{clock, ids, record, timing};
 
-/// Interval at which expired promises are looked for.
+/// Shortest interval at which expired promises are looked for.
 const TICK: time::Duration = time::Duration::from_millis(25);
 
+/// Longest interval; a promise that is given meanwhile ends later than the one waited for.
+const IDLE: time::Duration = time::Duration::from_secs(1);
+
 /// Pause before an unresolved claim is sent again.
 const CLAIM_PAUSE: time::Duration = time::Duration::from_millis(200);
 
@@ -104,6 +109,13 @@
         true
     }
 
+    /// Returns when the first of these partitions may become due.
+    fn next(&self, own: &[Arc<record::PartitionRecord>]) -> Option<clock::Instant> {
+        let duties = self.lock();
+        let duties = own.iter().filter_map(|r| duties.get(&r.id));
+        duties.map(|d| d.until.max(d.next)).min()
+    }
+
     fn finish(&self, id: &ids::PartitionId, pause: time::Duration) {
         if let Some(duty) = self.lock().get_mut(id) {
             duty.busy = false;
@@ -150,15 +162,32 @@
 
 /// Claims partitions whose coordinator is lost.
 pub async fn run(node: Arc<node::Node>) {
-    let mut tick = tokio::time::interval(TICK);
-    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut changes = node.records.changes();
+    loop {
+        changes.borrow_and_update();
+        let mut own = node.records.all();
+        own.retain(|r| r.standbys.contains(&node.me));
+        watch_over(&node, &own, &mut changes).await;
+    }
+}
+
+/// Attempts claims that are due until a record changes.
+async fn watch_over(
+    node: &Arc<node::Node>,
+    own: &[Arc<record::PartitionRecord>],
+    changes: &mut watch::Receiver<u64>,
+) {
     loop {
-        tick.tick().await;
-        for record in node.records.all() {
-            if record.standbys.contains(&node.me) && node.standby.due(&record.id) {
-                tokio::spawn(attempt(Arc::clone(&node), record));
+        for record in own {
+            if node.standby.due(&record.id) {
+                tokio::spawn(attempt(Arc::clone(node), Arc::clone(record)));
             }
         }
+        let next = node.standby.next(own);
+        let wait = next.map_or(IDLE, |at| at.left().clamp(TICK, IDLE));
+        if tokio::time::timeout(wait, changes.changed()).await.is_ok() {
+            return;
+        }
     }
 }
 
