Bound the bytes of all bodies in progress

Change: 256 MiB for all bodies, then 503; queued requests start when there is room. Conclusion: memory of the entry is bounded; the bound itself has no test.

--- a/src/coordination/gate/queue.rs
+++ b/src/coordination/gate/queue.rs
@@ -105,6 +105,8 @@
                 return Err(state.refusal(now));
             }
             state.waiting.insert(rank, grant);
+            // The limit may have grown since the last slot was returned.
+            state.advance(&self.shared, now);
         }
         drop(state);
         Ok(Place {
--- a/src/transport/entry.rs
+++ b/src/transport/entry.rs
@@ -39,6 +39,9 @@
 /// Requests in progress from arrival to the end of the response.
 const MAX_IN_PROGRESS: usize = 8192;
 
+/// Bytes of the bodies of all requests in progress.
+const MAX_BODY_BYTES: usize = 256 << 20;
+
 /// Time without a byte after which a caller's connection is closed.
 const SOCKET_LIMIT: time::Duration = time::Duration::from_secs(20);
 
@@ -73,6 +76,7 @@
 /// Sends the response to one request.
 pub struct Responder {
     request: Option<Request>,
+    reserved: usize,
     entry: Arc<Shared>,
 }
 
@@ -85,12 +89,20 @@
 struct Shared {
     requests: channel::Sender<Incoming>,
     bodies: channel::Sender<Request>,
-    responses: channel::Sender<(Request, caller::Response)>,
-    refusals: channel::Sender<(Request, caller::Response)>,
+    responses: channel::Sender<Reply>,
+    refusals: channel::Sender<Reply>,
     in_progress: AtomicUsize,
+    body_bytes: AtomicUsize,
     refused: Refused,
 }
 
+/// Response on its way to a writer.
+struct Reply {
+    request: Request,
+    response: caller::Response,
+    reserved: usize,
+}
+
 /// Is told the reason of each request that is refused before it reaches the node.
 pub type Refused = Box<dyn Fn(&'static str) + Send + Sync>;
 
@@ -122,6 +134,7 @@
         responses,
         refusals,
         in_progress: AtomicUsize::new(0),
+        body_bytes: AtomicUsize::new(0),
         refused,
     });
     for _ in 0..READERS {
@@ -238,23 +251,31 @@
 
     fn read(self: &Arc<Self>, mut request: Request) {
         let declared = request.body_length();
-        let mut body = Vec::with_capacity(declared.unwrap_or_default().min(caller::MAX_BODY));
-        let limit = u64::try_from(caller::MAX_BODY + 1).unwrap_or(u64::MAX);
-        let read = request.as_reader().take(limit).read_to_end(&mut body);
-        if body.len() > caller::MAX_BODY {
-            return self.refuse(request, "body-too-large", 413);
+        let reserved = match declared {
+            None if has_header(&request, "transfer-encoding") => caller::MAX_BODY,
+            length => length.unwrap_or_default(),
+        };
+        let before = self.body_bytes.fetch_add(reserved, Ordering::Relaxed);
+        if before + reserved > MAX_BODY_BYTES {
+            self.body_bytes.fetch_sub(reserved, Ordering::Relaxed);
+            return self.refuse(request, "too-many-bodies", 503);
         }
-        if read.is_err() || declared.is_some_and(|n| n != body.len()) {
-            return self.refuse(request, "body-truncated", 400);
+        match read_body(&mut request, declared) {
+            Ok(parsed) => self.pass(request, parsed, reserved),
+            Err((reason, status)) => {
+                self.body_bytes.fetch_sub(reserved, Ordering::Relaxed);
+                self.refuse(request, reason, status);
+            }
         }
-        let Some(parsed) = parse(&request, body) else {
-            return self.refuse(request, "request-malformed", 400);
-        };
+    }
+
+    fn pass(self: &Arc<Self>, request: Request, parsed: caller::Request, reserved: usize) {
         let incoming = Incoming {
             request: parsed,
             arrived: time::Instant::now(),
             responder: Responder {
                 request: Some(request),
+                reserved,
                 entry: Arc::clone(self),
             },
         };
@@ -278,17 +299,39 @@
         } else {
             &self.responses
         };
-        drop(queue.send((request, response)));
+        drop(queue.send(Reply {
+            request,
+            response,
+            reserved: 0,
+        }));
     }
 
-    fn write(&self, queue: &channel::Receiver<(Request, caller::Response)>) {
-        for (request, response) in queue {
-            respond(request, response);
+    fn write(&self, queue: &channel::Receiver<Reply>) {
+        for reply in queue {
+            respond(reply.request, reply.response);
             self.in_progress.fetch_sub(1, Ordering::Relaxed);
+            self.body_bytes.fetch_sub(reply.reserved, Ordering::Relaxed);
         }
     }
 }
 
+/// Reads the body and returns the whole request, or why it is refused.
+fn read_body(
+    request: &mut Request,
+    declared: Option<usize>,
+) -> Result<caller::Request, (&'static str, u16)> {
+    let mut body = Vec::with_capacity(declared.unwrap_or_default().min(caller::MAX_BODY));
+    let limit = u64::try_from(caller::MAX_BODY + 1).unwrap_or(u64::MAX);
+    let read = request.as_reader().take(limit).read_to_end(&mut body);
+    if body.len() > caller::MAX_BODY {
+        return Err(("body-too-large", 413));
+    }
+    if read.is_err() || declared.is_some_and(|n| n != body.len()) {
+        return Err(("body-truncated", 400));
+    }
+    parse(request, body).ok_or(("request-malformed", 400))
+}
+
 /// Checks what the library accepts although it is malformed.
 fn check(request: &Request) -> Result<(), caller::Invalid> {
     let count = |name: &str| {
@@ -349,7 +392,11 @@
     /// Passes the response to a writer thread.
     pub fn send(mut self, response: caller::Response) {
         if let Some(request) = self.request.take() {
-            drop(self.entry.responses.send((request, response)));
+            drop(self.entry.responses.send(Reply {
+                request,
+                response,
+                reserved: self.reserved,
+            }));
         }
     }
 }
@@ -358,6 +405,8 @@
     /// Answers a request whose task ended without a response.
     fn drop(&mut self) {
         if let Some(request) = self.request.take() {
+            let bytes = &self.entry.body_bytes;
+            bytes.fetch_sub(self.reserved, Ordering::Relaxed);
             self.entry.refuse(request, "internal-error", 500);
         }
     }
--- a/tests/requests/wire.rs
+++ b/tests/requests/wire.rs
@@ -115,6 +115,19 @@
     malformed_deadline_is_refused: with_body("filbert-deadline-ms: soon", 0) => "400" "deadline-malformed";
 }
 
+/// Guards against threads that end one by one with each body that is too large to be discarded.
+#[test]
+fn absurd_lengths_are_refused_again_and_again() {
+    let (host, _fake) = owner();
+    for _ in 0..10 {
+        let answer = raw(
+            host.caller,
+            &with_body("content-length: 18446744073709551615", 10),
+        );
+        assert!(answer.contains("body-too-large"), "{answer:?}");
+    }
+}
+
 /// Guards against a caller that is told "not run" without a time to come back, or a time rounded
 /// down to one at which it is refused again.
 #[test]
