Announce again in the tests of the request path

Change: the tests' backend servers announce themselves again and again; deadlines that are not the subject of a test are 1.5 s.

--- a/tests/requests/host.rs
+++ b/tests/requests/host.rs
@@ -1,13 +1,13 @@
 //! Nodes of these tests, with records and leases set by the test instead of a coordinator.
 
 use std::collections::HashMap;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::{net, time};
 
 use filbertflow::coordination::{backend, membership, node, router, service};
 use filbertflow::protocol::backend::Announcement;
-use filbertflow::state::{clock, ids, record, settings};
+use filbertflow::state::{clock, ids, record, settings, timing};
 use filbertflow::transport::{counted, peer_server};
 use tokio::runtime;
 
@@ -46,6 +46,7 @@
 pub struct Host {
     pub node: Arc<node::Node>,
     pub caller: net::SocketAddr,
+    announced: Arc<Mutex<Option<Announcement>>>,
     runtime: Option<runtime::Runtime>,
 }
 
@@ -80,9 +81,12 @@
         runtime.spawn(backend::run(Arc::clone(&node)));
         runtime.spawn(membership::run(Arc::clone(&node)));
         let caller = runtime.block_on(async { router::start(&node) }).unwrap();
+        let announced = Arc::default();
+        runtime.spawn(announce(Arc::clone(&node), Arc::clone(&announced)));
         Self {
             node,
             caller,
+            announced,
             runtime: Some(runtime),
         }
     }
@@ -94,11 +98,17 @@
         }
     }
 
-    /// Announces a backend server of this node.
+    /// Announces a backend server of this node, again and again.
     pub fn announce(&self, service: &str, addr: net::SocketAddr, slots: u32) {
-        self.node
-            .backend
-            .announce(announcement(service, addr, slots));
+        self.change(Some(announcement(service, addr, slots)));
+    }
+
+    /// Lets the backend server announce something else from now on, or nothing.
+    pub fn change(&self, new: Option<Announcement>) {
+        self.announced.lock().unwrap().clone_from(&new);
+        if let Some(new) = new {
+            self.node.backend.announce(new);
+        }
     }
 
     /// Takes a record in which a node owns everything; the owner also gets a lease.
@@ -126,6 +136,17 @@
     }
 }
 
+async fn announce(node: Arc<node::Node>, announced: Arc<Mutex<Option<Announcement>>>) {
+    let mut tick = tokio::time::interval(timing::ANNOUNCEMENT);
+    loop {
+        tick.tick().await;
+        let current = announced.lock().unwrap().clone();
+        if let Some(current) = current {
+            node.backend.announce(current);
+        }
+    }
+}
+
 impl Drop for Host {
     fn drop(&mut self) {
         self.kill();
--- a/tests/requests/limits.rs
+++ b/tests/requests/limits.rs
@@ -112,7 +112,7 @@
     let host = Host::start();
     host.announce("walks", host::free_addr(), 4);
     host.learn("walks", Some(host.node.me), 1);
-    let headers = [("filbert-deadline-ms", "200")];
+    let headers = [("filbert-deadline-ms", "1500")];
     let got = call("POST", &host.url("/walks/k"), &headers, "");
     assert_eq!(got.outcome(), "not-run unreachable");
     assert!(!host.node.backend.state().unwrap().1.up);
@@ -123,10 +123,11 @@
 fn silent_server_is_withdrawn() {
     let fake = Fake::start(|_| Act::Answer(200, String::new()));
     let host = owner(&fake, 4);
+    host.change(None);
     eventually("the server is withdrawn", || {
         !host.node.backend.state().unwrap().1.up
     });
-    let headers = [("filbert-deadline-ms", "100")];
+    let headers = [("filbert-deadline-ms", "1500")];
     let got = call("POST", &host.url("/walks/k"), &headers, "");
     assert_eq!(got.outcome(), "not-run unreachable");
     host.announce("walks", fake.addr, 4);
@@ -179,10 +180,10 @@
 fn connections_bound_the_requests_in_flight() {
     let fake = Fake::start(|_| Act::Hold);
     let host = Host::start();
-    host.node.backend.announce(Announcement {
+    host.change(Some(Announcement {
         connections: 5,
         ..host::announcement("walks", fake.addr, 4)
-    });
+    }));
     host.learn("walks", Some(host.node.me), 1);
     let first = start("POST", host.url("/walks/a"), Vec::new());
     let second = start("POST", host.url("/walks/b"), Vec::new());
@@ -200,25 +201,20 @@
 fn draining_server_gets_no_work_after_a_time() {
     let fake = Fake::start(|_| Act::Answer(200, String::new()));
     let host = owner(&fake, 4);
-    let drain = || {
-        host.node.backend.announce(Announcement {
-            draining: true,
-            ..host::announcement("walks", fake.addr, 4)
-        });
-    };
     let started = time::Instant::now();
-    drain();
+    host.change(Some(Announcement {
+        draining: true,
+        ..host::announcement("walks", fake.addr, 4)
+    }));
     let first = call("POST", &host.url("/walks/k"), &[], "");
     assert_eq!(first.outcome(), "answered", "its slices have not moved yet");
     eventually("new work is refused", || {
-        drain();
         let headers = [("filbert-deadline-ms", "200")];
         let got = call("POST", &host.url("/walks/k"), &headers, "");
         got.outcome() == "not-run draining"
     });
     assert!(started.elapsed() > time::Duration::from_secs(1));
     let seen = fake.seen().len();
-    drain();
     let headers = [("filbert-deadline-ms", "200")];
     call("POST", &host.url("/walks/k"), &headers, "");
     assert_eq!(fake.seen().len(), seen);
--- a/tests/requests/outcomes.rs
+++ b/tests/requests/outcomes.rs
@@ -134,7 +134,7 @@
 fn own_id_without_owner_is_unknown() {
     let host = Host::start();
     let id = ids::RequestId::create().to_string();
-    let headers = [("filbert-id", id.as_str()), ("filbert-deadline-ms", "100")];
+    let headers = [("filbert-id", id.as_str()), ("filbert-deadline-ms", "1500")];
     let got = call("POST", &host.url("/walks/k"), &headers, "");
     assert_eq!(got.outcome(), "unknown owner-lost");
 }
--- a/tests/requests/routing.rs
+++ b/tests/requests/routing.rs
@@ -89,7 +89,7 @@
         ..owner.node.me
     };
     entry.learn("walks", Some(earlier), 1);
-    let headers = [("filbert-deadline-ms", "100")];
+    let headers = [("filbert-deadline-ms", "1500")];
     let got = call("POST", &entry.url("/walks/k"), &headers, "");
     assert_eq!(got.outcome(), "not-run incarnation");
     assert!(fake.seen().is_empty());
@@ -188,7 +188,7 @@
     host.announce("desk", fake.addr, 4);
     let got = call("GET", &host.url("/desk/hours"), &[], "");
     assert_eq!(got.outcome(), "answered");
-    let headers = [("filbert-deadline-ms", "100")];
+    let headers = [("filbert-deadline-ms", "1500")];
     let got = call("POST", &host.url("/desk/mail"), &headers, "");
     assert_eq!(got.outcome(), "not-run no-owner");
     assert_eq!(fake.seen().len(), 1);
--- a/tests/requests/wire.rs
+++ b/tests/requests/wire.rs
@@ -136,7 +136,7 @@
     let got = call(
         "POST",
         &host.url("/walks/k"),
-        &[("filbert-deadline-ms", "200")],
+        &[("filbert-deadline-ms", "1500")],
         "",
     );
     assert_eq!(got.status, 503);
