Bound the wait of a new connection to the caller address

Change: the entry holds a waker; tests/listener.rs tries new listeners with idle connections. Conclusion: a caller waits at most one interval of the waker for the library.

--- a/src/transport/entry.rs
+++ b/src/transport/entry.rs
@@ -20,6 +20,7 @@
 use ureq::http;
 
 use crate::protocol::caller;
+use crate::transport::wake;
 
 /// Threads that take requests from the library.
 const ACCEPTORS: usize = 2;
@@ -139,7 +140,9 @@
         spawn("caller-refuse", move || shared.write(&queue))?;
     }
     let server = serve(&listener, &shared)?;
+    let waker = wake::Waker::start(addr)?;
     spawn("caller-listen", move || {
+        let _waker = waker;
         supervise(&listener, &shared, server);
     })?;
     Ok(Entry {
--- /dev/null
+++ b/tests/listener.rs
@@ -0,0 +1,70 @@
+//! Listeners for callers and operators under connections that stay idle.
+
+#![expect(clippy::unwrap_used, reason = "a failed step ends the test")]
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+use filbertflow::transport::{admin, entry};
+
+/// Listeners that are tried; the library's fault needs connections that arrive while one of the
+/// few threads of a new listener wakes up, which happens in about half of the tries.
+const ROUNDS: u8 = 8;
+
+/// Idle connections of a round; more than the threads that the library keeps.
+const IDLE: usize = 8;
+
+/// Time after which a request counts as stuck; a connection that waits for an idle one never ends.
+const PATIENCE: Duration = Duration::from_secs(4);
+
+fn free_addr(host: u8) -> SocketAddr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, 64 + high % 64, low, host);
+    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
+}
+
+/// Sends a request behind idle connections and returns whether it was answered.
+fn is_answered(addr: SocketAddr) -> bool {
+    let idle: Vec<_> = (0..IDLE)
+        .map(|_| TcpStream::connect(addr).unwrap())
+        .collect();
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let request = b"GET /a HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    stream.write_all(request).unwrap();
+    let answered = stream.read(&mut [0; 16]).is_ok_and(|n| n > 0);
+    drop(idle);
+    answered
+}
+
+macro_rules! listeners {
+    ($($name:ident: $start:expr;)*) => {$(
+        /// Guards against a request that waits until other, idle connections are closed.
+        #[test]
+        fn $name() {
+            let stuck = (0..ROUNDS).filter(|i| !is_answered($start(*i))).count();
+            assert_eq!(stuck, 0, "of {ROUNDS}");
+        }
+    )*};
+}
+
+fn start_entry(i: u8) -> SocketAddr {
+    let started = entry::start(free_addr(1 + i), Box::new(|_| {})).unwrap();
+    // A request that is dropped is answered as not run.
+    std::thread::spawn(move || started.requests.iter().for_each(drop));
+    started.addr
+}
+
+fn start_admin(i: u8) -> SocketAddr {
+    let addr = free_addr(101 + i);
+    let server = admin::Server::start(addr, |_| admin::Answer::refused(404, "a")).unwrap();
+    // The listener runs until the process ends.
+    std::mem::forget(server);
+    addr
+}
+
+listeners! {
+    idle_connections_do_not_hold_up_callers: start_entry;
+    idle_connections_do_not_hold_up_operators: start_admin;
+}
