Measure slice load over ten seconds and register without a read

Cause: nodes reported rates since their last report, about a second, while balance plans assumed ten seconds; at 400 requests/s over 5 servers such rates scatter beyond the hysteresis (calculated, not measured). A split made the rest of a slice look hot until its old counts had gone. A registration read the entry before each write, and a write without an answer was not covered by a test. Change: the meter keeps a window of ten seconds and starts anew when slices are split or merged; load reports carry the measured time, from which plans derive what may be chance; splits are not merged back before the window is full. Registration begins with the compare-and-swap. The shape of the slice table has a module of its own. Conclusion: the effect on a running mesh is not measured.

--- a/src/cmd/replay.rs
+++ b/src/cmd/replay.rs
@@ -192,6 +192,7 @@
             let slices = record.slices.iter().zip(counts);
             let held = slices.filter(|(s, _)| s.owner == Some(server.node));
             let rate = |count: u32| f64::from(count) / scenario::STEP_SECONDS as f64;
+            server.load.seconds = scenario::STEP_SECONDS as f64;
             server.load.slices = held.map(|(s, c)| (s.start, rate(*c))).collect();
             let sketch = self.sketches.get(&server.node);
             server.load.hot = sketch.map_or_else(Vec::new, |s| s.top(REPORTED_KEYS, now));
--- a/src/coordination/balance.rs
+++ b/src/coordination/balance.rs
@@ -9,18 +9,14 @@
 //! slice as a whole. Splits come without optional moves, since the load of the parts is measured
 //! only after the split. Cold neighbours are merged when nothing else is to be done.
 
+mod shape;
+
 use std::collections::{BTreeMap, HashSet};
 
 use crate::coordination::{packing, placement, weight};
 use crate::protocol::peer;
 use crate::state::{document, ids, record};
 
-/// Share of the mean load of a server from which a key gets a slice of its own.
-const HOT: f64 = 0.1;
-
-/// Share of the mean load of a server below which a key is no longer kept apart.
-const COOL: f64 = 0.03;
-
 /// Share of its fair part below which a server is filled even if no other is overloaded.
 const UNDERUSED: f64 = 0.75;
 
@@ -43,15 +39,6 @@
 /// because each move interrupts its requests for a moment.
 const LEAST_CHURN: f64 = 0.05;
 
-/// Share of the width of a slice below which it counts as a single key.
-const SINGLE: f64 = 1e-6;
-
-/// Keys split off by one plan.
-const MAX_SPLITS: usize = 8;
-
-/// Slices of a partition, so that its record stays far below the platform's limit of 1 MB.
-const MAX_SLICES: usize = 2048;
-
 /// What a plan depends on.
 #[derive(Debug, Clone)]
 pub struct Input<'a> {
@@ -158,10 +145,11 @@
     }
     let budget = state.budget_left(&plan.moves);
     plan.moves.extend(state.rebalance(budget));
-    if plan.moves.is_empty() {
-        plan.merges = state.merges();
+    if !plan.moves.is_empty() || !state.packing.is_settled() {
+        return plan;
     }
-    if plan.moves.is_empty() && plan.merges.is_empty() {
+    plan.merges = state.merges();
+    if plan.merges.is_empty() {
         plan.moves = state.returns(budget);
     }
     plan
@@ -216,6 +204,17 @@
     Under(usize),
 }
 
+/// Levels in relation to the fair part that start a move.
+#[derive(Debug, Clone, Copy)]
+struct Limits {
+    /// Most load.
+    load: f64,
+    /// Most keys.
+    keys: f64,
+    /// Least load or keys.
+    fill: f64,
+}
+
 struct State<'a> {
     input: &'a Input<'a>,
     items: Vec<Item>,
@@ -276,45 +275,27 @@
         moves
     }
 
-    /// Finds hot keys that share their slice with others.
-    fn splits(&self) -> Vec<ids::KeyHash> {
-        let record = self.input.record;
-        let mut cuts = Vec::new();
-        let mut hot = self.keys_above(HOT);
-        hot.truncate(MAX_SPLITS);
-        for key in hot {
-            let index = record.index_of(key);
-            if !self.is_settled(index) {
-                continue;
-            }
-            if record.slices[index].start != key {
-                cuts.push(key);
-            }
-            if record.end_of(index) != key {
-                cuts.push(ids::KeyHash(key.0 + 1));
-            }
-        }
-        cuts.sort_unstable();
-        cuts.dedup();
-        let room = MAX_SLICES.saturating_sub(record.slices.len());
-        cuts.truncate(room);
-        cuts
-    }
-
     /// Moves slices away from servers with too much and to servers with too little.
     fn rebalance(&mut self, mut budget: f64) -> Vec<Move> {
         let mut moves = Vec::new();
         let tolerated = self.hysteresis.max(self.packing.noise());
-        let mut over = 1.0 + tolerated;
-        let mut under = UNDERUSED;
-        while let Some(cause) = self.cause(over, under) {
+        let mut limits = Limits {
+            load: 1.0 + tolerated,
+            keys: 1.0 + self.hysteresis + KEY_EXCESS,
+            fill: UNDERUSED,
+        };
+        while let Some(cause) = self.cause(limits) {
             let Some((i, to)) = self.best_move(cause, budget) else {
-                break;
+                match cause {
+                    Cause::Under(_) => limits.fill = 0.0,
+                    Cause::Over(_) => break,
+                }
+                continue;
             };
             // Once begun, moves go on past the limit, so that they don't start again soon.
             match cause {
-                Cause::Over(_) => over = 1.0 + tolerated / 2.0,
-                Cause::Under(_) => under = (1.0 - tolerated).max(FILLED),
+                Cause::Over(_) => limits.load = 1.0 + tolerated / 2.0,
+                Cause::Under(_) => limits.fill = (1.0 - tolerated).max(FILLED),
             }
             budget -= self.items[i].churn;
             self.items[i].free = false;
@@ -324,18 +305,22 @@
     }
 
     /// Returns the server that deviates most, if one exceeds the limits.
-    fn cause(&self, over: f64, under: f64) -> Option<Cause> {
-        let excess = |i: &usize| {
-            let level = self.packing.level(*i);
-            (level.load - over).max(level.keys - over - KEY_EXCESS)
+    fn cause(&self, limits: Limits) -> Option<Cause> {
+        let excess = |i: usize| {
+            let level = self.packing.level(i);
+            (level.load - limits.load).max(level.keys - limits.keys)
+        };
+        // A server with few keys can be loaded all the same, and one with little load by chance.
+        let fill = |i: usize| {
+            let level = self.packing.level(i);
+            level.load.max(level.keys)
         };
-        let size = |i: &usize| self.packing.size(self.packing.level(*i));
-        let order = |f: &dyn Fn(&usize) -> f64, a: &usize, b: &usize| f(a).total_cmp(&f(b));
-        let most = self.packing.takers().max_by(|a, b| order(&excess, a, b))?;
-        let least = self.packing.takers().min_by(|a, b| order(&size, a, b))?;
-        if size(&least) < under {
+        let takers = || self.packing.takers();
+        let least = takers().min_by(|a, b| fill(*a).total_cmp(&fill(*b)))?;
+        let most = takers().max_by(|a, b| excess(*a).total_cmp(&excess(*b)))?;
+        if fill(least) < limits.fill {
             Some(Cause::Under(least))
-        } else if excess(&most) > 0.0 {
+        } else if excess(most) > 0.0 {
             Some(Cause::Over(most))
         } else {
             None
@@ -366,88 +351,6 @@
         best
     }
 
-    /// Finds neighbours that one owner holds and that are cold enough to be one slice again.
-    fn merges(&self) -> Vec<ids::KeyHash> {
-        let record = self.input.record;
-        let mut excess = self.excess();
-        let hot = self.warm_slices();
-        let limit = self.base_width();
-        // Rounding of widths must not keep the parts of a slice apart.
-        let limit = limit * (1.0 + 1e-9);
-        let mut starts = Vec::new();
-        let mut joined = 0.0;
-        for i in 1..record.slices.len() {
-            let whole = if joined > 0.0 {
-                joined
-            } else {
-                weight::width(record, i - 1)
-            };
-            let both = whole + weight::width(record, i);
-            let same = record.slices[i].owner == record.slices[i - 1].owner;
-            let settled = self.is_settled(i) && self.is_settled(i - 1);
-            let cold = !hot.contains(&i) && !hot.contains(&(i - 1));
-            if excess > 0 && same && settled && cold && both <= limit {
-                starts.push(record.slices[i].start);
-                joined = both;
-                excess -= 1;
-            } else {
-                joined = 0.0;
-            }
-        }
-        starts
-    }
-
-    /// Moves single keys that are no longer hot to the owner of both neighbours, so that they can be
-    /// merged; without it, each key that was ever hot would stay in the record.
-    fn returns(&mut self, mut budget: f64) -> Vec<Move> {
-        let warm = self.warm_slices();
-        let record = self.input.record;
-        let most = self.excess();
-        let mut moves = Vec::new();
-        for i in 1..record.slices.len().saturating_sub(1) {
-            let (before, after) = (self.items[i - 1].holder, self.items[i + 1].holder);
-            let apart = before == after && before != self.items[i].holder;
-            let single = weight::width(record, i) < self.base_width() * SINGLE;
-            let settled = (i - 1..=i + 1).all(|n| self.is_settled(n)) && self.items[i].free;
-            let allowed = moves.len() < most && self.items[i].churn <= budget;
-            if allowed && apart && single && settled && !warm.contains(&i) {
-                budget -= self.items[i].churn;
-                moves.extend(before.map(|to| self.place(i, to)));
-            }
-        }
-        moves
-    }
-
-    fn excess(&self) -> usize {
-        let base = usize::try_from(self.input.base_slices).unwrap_or(usize::MAX);
-        self.input.record.slices.len().saturating_sub(base)
-    }
-
-    fn base_width(&self) -> f64 {
-        1.0 / self.input.base_slices.max(1) as f64
-    }
-
-    fn warm_slices(&self) -> HashSet<usize> {
-        let keys = self.keys_above(COOL).into_iter();
-        keys.map(|key| self.input.record.index_of(key)).collect()
-    }
-
-    /// Returns the keys with at least this share of a server's mean load, the hottest first.
-    fn keys_above(&self, share: f64) -> Vec<ids::KeyHash> {
-        let total: f64 = weight::rates(self.input).iter().sum();
-        let servers = self.packing.takers().count();
-        let live = self.input.servers.iter().filter(|s| s.live);
-        let mut keys: Vec<_> = live.flat_map(|s| s.load.hot.iter().copied()).collect();
-        if servers == 0 || total < packing::NOISE_RATE {
-            return Vec::new();
-        }
-        keys.retain(|(_, rate)| *rate >= share * total / servers as f64);
-        keys.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
-        let mut seen = HashSet::new();
-        keys.retain(|(key, _)| seen.insert(*key));
-        keys.into_iter().map(|(key, _)| key).collect()
-    }
-
     /// Returns whether a slice stays with its present owner in this plan.
     fn is_settled(&self, index: usize) -> bool {
         let slice = &self.input.record.slices[index];
--- a/src/coordination/discovery.rs
+++ b/src/coordination/discovery.rs
@@ -18,6 +18,10 @@
 /// Longest pause; 16,000 nodes that wait for the service make at most 1,600 calls per second.
 const LONGEST_PAUSE: time::Duration = time::Duration::from_secs(10);
 
+/// Compare-and-swaps in one attempt: one that expects no entry, one that replaces that of an earlier
+/// start.
+const MAX_SWAPS: usize = 2;
+
 /// Registers this node and finds its first peers.
 pub async fn run(node: Arc<node::Node>) {
     let mut pause = FIRST_PAUSE;
@@ -42,20 +46,24 @@
 async fn register(node: &node::Node) -> Result<(), error::Error> {
     let entry = registration(node);
     let value = serde_json::to_string(&entry).map_err(protocol::Error::from)?;
-    let known = node.platform.get(&entry.key()).await?;
+    let key = entry.key();
     let mut expect = ids::ModRevision(0);
-    if let Some(known) = known {
-        let written = serde_json::from_str::<member::Registration>(&known.value);
+    for _ in 0..MAX_SWAPS {
+        let swap = node.platform.swap(&key, value.clone(), expect).await?;
+        let known = match swap {
+            platform::Swap::Done(_) => return Ok(()),
+            platform::Swap::Conflict(known) => known,
+        };
+        let written = known
+            .as_ref()
+            .and_then(|k| serde_json::from_str::<member::Registration>(&k.value).ok());
         // An equal incarnation shows that an earlier write without an answer took effect.
-        if written.is_ok_and(|w| w.incarnation >= entry.incarnation) {
+        if written.is_some_and(|w| w.incarnation >= entry.incarnation) {
             return Ok(());
         }
-        expect = known.revision;
-    }
-    match node.platform.swap(&entry.key(), value, expect).await? {
-        platform::Swap::Done(_) => Ok(()),
-        platform::Swap::Conflict(_) => Err(error::Error::Conflict),
+        expect = known.map_or(ids::ModRevision(0), |k| k.revision);
     }
+    Err(error::Error::Conflict)
 }
 
 fn registration(node: &node::Node) -> member::Registration {
--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -16,7 +16,7 @@
 
 use crate::coordination::{backend, grants, load, node, outcomes};
 use crate::protocol::peer;
-use crate::state::{clock, ids};
+use crate::state::{clock, ids, record};
 use crate::transport::backend as http;
 
 /// Advice when to retry a request that met a change of owner, about the time of a planned move.
@@ -43,10 +43,10 @@
         self.workers.client()
     }
 
-    /// Returns the load since the last report.
+    /// Returns the load of the slices of a record.
     #[must_use]
-    pub fn load(&self) -> peer::Load {
-        self.load.report()
+    pub fn load(&self, record: &record::PartitionRecord) -> peer::Load {
+        self.load.report(record, clock::Instant::now())
     }
 
     /// Returns the number of requests that run or wait here.
--- a/src/coordination/gate/run.rs
+++ b/src/coordination/gate/run.rs
@@ -97,7 +97,8 @@
     slot: queue::Slot,
 ) -> peer::Outcome {
     if let (Some(ticket), Some(hash)) = (&ticket, req.hash) {
-        node.gate.load.count(ticket.slice(), hash);
+        let now = clock::Instant::now();
+        node.gate.load.count(ticket.slice(), hash, now);
     }
     let id = req.id;
     let call = request(server, req, ticket.as_deref());
--- a/src/coordination/load.rs
+++ b/src/coordination/load.rs
@@ -1,14 +1,20 @@
-//! Load of the slices that this node owns, reported with each renewal.
+//! Load of the slices that this node owns, reported with renewals.
+//!
+//! Rates are measured over the last ten seconds, because balance would follow chance otherwise. When
+//! slices were split or merged the measurement starts anew: earlier counts belong to other ranges.
 
-use std::collections::HashMap;
-use std::sync::{Mutex, PoisonError};
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time;
 
 use crate::protocol::peer;
-use crate::state::{clock, ids, sketch};
+use crate::state::{clock, ids, record, sketch};
 
-/// Shortest time over which a rate is computed; shorter ones scatter too much.
-const MIN_INTERVAL: time::Duration = time::Duration::from_millis(200);
+/// Time over which rates are measured.
+const WINDOW: time::Duration = time::Duration::from_secs(10);
+
+/// Part of the window that is dropped at once.
+const STEP: time::Duration = time::Duration::from_secs(1);
 
 /// Keys that are counted apart; a key with more than 1/256 of the requests is certainly among them.
 const KEYS: usize = 256;
@@ -19,7 +25,7 @@
 /// Hottest keys that are reported.
 const REPORTED: usize = 16;
 
-/// Requests since the last report.
+/// Requests in the window.
 #[derive(Debug)]
 pub struct Meter {
     state: Mutex<State>,
@@ -27,55 +33,110 @@
 
 #[derive(Debug)]
 struct State {
+    /// Starts of the slices that the counts refer to.
+    layout: Vec<ids::KeyHash>,
+    steps: VecDeque<Step>,
+    keys: sketch::Sketch,
+}
+
+#[derive(Debug)]
+struct Step {
     since: clock::Instant,
     slices: HashMap<ids::KeyHash, u64>,
-    keys: sketch::Sketch,
-    last: peer::Load,
 }
 
-impl Default for Meter {
-    fn default() -> Self {
-        let now = clock::Instant::now();
+impl Step {
+    fn new(since: clock::Instant) -> Self {
         Self {
-            state: Mutex::new(State {
-                since: now,
-                slices: HashMap::new(),
-                keys: sketch::Sketch::new(KEYS, HALF_LIFE, now),
-                last: peer::Load::default(),
-            }),
+            since,
+            slices: HashMap::new(),
         }
     }
 }
 
+impl Default for Meter {
+    fn default() -> Self {
+        Self::new(clock::Instant::now())
+    }
+}
+
 impl Meter {
+    /// Creates a meter that measures from now on.
+    #[must_use]
+    pub fn new(now: clock::Instant) -> Self {
+        let state = State {
+            layout: Vec::new(),
+            steps: VecDeque::from([Step::new(now)]),
+            keys: sketch::Sketch::new(KEYS, HALF_LIFE, now),
+        };
+        Self {
+            state: Mutex::new(state),
+        }
+    }
+
     /// Counts a request for a slice and its hash.
-    pub fn count(&self, slice: ids::KeyHash, hash: ids::KeyHash) {
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        *state.slices.entry(slice).or_default() += 1;
-        state.keys.add(hash, clock::Instant::now());
+    pub fn count(&self, slice: ids::KeyHash, hash: ids::KeyHash, now: clock::Instant) {
+        let mut state = self.lock();
+        state.advance(now);
+        if let Some(step) = state.steps.back_mut() {
+            *step.slices.entry(slice).or_default() += 1;
+        }
+        state.keys.add(hash, now);
     }
 
-    /// Returns the rates since the last report; repeats it if it is too recent.
+    /// Returns the rates of the slices of a record.
     #[must_use]
-    pub fn report(&self) -> peer::Load {
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        let now = clock::Instant::now();
-        let elapsed = now.since(state.since);
-        if elapsed < MIN_INTERVAL {
-            return state.last.clone();
+    pub fn report(&self, record: &record::PartitionRecord, now: clock::Instant) -> peer::Load {
+        let mut state = self.lock();
+        let starts = record.slices.iter().map(|s| s.start);
+        if !starts.clone().eq(state.layout.iter().copied()) {
+            state.layout = starts.collect();
+            state.steps = VecDeque::from([Step::new(now)]);
         }
-        let seconds = elapsed.as_secs_f64();
-        let counts = std::mem::take(&mut state.slices);
-        let slices: Vec<_> = counts
-            .into_iter()
-            .map(|(start, n)| (start, n as f64 / seconds))
-            .collect();
-        state.since = now;
-        state.last = peer::Load {
-            rate: slices.iter().map(|(_, rate)| rate).sum(),
-            slices,
-            hot: state.keys.top(REPORTED, now),
+        state.advance(now);
+        state.load(now)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Begins a new step when the last one is over, and drops those that have left the window.
+    fn advance(&mut self, now: clock::Instant) {
+        let last = self.steps.back().map(|s| s.since);
+        if last.is_none_or(|since| now.since(since) >= STEP) {
+            self.steps.push_back(Step::new(now));
+        }
+        while self
+            .steps
+            .get(1)
+            .is_some_and(|s| now.since(s.since) >= WINDOW)
+        {
+            self.steps.pop_front();
+        }
+    }
+
+    fn load(&self, now: clock::Instant) -> peer::Load {
+        let since = self.steps.front().map_or(now, |s| s.since);
+        let seconds = now.since(since).as_secs_f64();
+        let mut counts: HashMap<_, u64> = HashMap::new();
+        for (start, count) in self.steps.iter().flat_map(|s| &s.slices) {
+            *counts.entry(*start).or_default() += count;
+        }
+        let rate = |count: u64| {
+            if seconds > 0.0 {
+                count as f64 / seconds
+            } else {
+                0.0
+            }
         };
-        state.last.clone()
+        peer::Load {
+            seconds,
+            rate: rate(counts.values().sum()),
+            slices: counts.iter().map(|(s, n)| (*s, rate(*n))).collect(),
+            hot: self.keys.top(REPORTED, now),
+        }
     }
 }
--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -236,7 +236,7 @@
             draining: state.draining || node.owner.draining.load(Ordering::Relaxed),
             ..state
         },
-        load: node.owner.report_due(id).then(|| node.gate.load()),
+        load: node.owner.report_due(id).then(|| node.gate.load(&known)),
     };
     let sent = clock::Instant::now();
     let reply = match call(node, to, req).await {
--- a/src/coordination/packing.rs
+++ b/src/coordination/packing.rs
@@ -9,12 +9,12 @@
 /// Weight of load in the cost; the rest is the weight of keys, so that idle keys are spread too.
 const LOAD_WEIGHT: f64 = 0.9;
 
-/// Rate per server, in requests per second, at which load gets half of its full weight. Below it,
-/// the load of single slices is mostly chance.
-pub const NOISE_RATE: f64 = 20.0;
+/// Measured requests per server at which load gets half of its full weight. Below it, the load of
+/// single slices is mostly chance.
+const NOISE_REQUESTS: f64 = 200.0;
 
-/// Time over which the reported rates are averaged at least, for the estimate of their error.
-const WINDOW_SECONDS: f64 = 10.0;
+/// Time over which rates must be measured before hot and cold keys are told apart.
+const SETTLED_SECONDS: f64 = 10.0;
 
 /// Standard deviations of a server's rate that count as chance.
 const NOISE_DEVIATIONS: f64 = 3.0;
@@ -40,7 +40,8 @@
 pub struct Packing {
     bins: Vec<Bin>,
     load_weight: f64,
-    noise: f64,
+    requests: f64,
+    seconds: f64,
 }
 
 impl Packing {
@@ -56,11 +57,13 @@
             fair: if takes(s) { slots(s) / total } else { 0.0 },
             held: Part::default(),
         };
-        let rate = weight::rates(input).iter().sum::<f64>() / f64::max(count, 1.0);
+        let seconds = measured(input);
+        let requests = weight::rates(input).iter().sum::<f64>() * seconds / f64::max(count, 1.0);
         Self {
             bins: input.servers.iter().map(bin).collect(),
-            load_weight: LOAD_WEIGHT * rate / (rate + NOISE_RATE),
-            noise: NOISE_DEVIATIONS / (rate * WINDOW_SECONDS).max(1.0).sqrt(),
+            load_weight: LOAD_WEIGHT * requests / (requests + NOISE_REQUESTS),
+            requests,
+            seconds,
         }
     }
 
@@ -78,7 +81,19 @@
     /// Returns the deviation of a server's load from its fair part that may be chance.
     #[must_use]
     pub fn noise(&self) -> f64 {
-        self.noise
+        NOISE_DEVIATIONS / self.requests.max(f64::MIN_POSITIVE).sqrt()
+    }
+
+    /// Returns whether the load was measured for long enough to tell hot from cold keys.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.seconds >= SETTLED_SECONDS
+    }
+
+    /// Returns whether there were enough requests to tell hot from cold keys.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        self.requests >= NOISE_REQUESTS
     }
 
     /// Returns what a server holds in relation to its fair part.
@@ -141,3 +156,12 @@
             + (1.0 - self.load_weight) * rise(held.keys, part.keys)
     }
 }
+
+/// Returns the time over which all live servers have measured their load, in seconds.
+///
+/// A server that has not reported yet, such as one that joins, has no slices to measure.
+fn measured(input: &balance::Input<'_>) -> f64 {
+    let live = input.servers.iter().filter(|s| s.live);
+    let seconds = live.map(|s| s.load.seconds).filter(|s| *s > 0.0);
+    seconds.reduce(f64::min).unwrap_or_default()
+}
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -232,7 +232,9 @@
 /// Load report.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Load {
-    /// Requests per second over the last second.
+    /// Time over which the rates were measured, in seconds; 0 if they were not.
+    pub seconds: f64,
+    /// Requests per second.
     pub rate: f64,
     /// Rate of each slice: start and requests per second.
     pub slices: Vec<(ids::KeyHash, f64)>,
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -59,6 +59,7 @@
         let rates: Vec<_> = self.record.slices.iter().map(|s| s.start).collect();
         let rates = rates.iter().enumerate().map(|(i, s)| (*s, rate(i)));
         self.servers[0].load.slices = rates.collect();
+        self.servers[0].load.seconds = 10.0;
     }
 
     /// Returns the share of load of a server in relation to the mean of all that take slices.
@@ -167,6 +168,7 @@
             let rates: Vec<_> = rates.copied().collect();
             let rates = rates.iter().map(|h| (*h, f64::from(u8::arbitrary(g))));
             s.load.slices = rates.collect();
+            s.load.seconds = f64::from(u8::arbitrary(g) % 12);
             if bool::arbitrary(g) {
                 let key = ids::KeyHash(u64::arbitrary(g));
                 s.load.hot = vec![(key, f64::from(u16::arbitrary(g)))];
@@ -347,3 +349,42 @@
     case.weights.churn = 4.0;
     assert!(balance::plan(&case.input()).moves.is_empty());
 }
+
+/// Guards against moves that follow the chance of a short measurement.
+#[test]
+fn short_measurement_moves_nothing() {
+    let mut case = dealt(4, 64);
+    case.set_rates(|i| if i % 4 == 0 { 2.0 } else { 1.0 });
+    case.servers[0].load.seconds = 0.25;
+    assert_eq!(balance::plan(&case.input()), balance::Plan::default());
+    case.servers[0].load.seconds = 60.0;
+    assert!(!balance::plan(&case.input()).moves.is_empty());
+}
+
+/// Guards against a hot key that is merged again before its rate is known.
+#[test]
+fn split_is_kept_until_the_load_is_measured_again() {
+    let mut case = dealt(4, 64);
+    let key = ids::KeyHash(case.record.slices[9].start.0 + (1 << 56));
+    case.set_rates(|i| if i == 9 { 2000.0 } else { 10.0 });
+    case.servers[1].load.hot = vec![(key, 1990.0)];
+    let plan = balance::plan(&case.input());
+    case.apply(&plan);
+    case.set_rates(|_| 0.0);
+    case.servers[0].load.seconds = 1.0;
+    assert_eq!(balance::plan(&case.input()), balance::Plan::default());
+}
+
+/// Guards against a joining server that gets nothing because it has not measured any load.
+#[test]
+fn joining_server_without_a_report_is_filled() {
+    let mut case = dealt(4, 64);
+    case.set_rates(|_| 100.0);
+    case.servers.push(server(4));
+    let plan = balance::plan(&case.input());
+    assert!(
+        (10..=13).contains(&plan.moves.len()),
+        "{}",
+        plan.moves.len()
+    );
+}
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -2,6 +2,10 @@
 
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+#[path = "ownership/fake.rs"]
+#[expect(dead_code, reason = "this test needs a part of the fake")]
+mod fake;
+
 use std::sync::Arc;
 use std::{net, thread, time};
 
@@ -21,6 +25,14 @@
 
 impl Running {
     fn start(addr: net::SocketAddr, peers: Vec<ids::NodeAddr>) -> Self {
+        Self::with_platform(addr, peers, free_addr())
+    }
+
+    fn with_platform(
+        addr: net::SocketAddr,
+        peers: Vec<ids::NodeAddr>,
+        platform: net::SocketAddr,
+    ) -> Self {
         let runtime = runtime::Builder::new_multi_thread()
             .worker_threads(2)
             .enable_all()
@@ -34,7 +46,7 @@
             peer: ids::NodeAddr(addr),
             peer_listen: None,
             admin: nowhere,
-            platform: nowhere,
+            platform,
             peers,
         });
         let listener = runtime.block_on(peer_server::bind(addr)).unwrap();
@@ -156,3 +168,30 @@
         });
     }
 }
+
+/// Guards against nodes that need settings to find each other, and against a registration that is
+/// written again although an earlier write without an answer took effect.
+#[test]
+fn nodes_register_once_and_find_each_other_in_the_platform() {
+    let platform = fake::Fake::start();
+    platform.set(fake::Mode::LoseAnswers);
+    let start = || Running::with_platform(free_addr(), Vec::new(), platform.addr);
+    let nodes = [start()];
+    until("the first write took effect", || platform.writes() == 1);
+    platform.set(fake::Mode::Normal);
+    let nodes: Vec<_> = nodes.into_iter().chain([start(), start()]).collect();
+    until("all list 3", || nodes.iter().all(|n| n.lists(3)));
+    assert_eq!(platform.writes(), 3);
+}
+
+/// Guards against a restarted node that does not replace its entry, or an entry written twice.
+#[test]
+fn restarted_node_replaces_its_registration() {
+    let platform = fake::Fake::start();
+    let addr = free_addr();
+    for start in 1..=2 {
+        let mut node = Running::with_platform(addr, Vec::new(), platform.addr);
+        until("the node is registered", || platform.writes() == start);
+        node.kill();
+    }
+}
--- a/tests/ownership/lead.rs
+++ b/tests/ownership/lead.rs
@@ -344,6 +344,7 @@
     let mut led = lead::Led::new(node(ME), stored(balanced, HOLD), now);
     let mut loaded = renewal(A, true);
     loaded.load = Some(peer::Load {
+        seconds: 10.0,
         rate: 8000.0,
         slices: starts[..8].iter().map(|s| (*s, 1000.0)).collect(),
         hot: Vec::new(),
