--- a/tests/ownership/cluster.rs
+++ b/tests/ownership/cluster.rs
@@ -71,7 +71,10 @@
     }
 
     pub fn start_at(platform: SocketAddr, addr: SocketAddr, domain: &str) -> Self {
-        let settings = settings(platform, addr, domain);
+        Self::start_with(settings(platform, addr, domain))
+    }
+
+    pub fn start_with(settings: settings::Settings) -> Self {
         let backend: Announced = Arc::new(Mutex::new(Some((SERVICE.to_owned(), UP))));
         let (ready, started) = mpsc::channel();
         let (stop, stopped) = tokio::sync::oneshot::channel();
@@ -83,7 +86,9 @@
                 .unwrap();
             let handle = runtime.handle().clone();
             runtime.block_on(async move {
-                let listener = peer_server::bind(settings.peer.0).await.unwrap();
+                let listener = peer_server::bind(settings.peer_listen.unwrap_or(settings.peer.0))
+                    .await
+                    .unwrap();
                 let node = node::Node::new(settings);
                 spawn(&node, listener, announced);
                 ready.send((node, handle)).unwrap();
