Read before a write after a pause in contact with the platform's service

Cause: tests/ownership coordinator_without_standbys_and_platform_stops failed: standbys and owners paused and came back during an outage, but the coordinator had sent a write that reassigned their slices. It stayed unresolved until the end of the outage, and rule R10 rightly bars the owners that it takes slices from, so their keys were not served. A change of the lease timing was ruled out: authority came back with the standbys. Change: a write that has not been sent yet is preceded by a read if the last answer is older than 500 ms; without an answer the write is dropped.

--- a/src/coordination/coordinator.rs
+++ b/src/coordination/coordinator.rs
@@ -25,6 +25,11 @@
 /// Pause before an unresolved or failed write is sent again.
 const WRITE_PAUSE: time::Duration = time::Duration::from_millis(200);
 
+/// Age of the last answer of the platform's service after which a write is preceded by a read. A
+/// write that is sent into an outage stays unresolved until its end, and the owners that it takes
+/// slices from get no lease meanwhile, even if they come back.
+const REACHED: time::Duration = time::Duration::from_millis(500);
+
 /// Longest interval between reads that prove contact to the platform's service.
 const CONTACT: time::Duration = time::Duration::from_secs(2);
 
@@ -277,6 +282,7 @@
 
 async fn write_changes(node: Arc<node::Node>, id: ids::PartitionId, epoch: ids::Epoch) {
     let mut read_at = clock::Instant::now();
+    let mut reached = clock::Instant::default();
     let mut around = Surroundings::new(&node, &id);
     while continues(&node, &id, epoch) {
         let env = around.get(&node, &id);
@@ -289,10 +295,20 @@
         });
         let Some((pending, due)) = job else { return };
         match pending {
+            Some(pending) if !pending.ambiguous && now_since(reached) > REACHED => {
+                if refresh(&node, &id).await {
+                    reached = clock::Instant::now();
+                } else {
+                    drop_unsent(&node, &id);
+                    tokio::time::sleep(WRITE_PAUSE).await;
+                }
+            }
             Some(pending) => settle(&node, &id, &pending).await,
             None if due => {
                 read_at = clock::Instant::now();
-                refresh(&node, &id).await;
+                if refresh(&node, &id).await {
+                    reached = clock::Instant::now();
+                }
             }
             None => {
                 let woken = node.coordinator.wake.notified();
@@ -324,15 +340,21 @@
         }
         Err(e) => {
             tracing::warn!(event = 407, partition = %id, error = %e, "can't write the record");
-            node.coordinator.with(id, |led| {
-                led.pending.take_if(|p| !p.ambiguous);
-            });
+            drop_unsent(node, id);
             tokio::time::sleep(WRITE_PAUSE).await;
         }
     }
 }
 
-async fn refresh(node: &Arc<node::Node>, id: &ids::PartitionId) {
+/// Gives up a write that certainly had no effect; the owners that it barred may renew again.
+fn drop_unsent(node: &Arc<node::Node>, id: &ids::PartitionId) {
+    node.coordinator.with(id, |led| {
+        led.pending.take_if(|p| !p.ambiguous);
+    });
+}
+
+/// Reads the record again; returns whether the platform's service answered.
+async fn refresh(node: &Arc<node::Node>, id: &ids::PartitionId) -> bool {
     let sent = clock::Instant::now();
     match store::read(&node.platform, id).await {
         Ok(Some(stored)) => {
@@ -346,10 +368,15 @@
             if same == Some(false) {
                 adopt_other(node, id, stored, sent);
             }
+            true
+        }
+        Ok(None) => {
+            tracing::error!(event = 408, partition = %id, "the record is missing");
+            true
         }
-        Ok(None) => tracing::error!(event = 408, partition = %id, "the record is missing"),
         Err(e) => {
             tracing::debug!(event = 409, partition = %id, error = %e, "no contact to the platform's service");
+            false
         }
     }
 }
