Leave an owner as soon as its slice has another one

Change: an attempt ends 50 ms after the newest record names another owner; idempotent requests go on to it.

--- a/src/coordination/router/attempt.rs
+++ b/src/coordination/router/attempt.rs
@@ -4,8 +4,9 @@
 //! run". For a non-idempotent request with the caller's own identifier, an earlier call may have
 //! run it, and only an owner that has looked into its log can say that it did not.
 
+use std::pin::pin;
 use std::sync::Arc;
-use std::time;
+use std::{future, time};
 
 use rand::Rng;
 use tokio::sync::watch;
@@ -29,6 +30,10 @@
 /// Longest such pause.
 const MAX_PAUSE: time::Duration = time::Duration::from_millis(200);
 
+/// Time for which an answer is still awaited after another owner was named. Work at the backend
+/// server of the old owner ends with its lease, so that only an answer on its way is missing.
+const MOVED_GRACE: time::Duration = time::Duration::from_millis(50);
+
 /// Advice when to retry a request whose slice has no owner; about the time until an owner is
 /// found in the common cases.
 const OWNER_RETRY: time::Duration = time::Duration::from_millis(500);
@@ -185,7 +190,15 @@
 
     async fn attempt(&mut self, owner: ids::NodeRef) -> Next {
         let attempt = ids::AttemptId::create();
-        let sent = send::send(self.node, owner, self.req, attempt, self.cancel).await;
+        let sent = {
+            let mut exchange = pin!(self.exchange(owner, attempt));
+            tokio::select! {
+                sent = &mut exchange => sent,
+                () = self.moved(owner) => tokio::time::timeout(MOVED_GRACE, exchange)
+                    .await
+                    .unwrap_or(send::Sent::Lost),
+            }
+        };
         match sent {
             send::Sent::Outcome(outcome, _) => self.judge(outcome),
             send::Sent::Unsent => {
@@ -193,10 +206,28 @@
             }
             send::Sent::Cancelled(outcome) => Next::Done(self.cancelled(outcome)),
             send::Sent::Lost if self.req.idempotent => self.repeat(self.lost()),
-            send::Sent::Lost => match self.recover(owner, attempt).await {
-                Some(outcome) => self.judge(outcome),
-                None => Next::Done(peer::Outcome::Unknown(self.lost())),
-            },
+            send::Sent::Lost => Next::Done(peer::Outcome::Unknown(self.lost())),
+        }
+    }
+
+    /// Sends an attempt, and recovers the outcome of a non-idempotent one if no answer comes.
+    async fn exchange(&self, owner: ids::NodeRef, attempt: ids::AttemptId) -> send::Sent {
+        let sent = send::send(self.node, owner, self.req, attempt, self.cancel).await;
+        if self.req.idempotent || !matches!(sent, send::Sent::Lost) {
+            return sent;
+        }
+        let outcome = self.recover(owner, attempt).await;
+        outcome.map_or(send::Sent::Lost, |o| send::Sent::Outcome(o, None))
+    }
+
+    /// Waits until the newest record names another owner. An owner that releases a slice finishes
+    /// its requests first, so that one whose slice has moved under a request has lost its lease.
+    async fn moved(&self, owner: ids::NodeRef) {
+        let mut changes = self.node.records.changes();
+        while self.owner().is_none_or(|o| o == owner) {
+            if changes.changed().await.is_err() {
+                return future::pending().await;
+            }
         }
     }
 
--- a/tests/requests/host.rs
+++ b/tests/requests/host.rs
@@ -67,7 +67,6 @@
             peer_listen: None,
             admin: any,
             platform: free_addr(),
-            peer_listen: None,
             peers: Vec::new(),
         });
         node.config
--- a/tests/requests/routing.rs
+++ b/tests/requests/routing.rs
@@ -95,6 +95,25 @@
     assert!(fake.seen().is_empty());
 }
 
+/// Guards against a request that waits until its deadline for an owner that has lost its slice.
+#[test]
+fn request_leaves_an_owner_that_lost_its_slice() {
+    for (method, outcome) in [("GET", "answered"), ("POST", "unknown owner-lost")] {
+        let (stuck, fake) = (Fake::start(|_| Act::Hold), answering());
+        let (old, new) = (owner(&stuck), owner(&fake));
+        let entry = Host::start();
+        entry.learn("walks", Some(old.node.me), 1);
+        let waiting = start(method, entry.url("/walks/k"), Vec::new());
+        stuck.wait_for(1);
+        entry.learn("walks", Some(new.node.me), 2);
+        let got = waiting.join().unwrap();
+        assert_eq!(got.outcome(), outcome);
+        // The deadline of the route is 4 s.
+        assert!(got.elapsed < time::Duration::from_secs(4), "{got:?}");
+        stuck.release();
+    }
+}
+
 /// Connection between two nodes that can go silent; new connections work.
 struct Wire {
     addr: net::SocketAddr,
