--- a/tests/ownership/lead.rs
+++ b/tests/ownership/lead.rs
@@ -348,6 +348,7 @@
     loaded.report = Some(peer::Report {
         domain: "ie-east-a".to_owned(),
         load: peer::Load {
+            seconds: 10.0,
             rate: 8000.0,
             slices: starts[..8].iter().map(|s| (*s, 1000.0)).collect(),
             hot: Vec::new(),
