Test a peer that answers for another request

Cause: no test covered a misdelivered reply between nodes. Change: a peer of the tests replies with other identifiers. Conclusion: such replies are dropped and counted.

--- a/tests/requests/host.rs
+++ b/tests/requests/host.rs
@@ -98,6 +98,10 @@
         }
     }
 
+    pub fn spawn<F: Future<Output = ()> + Send + 'static>(&self, task: F) {
+        self.runtime.as_ref().unwrap().spawn(task);
+    }
+
     /// Announces a backend server of this node, again and again.
     pub fn announce(&self, service: &str, addr: net::SocketAddr, slots: u32) {
         self.change(Some(announcement(service, addr, slots)));
--- a/tests/requests/main.rs
+++ b/tests/requests/main.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod fake;
 mod host;
+mod liar;
 mod limits;
 mod outcomes;
 mod routing;
--- a/tests/requests/routing.rs
+++ b/tests/requests/routing.rs
@@ -11,6 +11,7 @@
 use crate::eventually;
 use crate::fake::{Act, Fake};
 use crate::host::{self, Host};
+use crate::liar::Liar;
 
 fn answering() -> Fake {
     Fake::start(|seen| Act::Answer(200, seen.path.clone()))
@@ -78,6 +79,21 @@
     assert!(got.elapsed < time::Duration::from_secs(4), "{got:?}");
 }
 
+/// Guards against a caller that gets the response to another request from a peer.
+#[test]
+fn reply_to_another_request_is_dropped() {
+    let entry = Host::start();
+    let liar = Liar::start(&entry);
+    entry.learn("walks", Some(liar), 1);
+    for method in ["POST", "GET"] {
+        let headers = [("filbert-deadline-ms", "1500")];
+        let got = call(method, &entry.url("/walks/k"), &headers, "");
+        assert_eq!(got.header("filbert-outcome"), "unknown", "{got:?}");
+        assert!(!got.body.contains("of another"));
+    }
+    assert!(entry.dropped("entry", "reply-mismatch") >= 3);
+}
+
 /// Guards against a message that takes effect at another incarnation than it was meant for.
 #[test]
 fn message_to_an_earlier_incarnation_does_not_run() {
