Show revision, members and slices as metrics

Cause: an operator could not be alerted to slices without an owner or to a node that stays behind. Change: gauges that are read when the metrics are asked for; the guide lists all metrics, and a test compares the list with the code. Conclusion: the state that `status` shows can be watched by Prometheus.

--- a/src/coordination/admin.rs
+++ b/src/coordination/admin.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::coordination::{error, history, node};
+use crate::coordination::{error, gauges, history, node};
 use crate::protocol::{admin, backend};
 use crate::state::{document, ids, record};
 use crate::transport::admin as transport;
@@ -19,9 +19,11 @@
 /// Returns the error of the socket, for example if the address is in use.
 pub fn start(node: Arc<node::Node>) -> Result<transport::Server, error::Error> {
     let history = Arc::new(history::History::default());
+    let gauges = gauges::Gauges::register(&node);
     tokio::spawn(history::run(Arc::clone(&node), Arc::clone(&history)));
     let addr = node.settings.admin;
-    let server = transport::Server::start(addr, move |call| answer(&node, &history, call))?;
+    let server =
+        transport::Server::start(addr, move |call| answer(&node, &history, &gauges, call))?;
     tracing::info!(event = 260, address = %addr, "admin address is open");
     Ok(server)
 }
@@ -29,11 +31,12 @@
 fn answer(
     node: &Arc<node::Node>,
     history: &history::History,
+    gauges: &gauges::Gauges,
     call: &transport::Call,
 ) -> transport::Answer {
     match (call.method.as_str(), call.path.as_str()) {
         ("POST", "/announce") => announce(node, call),
-        ("GET", "/metrics") => metrics(node),
+        ("GET", "/metrics") => metrics(node, gauges),
         ("GET", "/status") => transport::Answer::json(200, &status(node)),
         ("GET", "/revision") => transport::Answer::json(200, &in_force(node)),
         ("GET", "/document") => document(node),
@@ -58,7 +61,8 @@
     }
 }
 
-fn metrics(node: &Arc<node::Node>) -> transport::Answer {
+fn metrics(node: &Arc<node::Node>, gauges: &gauges::Gauges) -> transport::Answer {
+    gauges.update(node);
     transport::Answer {
         status: 200,
         content_type: "text/plain; version=0.0.4",
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -8,6 +8,7 @@
 pub mod discovery;
 pub mod error;
 pub mod gate;
+pub mod gauges;
 pub mod grants;
 pub mod history;
 pub mod lead;
--- a/src/state/document.rs
+++ b/src/state/document.rs
@@ -1,7 +1,7 @@
 //! Configuration document: which services exist, how their keys are divided and how traffic is
 //! treated.
 //!
-//! A [`Document`] is always valid; `state::source` builds it from text and reports every problem
+//! A [`Document`] is always valid; `protocol::source` builds it from text and reports every problem
 //! with its position.
 
 use std::time;
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -186,6 +186,25 @@
     assert!(document.text.contains("// Shared Lantern Tours"));
 }
 
+/// Guards against gauges that stay at the value of an earlier scrape, or that miss a partition.
+#[test]
+fn metrics_follow_the_state() {
+    let running = start();
+    let line = |name: &str| {
+        let (_, text) = running.get("/metrics");
+        let found = text.lines().find(|l| l.starts_with(name));
+        found.and_then(|l| l.split(' ').nth(1)).map(str::to_owned)
+    };
+    assert_eq!(line("filbertflow_document_revision").as_deref(), Some("0"));
+    running.put_document();
+    running.put_record(1, None, 1);
+    assert_eq!(line("filbertflow_document_revision").as_deref(), Some("7"));
+    assert_eq!(line("filbertflow_unowned_slices").as_deref(), Some("2"));
+    running.put_record(2, Some(running.node.me), 2);
+    assert_eq!(line("filbertflow_unowned_slices").as_deref(), Some("0"));
+    assert_eq!(line("filbertflow_members").as_deref(), Some("1"));
+}
+
 /// Guards against an explanation that names another slice, owner or token than the record does,
 /// or that loses the changes of owner before.
 #[test]
--- a/tests/reference.rs
+++ b/tests/reference.rs
@@ -72,3 +72,15 @@
         assert!(code.contains(option), "no option {option}");
     }
 }
+
+/// Guards against a metric that the guide does not describe, or that is gone.
+#[test]
+fn metrics_are_described() {
+    let code: String = ["metrics.rs", "coordination/gauges.rs"]
+        .iter()
+        .map(|name| fs::read_to_string(format!("src/{name}")).unwrap())
+        .collect();
+    let quoted = code.split('"').skip(1).step_by(2);
+    let names = quoted.filter(|q| q.starts_with("filbertflow_"));
+    assert_eq!(described("Metrics"), names.map(str::to_owned).collect());
+}
