--- a/src/coordination/owner.rs
+++ b/src/coordination/owner.rs
@@ -239,7 +239,7 @@
         },
         report: node.owner.report_due(id, to).then(|| peer::Report {
             domain: node.settings.domain.clone(),
-            load: node.gate.load(),
+            load: node.gate.load(&known),
         }),
     };
     let sent = clock::Instant::now();
