--- a/src/cmd/drain.rs
+++ b/src/cmd/drain.rs
@@ -78,10 +78,15 @@
     let revision = shared::block_on(change(&client, node, args.undo))?;
     if let Some(admin) = admin {
         let nodes = progress::wait_in_force(admin, revision)?;
-        shared::print(&format!("in force on {nodes} nodes\n"))?;
+        shared::print(&format!("in force on all {nodes} known nodes\n"))?;
         if !args.undo {
-            progress::wait_drained(admin, node)?;
-            shared::print(&format!("{node} owns no keys\n"))?;
+            let confirmed = progress::wait_drained(admin, node)?;
+            let by = if confirmed {
+                ""
+            } else {
+                ", but does not answer itself; check its address"
+            };
+            shared::print(&format!("{node} owns no keys{by}\n"))?;
         }
     }
     Ok(())
--- a/tests/requests/host.rs
+++ b/tests/requests/host.rs
@@ -63,6 +63,7 @@
             domain: "ie-east-a".to_owned(),
             caller: any,
             peer: ids::NodeAddr(peer),
+            peer_listen: None,
             admin: any,
             platform: free_addr(),
             peer_listen: None,
@@ -96,16 +97,9 @@
 
     /// Announces a backend server of this node.
     pub fn announce(&self, service: &str, addr: net::SocketAddr, slots: u32) {
-        self.node.backend.announce(Announcement {
-            service: service.to_owned(),
-            address: addr,
-            incarnation: 1,
-            slots,
-            connections: 120,
-            checks_tokens: true,
-            draining: false,
-            cold_start_ms: 0,
-        });
+        self.node
+            .backend
+            .announce(announcement(service, addr, slots));
     }
 
     /// Takes a record in which a node owns everything; the owner also gets a lease.
@@ -139,6 +133,19 @@
     }
 }
 
+pub fn announcement(service: &str, addr: net::SocketAddr, slots: u32) -> Announcement {
+    Announcement {
+        service: service.to_owned(),
+        address: addr,
+        incarnation: 1,
+        slots,
+        connections: 120,
+        checks_tokens: true,
+        draining: false,
+        cold_start_ms: 0,
+    }
+}
+
 /// Returns an address at which nothing listens. Each has an IP number of its own, so that no other
 /// test takes over its port.
 pub fn free_addr() -> net::SocketAddr {
