Let a standby claim that was not told of its role

Change: a node that has promised reads the record when the promise ends, and claims if it is named; if not, it forgets the partition. Tests start from one record at all nodes, and observers pause between rounds.

--- a/src/coordination/standby.rs
+++ b/src/coordination/standby.rs
@@ -11,7 +11,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time;
 
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::coordination::{coordinator, node, store};
 use crate::protocol::{peer, record as wire};
@@ -34,6 +34,7 @@
 #[derive(Debug, Default)]
 pub struct Standby {
     duties: Mutex<HashMap<ids::PartitionId, Duty>>,
+    changed: Notify,
 }
 
 #[derive(Debug)]
@@ -65,7 +66,10 @@
     pub fn give(&self, id: &ids::PartitionId) -> bool {
         let mut duties = self.lock();
         let until = clock::Instant::now() + timing::with_drift(timing::PROMISE);
-        let duty = duties.entry(id.clone()).or_insert_with(|| Duty::new(until));
+        let duty = duties.entry(id.clone()).or_insert_with(|| {
+            self.changed.notify_one();
+            Duty::new(until)
+        });
         if duty.unresolved {
             return false;
         }
@@ -109,6 +113,17 @@
         true
     }
 
+    fn has(&self, id: &ids::PartitionId) -> bool {
+        self.lock().contains_key(id)
+    }
+
+    /// Ends the duty for a partition whose record does not name this node.
+    fn dismiss(&self, id: &ids::PartitionId) {
+        self.lock()
+            .retain(|i, d| i != id || d.unresolved || d.until.is_ahead());
+        self.changed.notify_one();
+    }
+
     /// Returns when the first of these partitions may become due.
     fn next(&self, own: &[Arc<record::PartitionRecord>]) -> Option<clock::Instant> {
         let duties = self.lock();
@@ -161,17 +176,20 @@
 }
 
 /// Claims partitions whose coordinator is lost.
+///
+/// A node that has promised looks after the partition even if it does not know to be named: the
+/// coordinator may have been lost between the write and the news of it.
 pub async fn run(node: Arc<node::Node>) {
     let mut changes = node.records.changes();
     loop {
         changes.borrow_and_update();
         let mut own = node.records.all();
-        own.retain(|r| r.standbys.contains(&node.me));
+        own.retain(|r| r.standbys.contains(&node.me) || node.standby.has(&r.id));
         watch_over(&node, &own, &mut changes).await;
     }
 }
 
-/// Attempts claims that are due until a record changes.
+/// Attempts claims that are due until a record changes or a further promise is given.
 async fn watch_over(
     node: &Arc<node::Node>,
     own: &[Arc<record::PartitionRecord>],
@@ -185,7 +203,14 @@
         }
         let next = node.standby.next(own);
         let wait = next.map_or(IDLE, |at| at.left().clamp(TICK, IDLE));
-        if tokio::time::timeout(wait, changes.changed()).await.is_ok() {
+        let news = async {
+            tokio::select! {
+                // The sender lives as long as the node.
+                _ = changes.changed() => {}
+                () = node.standby.changed.notified() => {}
+            }
+        };
+        if tokio::time::timeout(wait, news).await.is_ok() {
             return;
         }
     }
@@ -221,7 +246,11 @@
     };
     let superseded = stored.record.epoch > known.epoch;
     node.records.offer((*stored.record).clone());
-    if superseded || !stored.record.standbys.contains(&node.me) {
+    if !stored.record.standbys.contains(&node.me) {
+        node.standby.dismiss(&known.id);
+        return Err(CLAIM_PAUSE);
+    }
+    if superseded {
         return Err(CLAIM_PAUSE);
     }
     let since = node.standby.lock().get(&known.id).map(|d| d.until);
--- a/tests/ownership/claims.rs
+++ b/tests/ownership/claims.rs
@@ -20,6 +20,12 @@
         standbys,
         ..cluster::owned_by(lead::node(2), lead::node(1))
     };
+    let stored = write(platform, bare, record);
+    bare.node.records.offer((*stored.record).clone());
+    stored
+}
+
+fn write(platform: &Fake, bare: &Bare, record: record::PartitionRecord) -> store::Stored {
     let write = store::Write {
         record: Arc::new(record),
         hold: Duration::from_secs(1),
@@ -30,7 +36,6 @@
     let Ok(store::Written::Done(stored)) = written else {
         panic!("the record was not written");
     };
-    bare.node.records.offer((*stored.record).clone());
     stored
 }
 
@@ -161,6 +166,53 @@
     ));
 }
 
+/// Guards against a partition that stays without a coordinator, because it was lost before its new
+/// standby learned that the record names it.
+#[test]
+fn standby_that_was_not_told_claims() {
+    let platform = Fake::start();
+    let bare = cluster::bare(platform.addr);
+    let untold = cluster::owned_by(lead::node(2), lead::node(1));
+    bare.node.records.offer(untold.clone());
+    let req = peer::Promise {
+        from: untold.coordinator,
+        to: bare.node.me.incarnation,
+        partition: partition(),
+        stamp: untold.stamp(),
+        record: None,
+    };
+    let named = record::PartitionRecord {
+        revision: untold.revision.next(),
+        standbys: vec![bare.node.me],
+        ..untold
+    };
+    write(&platform, &bare, named);
+    bare.runtime.spawn(standby::run(Arc::clone(&bare.node)));
+    let reply = bare.runtime.block_on(standby::promise(&bare.node, req));
+    assert!(matches!(reply, peer::PromiseReply::Given { .. }));
+    wait_for("the claim", || epoch(&platform, &bare) == ids::Epoch(2));
+}
+
+/// Guards against a node that reads the record again and again because it once promised.
+#[test]
+fn candidate_that_was_not_named_forgets_its_promise() {
+    let platform = Fake::start();
+    let bare = cluster::bare(platform.addr);
+    let stored = seed(&platform, &bare, Vec::new());
+    bare.runtime.spawn(standby::run(Arc::clone(&bare.node)));
+    assert!(matches!(
+        ask(&bare, &stored),
+        peer::PromiseReply::Given { .. }
+    ));
+    wait_for("the first read", || platform.reads() > 0);
+    let before = platform.reads();
+    let start = clock::Instant::now();
+    wait_for("three promises", || {
+        clock::Instant::now().since(start) > timing::PROMISE * 3
+    });
+    assert_eq!(platform.reads(), before);
+}
+
 /// Changes the hold time that is stored with the record.
 fn set_hold(platform: &Fake, runtime: &tokio::runtime::Runtime, hold: Duration) {
     let client = client::Client::new(platform.addr);
--- a/tests/ownership/cluster.rs
+++ b/tests/ownership/cluster.rs
@@ -237,6 +237,11 @@
             && record.owners().len() == nodes.len()
             && record.slices.iter().all(|s| s.target.is_none())
     });
+    wait_for("one record at all nodes", || {
+        let mut stamps = nodes.iter().map(|n| n.record().map(|r| r.stamp()));
+        let first = stamps.next().unwrap();
+        stamps.all(|s| s == first)
+    });
     let nodes: Vec<_> = nodes.iter().collect();
     wait_for("all keys to be served", || all_served(&nodes));
 }
@@ -305,7 +310,8 @@
                 }
             }
         }
-        thread::yield_now();
+        // Observers of tests that run side by side must not take the processor from the nodes.
+        thread::sleep(Duration::from_micros(500));
     }
     Ok(seen)
 }
--- a/tests/ownership/fake.rs
+++ b/tests/ownership/fake.rs
@@ -36,6 +36,7 @@
     mode: Mode,
     kept: Vec<(String, platform::Put)>,
     writes: usize,
+    reads: usize,
 }
 
 #[derive(Debug, Clone)]
@@ -73,6 +74,11 @@
         self.state.lock().unwrap().writes
     }
 
+    /// Number of reads of one entry.
+    pub fn reads(&self) -> usize {
+        self.state.lock().unwrap().reads
+    }
+
     /// Number of writes that are kept back.
     pub fn kept(&self) -> usize {
         self.state.lock().unwrap().kept.len()
@@ -100,7 +106,8 @@
     }
 
     fn get(&self, key: &str) -> (u16, String) {
-        let state = self.state.lock().unwrap();
+        let mut state = self.state.lock().unwrap();
+        state.reads += 1;
         if !state.mode.reads() {
             return (503, String::new());
         }
