Tell quiet owners of their coordinator again

Change: a quiet server that answers a ping gets the record again; test nodes listen at a loopback address of their process.

--- a/src/coordination/coordinator/calls.rs
+++ b/src/coordination/coordinator/calls.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 use crate::coordination::{coordinator, node};
-use crate::protocol::peer;
+use crate::protocol::{peer, record as wire};
 use crate::state::{clock, ids, record};
 use crate::transport::error as transport;
 
@@ -69,7 +69,8 @@
     Ok((sent, call.await?))
 }
 
-/// Looks for proof that a server's process has ended.
+/// Looks for proof that a server's process has ended; a server that answers gets the record again,
+/// because it may not know its coordinator (R5).
 pub(super) async fn probe(node: Arc<node::Node>, id: ids::PartitionId, server: ids::NodeRef) {
     if has_ended(&node, server).await {
         let new = node.coordinator.with(&id, |led| led.ended(server));
@@ -77,6 +78,8 @@
             tracing::warn!(event = 405, partition = %id, server = %server, "process of the server has ended");
             node.coordinator.wake.notify_waiters();
         }
+    } else if let Some(record) = node.coordinator.leads(&id) {
+        deliver(&node, server, coordinator::boxed(&record)).await;
     }
 }
 
@@ -114,15 +117,17 @@
     for to in named.into_iter().filter(|n| n.addr != node.me.addr) {
         let node = Arc::clone(node);
         let wire = coordinator::boxed(record);
-        tokio::spawn(async move {
-            let call = node
-                .peers
-                .call(to.addr, CALL_LIMIT, |client, context| async move {
-                    client.record(context, wire).await
-                });
-            if let Err(e) = call.await {
-                tracing::debug!(event = 413, peer = %to, error = %e, "record not delivered");
-            }
+        tokio::spawn(async move { deliver(&node, to, wire).await });
+    }
+}
+
+async fn deliver(node: &Arc<node::Node>, to: ids::NodeRef, wire: Box<wire::Record>) {
+    let call = node
+        .peers
+        .call(to.addr, CALL_LIMIT, |client, context| async move {
+            client.record(context, wire).await
         });
+    if let Err(e) = call.await {
+        tracing::debug!(event = 413, peer = %to, error = %e, "record not delivered");
     }
 }
--- a/tests/ownership/cluster.rs
+++ b/tests/ownership/cluster.rs
@@ -47,8 +47,12 @@
     thread: Option<thread::JoinHandle<()>>,
 }
 
+/// Chooses a free port at an address of this process alone, so that a test process that runs at
+/// the same time can't take it before the node binds it.
 pub fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let own = [127, 64 | high & 63, middle, low.clamp(1, 254)];
+    let listener = TcpListener::bind((std::net::IpAddr::from(own), 0)).unwrap();
     listener.local_addr().unwrap()
 }
 
