--- a/tests/ownership/cluster.rs
+++ b/tests/ownership/cluster.rs
@@ -47,8 +47,12 @@
     thread: Option<thread::JoinHandle<()>>,
 }
 
+/// Chooses a free port at an address of this process alone, so that a test process that runs at
+/// the same time can't take it before the node binds it.
 pub fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let own = [127, 64 | high & 63, middle, low.clamp(1, 254)];
+    let listener = TcpListener::bind((std::net::IpAddr::from(own), 0)).unwrap();
     listener.local_addr().unwrap()
 }
 
@@ -237,6 +241,11 @@
             && record.owners().len() == nodes.len()
             && record.slices.iter().all(|s| s.target.is_none())
     });
+    wait_for("one record at all nodes", || {
+        let mut stamps = nodes.iter().map(|n| n.record().map(|r| r.stamp()));
+        let first = stamps.next().unwrap();
+        stamps.all(|s| s == first)
+    });
     let nodes: Vec<_> = nodes.iter().collect();
     wait_for("all keys to be served", || all_served(&nodes));
 }
@@ -305,7 +314,8 @@
                 }
             }
         }
-        thread::yield_now();
+        // Observers of tests that run side by side must not take the processor from the nodes.
+        thread::sleep(Duration::from_micros(500));
     }
     Ok(seen)
 }
