--- a/tests/processes/scenarios.rs
+++ b/tests/processes/scenarios.rs
@@ -91,12 +91,22 @@
     /// Guards against keys of living owners that are lost with one owner in an outage.
     platform_down_owner_killed,
 
+    /// Guards against a standby that gives up its claim in an outage.
+    platform_down_coordinator_killed,
+
+    /// Guards against keys that stay with incarnations that have all ended.
+    all_restarted,
+
     /// Guards against a lost answer of the store that is taken for a failed write.
     platform_loses_answers,
 
     /// Guards against an owner that serves without contact to its coordinator.
     owner_cut_off,
 
+    /// Guards against two owners when the backend server checks no tokens and nothing reaches its
+    /// node.
+    unchecked_owner_cut_off,
+
     /// Guards against an owner that counts its lease from answers and not from its requests.
     cut_from_owner,
 
