Catch the faults that the tests of the request path missed

Cause: of 69 one-line faults (82 pairs of fault and test) five pairs were missed: the connection cap, a log entry whose task ended, a discarded body of absurd length, retries of unkeyed requests, and the size check of a declared body, behind which a second check gives the same answer.

--- a/tests/request_laws.rs
+++ b/tests/request_laws.rs
@@ -370,6 +370,18 @@
     }
 }
 
+/// Guards against callers that wait for ever for a request whose task ended early.
+#[test]
+fn request_of_an_ended_task_is_unknown() {
+    let log = outcomes::Outcomes::default();
+    let id = ids::RequestId::create();
+    drop(log.begin(start(id, 0)));
+    assert!(matches!(
+        log.begin(start(id, 1)),
+        outcomes::Begin::Done(peer::Outcome::Unknown(_))
+    ));
+}
+
 /// Guards against outcomes that are lost when a slice moves.
 #[test]
 fn outcomes_move_with_their_slice() {
--- a/tests/requests/limits.rs
+++ b/tests/requests/limits.rs
@@ -185,6 +185,8 @@
         ..host::announcement("walks", fake.addr, 4)
     }));
     host.learn("walks", Some(host.node.me), 1);
+    // Four of the five are left to grants, cancels and probes.
+    assert_eq!(host.node.backend.server().map(|s| s.limit), Some(1));
     let first = start("POST", host.url("/walks/a"), Vec::new());
     let second = start("POST", host.url("/walks/b"), Vec::new());
     eventually("both are at the gate", || host.node.gate.in_flight() == 2);
