Send the backend server the end of a request's time on CLOCK_BOOTTIME

The server honours deadlines, but filbert-deadline-ms is relative and counted anew from the reading of the request. A late end of a lease and a step of a clock were ruled out: the token was the one from before the freeze. Change: further header filbert-expires-ms, like expires_ms of a grant; the stand-in honours the earlier of both.

--- a/src/coordination/gate/run.rs
+++ b/src/coordination/gate/run.rs
@@ -157,6 +157,8 @@
             return Err(peer::NotRunReason::Expired);
         }
         call.headers.push((wire::DEADLINE_MS, ms.to_string()));
+        let expires = (clock::Instant::now() + left).since_boot().as_millis();
+        call.headers.push((wire::EXPIRES_MS, expires.to_string()));
         Ok(left + ANSWER_GRACE)
     })
 }
--- a/src/protocol/backend.rs
+++ b/src/protocol/backend.rs
@@ -22,6 +22,10 @@
 /// Header with the time left, in milliseconds.
 pub const DEADLINE_MS: &str = "filbert-deadline-ms";
 
+/// Header with the end of the time left on `CLOCK_BOOTTIME`, in milliseconds. Unlike the time left it
+/// isn't extended while the request waits in the socket of a frozen server.
+pub const EXPIRES_MS: &str = "filbert-expires-ms";
+
 /// Header of a response that proves that the request did not run.
 pub const REFUSED: &str = "filbert-refused";
 
--- a/standins/src/backend/server.rs
+++ b/standins/src/backend/server.rs
@@ -115,7 +115,11 @@
             idempotent,
         };
         let left = header("filbert-deadline-ms").parse::<u64>().ok();
-        let deadline = left.map(|ms| received + Duration::from_millis(ms));
+        let relative = left.map(|ms| received + Duration::from_millis(ms));
+        // A request may have waited in the socket while this process was frozen.
+        let expires = header("filbert-expires-ms").parse().ok();
+        let absolute = expires.map(Duration::from_millis);
+        let deadline = relative.into_iter().chain(absolute).min();
         let Ok(body) = http::body(&mut request) else {
             return http::respond(request, http::text(400, "body is incomplete"));
         };
