--- a/tests/requests/routing.rs
+++ b/tests/requests/routing.rs
@@ -11,6 +11,7 @@
 use crate::eventually;
 use crate::fake::{Act, Fake};
 use crate::host::{self, Host};
+use crate::liar::Liar;
 
 fn answering() -> Fake {
     Fake::start(|seen| Act::Answer(200, seen.path.clone()))
@@ -78,6 +79,21 @@
     assert!(got.elapsed < time::Duration::from_secs(4), "{got:?}");
 }
 
+/// Guards against a caller that gets the response to another request from a peer.
+#[test]
+fn reply_to_another_request_is_dropped() {
+    let entry = Host::start();
+    let liar = Liar::start(&entry);
+    entry.learn("walks", Some(liar), 1);
+    for method in ["POST", "GET"] {
+        let headers = [("filbert-deadline-ms", "1500")];
+        let got = call(method, &entry.url("/walks/k"), &headers, "");
+        assert_eq!(got.header("filbert-outcome"), "unknown", "{got:?}");
+        assert!(!got.body.contains("of another"));
+    }
+    assert!(entry.dropped("entry", "reply-mismatch") >= 3);
+}
+
 /// Guards against a message that takes effect at another incarnation than it was meant for.
 #[test]
 fn message_to_an_earlier_incarnation_does_not_run() {
@@ -95,6 +111,25 @@
     assert!(fake.seen().is_empty());
 }
 
+/// Guards against a request that waits until its deadline for an owner that has lost its slice.
+#[test]
+fn request_leaves_an_owner_that_lost_its_slice() {
+    for (method, outcome) in [("GET", "answered"), ("POST", "unknown owner-lost")] {
+        let (stuck, fake) = (Fake::start(|_| Act::Hold), answering());
+        let (old, new) = (owner(&stuck), owner(&fake));
+        let entry = Host::start();
+        entry.learn("walks", Some(old.node.me), 1);
+        let waiting = start(method, entry.url("/walks/k"), Vec::new());
+        stuck.wait_for(1);
+        entry.learn("walks", Some(new.node.me), 2);
+        let got = waiting.join().unwrap();
+        assert_eq!(got.outcome(), outcome);
+        // The deadline of the route is 4 s.
+        assert!(got.elapsed < time::Duration::from_secs(4), "{got:?}");
+        stuck.release();
+    }
+}
+
 /// Connection between two nodes that can go silent; new connections work.
 struct Wire {
     addr: net::SocketAddr,
