Let servers that check tokens work beyond one lease, and finish answers before stopping

Cause: the gate capped each deadline at the remaining lease, so that work of more than about 0.8 s ended as unknown, and an entry that met a nearly ended lease was told 'expired' and did not try again. A node that stopped did not wait for requests that had entered there. Each peer connection cost 20 timer ticks a second although most are idle. Change: only servers that check no tokens get a deadline within the lease (R9); the others refuse the effect once their grant has ended (R8). A nearly ended lease is 'not owner'. A stopping node refuses new requests after its handover and waits until all callers have their whole response. Connections are checked only while calls are outstanding.

--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -30,10 +30,10 @@
 
 Options:";
 
-/// Longest time for handing over slices after a signal.
+/// Longest time for handing over slices after a signal, and for answering what is in progress.
 const DRAIN_LIMIT: time::Duration = time::Duration::from_secs(30);
 
-/// Interval at which a draining node looks whether it still holds slices.
+/// Interval at which a draining node looks whether it still holds slices or owes answers.
 const DRAIN_POLL: time::Duration = time::Duration::from_millis(50);
 
 #[derive(Debug, Default, Options)]
@@ -121,19 +121,29 @@
 async fn drain(node: &Arc<node::Node>) {
     node.owner.drain();
     node.backend.drain();
-    let handed_over = async {
-        while !node.grants.live().is_empty() {
-            tokio::time::sleep(DRAIN_POLL).await;
-        }
-    };
-    if tokio::time::timeout(DRAIN_LIMIT, handed_over)
-        .await
-        .is_err()
-    {
+    if !wait_until(|| node.grants.live().is_empty()).await {
         tracing::warn!(
             event = 104,
             "slices are still held at the end of the drain limit"
         );
     }
     membership::leave(node).await;
+    node.router.close();
+    let answered = || node.router.unanswered() == 0 && node.gate.in_flight() == 0;
+    if !wait_until(answered).await {
+        tracing::warn!(
+            event = 105,
+            unanswered = node.router.unanswered(),
+            "requests are still in progress at the end of the drain limit"
+        );
+    }
+}
+
+async fn wait_until(condition: impl Fn() -> bool) -> bool {
+    let holds = async {
+        while !condition() {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    };
+    tokio::time::timeout(DRAIN_LIMIT, holds).await.is_ok()
 }
--- a/src/coordination/backend.rs
+++ b/src/coordination/backend.rs
@@ -77,6 +77,8 @@
     pub addr: net::SocketAddr,
     /// Start of its process.
     pub incarnation: u64,
+    /// Whether it checks fencing tokens.
+    pub checks: bool,
     /// Whether it can serve.
     pub up: bool,
     /// Whether it still takes work.
@@ -305,6 +307,7 @@
             service: a.service.clone(),
             addr: a.address,
             incarnation: a.incarnation,
+            checks: a.checks_tokens,
             up: self.is_up(),
             open: !drained,
             limit: slow_start(capacity, now.since(self.started), self.warmup),
--- a/src/coordination/gate/run.rs
+++ b/src/coordination/gate/run.rs
@@ -102,7 +102,7 @@
     }
     let id = req.id;
     let call = request(server, req, ticket.as_deref());
-    let check = check(ticket, deadline, cancel.clone());
+    let check = check(server.checks, ticket, deadline, cancel.clone());
     let started = clock::Instant::now();
     let pending = node.gate.workers.submit(call, check);
     let Some(result) = receive(node, server, id, pending, cancel, slot).await else {
@@ -136,9 +136,13 @@
     }
 }
 
-/// Builds the check that runs on the worker just before the write. The deadline sent ends within
-/// the lease, less the time that opening a connection may take after the check.
+/// Builds the check that runs on the worker just before the write.
+///
+/// A server that checks tokens refuses the effect of a request once its grant has ended (R8). For
+/// one that does not, the deadline sent ends within the lease (R9), less the time that opening a
+/// connection may take after the check.
 fn check(
+    checks: bool,
     ticket: Option<Arc<grants::Ticket>>,
     deadline: clock::Instant,
     cancel: CancellationToken,
@@ -148,13 +152,19 @@
             return Err(peer::NotRunReason::Cancelled);
         }
         let mut left = deadline.left();
+        if left.as_millis() == 0 {
+            return Err(peer::NotRunReason::Expired);
+        }
         if let Some(ticket) = &ticket {
             let until = ticket.valid_until().ok_or(peer::NotRunReason::NotOwner)?;
-            left = left.min(until.left().saturating_sub(http::CONNECT_TIMEOUT));
+            if !checks {
+                left = left.min(until.left().saturating_sub(http::CONNECT_TIMEOUT));
+            }
         }
         let ms = left.as_millis();
         if ms == 0 {
-            return Err(peer::NotRunReason::Expired);
+            // The lease is nearly over and not the deadline; the entry may ask again.
+            return Err(peer::NotRunReason::NotOwner);
         }
         call.headers.push((wire::DEADLINE_MS, ms.to_string()));
         let expires = (clock::Instant::now() + left).since_boot().as_millis();
--- a/src/coordination/router.rs
+++ b/src/coordination/router.rs
@@ -9,8 +9,8 @@
 mod spread;
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::{io, net, thread, time};
 
 use tokio::runtime;
@@ -24,6 +24,9 @@
 /// Path below which callers cancel requests.
 const REQUESTS: &str = "/-/requests/";
 
+/// Advice when to ask another node instead of one that is about to stop.
+const CLOSED_RETRY: time::Duration = time::Duration::ZERO;
+
 /// Advice when to come back to a node that has no document yet.
 const NO_DOCUMENT_RETRY: time::Duration = time::Duration::from_secs(1);
 
@@ -34,6 +37,8 @@
     budgets: Mutex<HashMap<String, retry::Budget>>,
     picker: pick::Picker,
     held: AtomicUsize,
+    unanswered: OnceLock<Arc<AtomicUsize>>,
+    closed: AtomicBool,
 }
 
 /// Requests in progress with one identifier, which are cancelled together.
@@ -74,6 +79,9 @@
     });
     let entry = entry::start(node.settings.caller, refused)?;
     let addr = entry.addr;
+    node.router
+        .unanswered
+        .get_or_init(|| Arc::clone(&entry.in_progress));
     let node = Arc::clone(node);
     let runtime = runtime::Handle::current();
     thread::Builder::new()
@@ -113,9 +121,13 @@
         accepted.service.clone(),
         accepted.class.clone(),
     );
-    let active = Active::new(node, id);
-    let outcome = attempt::route(node, accepted, &active.token).await;
-    drop(active);
+    let outcome = if node.router.closed.load(Ordering::Relaxed) {
+        let refusal = attempt::refusal(peer::NotRunReason::NoOwner, CLOSED_RETRY);
+        attempt::conclude(&accepted, None, refusal)
+    } else {
+        let active = Active::new(node, id);
+        attempt::route(node, accepted, &active.token).await
+    };
     record(node, id, &service, &class, &outcome, arrived);
     caller::Response::outcome(id, outcome)
 }
@@ -302,6 +314,18 @@
 }
 
 impl Router {
+    /// Refuses all requests that arrive from now on, because this node is about to stop.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns the number of requests whose callers have not got their whole response yet.
+    #[must_use]
+    pub fn unanswered(&self) -> usize {
+        let count = self.unanswered.get();
+        count.map_or(0, |n| n.load(Ordering::Relaxed))
+    }
+
     /// Returns the number of requests in progress that entered here.
     #[must_use]
     pub fn in_progress(&self) -> usize {
--- a/src/transport/entry.rs
+++ b/src/transport/entry.rs
@@ -92,7 +92,7 @@
     bodies: channel::Sender<Request>,
     responses: channel::Sender<Reply>,
     refusals: channel::Sender<Reply>,
-    in_progress: AtomicUsize,
+    in_progress: Arc<AtomicUsize>,
     body_bytes: AtomicUsize,
     refused: Refused,
 }
@@ -114,6 +114,8 @@
     pub addr: net::SocketAddr,
     /// Requests in the order of their arrival.
     pub requests: channel::Receiver<Incoming>,
+    /// Number of requests whose response has not been written yet.
+    pub in_progress: Arc<AtomicUsize>,
 }
 
 /// Opens the listener and starts its threads, which run until the process ends.
@@ -129,12 +131,13 @@
     let (bodies, bodies_out) = channel::bounded(READER_QUEUE);
     let (responses, responses_out) = channel::unbounded();
     let (refusals, refusals_out) = channel::unbounded();
+    let in_progress = Arc::default();
     let shared = Arc::new(Shared {
         requests,
         bodies,
         responses,
         refusals,
-        in_progress: AtomicUsize::new(0),
+        in_progress: Arc::clone(&in_progress),
         body_bytes: AtomicUsize::new(0),
         refused,
     });
@@ -161,6 +164,7 @@
     Ok(Entry {
         addr,
         requests: requests_out,
+        in_progress,
     })
 }
 
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -23,6 +23,9 @@
 /// Time without calls after which a connection is closed.
 const IDLE: time::Duration = time::Duration::from_secs(30);
 
+/// Interval at which a connection with outstanding calls is checked.
+const CHECK: time::Duration = time::Duration::from_millis(50);
+
 /// Calls that may be outstanding on one connection.
 const MAX_IN_FLIGHT: usize = 4096;
 
@@ -243,9 +246,8 @@
     mut asks: mpsc::Receiver<Ask>,
 ) {
     let mut open: Option<Open> = None;
-    let mut tick = tokio::time::interval(timing::KEEP_ALIVE / 2);
-    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut idle_since = clock::Instant::now();
+    let mut pause = IDLE;
     loop {
         tokio::select! {
             ask = asks.recv() => {
@@ -260,8 +262,9 @@
                 };
                 // The asker may have been cancelled meanwhile; the connection is kept.
                 drop(ask.send(result));
+                pause = CHECK;
             }
-            _ = tick.tick() => {
+            () = tokio::time::sleep(pause) => {
                 match &mut open {
                     Some(o) if o.is_lost() => open = None,
                     Some(o) if o.connection.state.is_busy() => {
@@ -273,8 +276,9 @@
                             o.keep_alive(me);
                         }
                     }
-                    _ if clock::Instant::now().since(idle_since) > IDLE => return,
-                    _ => {}
+                    _ if clock::Instant::now().since(idle_since) >= IDLE => return,
+                    // Every call begins with an ask, which wakes this task.
+                    _ => pause = IDLE,
                 }
             }
         }
