--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -31,6 +31,10 @@
         Self { child }
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
     }
