Adapt tests to the deadline of checking servers and the hold time

Cause: a server that checks tokens now gets the caller's deadline, and the examples have another hold time. Change: deadline_sent_ends_within_the_lease uses a server without token checks, for which the rule holds as strictly as before; a new test demands the whole deadline for a checking server.

--- a/tests/requests/outcomes.rs
+++ b/tests/requests/outcomes.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time;
 
+use filbertflow::protocol::backend;
 use filbertflow::state::{ids, timing};
 
 use crate::caller::{call, start};
@@ -301,11 +302,17 @@
     assert_eq!(fake.seen().len(), 1);
 }
 
-/// Guards against a backend server that works on a request after the lease of its node.
+/// Guards against a backend server without token checks that works on a request after the lease
+/// of its node (R9).
 #[test]
 fn deadline_sent_ends_within_the_lease() {
     let fake = Fake::start(|_| Act::Answer(200, String::new()));
-    let host = owner(&fake, 1);
+    let host = Host::start();
+    host.change(Some(backend::Announcement {
+        checks_tokens: false,
+        ..host::announcement("walks", fake.addr, 1)
+    }));
+    host.learn("walks", Some(host.node.me), 1);
     let record = host::record("walks", Some(host.node.me), host.node.me, 1);
     let lease = time::Duration::from_millis(900);
     host.lease(&record, lease);
@@ -316,3 +323,21 @@
         .unwrap();
     assert!(left < lease.as_millis(), "deadline {left}");
 }
+
+/// Guards against long work that a server with token checks has to break off although its lease is
+/// renewed.
+#[test]
+fn checking_server_gets_the_deadline_of_the_caller() {
+    let fake = Fake::start(|_| Act::Answer(200, String::new()));
+    let host = owner(&fake, 1);
+    let record = host::record("walks", Some(host.node.me), host.node.me, 1);
+    let lease = time::Duration::from_millis(900);
+    host.lease(&record, lease);
+    let deadline = ("filbert-deadline-ms", "3000");
+    let got = call("POST", &host.url("/walks/k"), &[deadline], "");
+    assert_eq!(got.outcome(), "answered");
+    let left: u128 = fake.seen()[0].headers["filbert-deadline-ms"]
+        .parse()
+        .unwrap();
+    assert!(left > lease.as_millis() && left <= 3000, "deadline {left}");
+}
