Measure processor time per request and memory per entry

Cause: the page on capacity needs slopes of processor time by request rate and of memory by number of members and slices. Change: the commands cost and memory of the measurements.

--- a/benches/mesh/goodput.rs
+++ b/benches/mesh/goodput.rs
@@ -16,7 +16,7 @@
 const SLOTS: u64 = 20;
 
 /// Length of each run, in seconds.
-const SECONDS: &str = "10";
+const SECONDS: u32 = 10;
 
 /// Deadline of a request, in milliseconds.
 const DEADLINE_MS: &str = "1000";
@@ -66,19 +66,18 @@
     }
     let slots = SLOTS * service.instances as u64;
     let rate = load * slots as f64 * 1e3 / SERVICE_MS as f64;
-    let found = send(&mesh, service.name, rate);
+    let found = send(&mesh, service.name, rate, SECONDS);
     let number = |path: &str| {
         found
             .pointer(path)
             .and_then(Value::as_f64)
             .unwrap_or_default()
     };
-    let seconds: f64 = SECONDS.parse().expect("the constant is a number");
     table::row(&[
         if limited { "on" } else { "off" }.to_owned(),
         format!("{load}"),
         format!("{rate:.0}"),
-        format!("{:.0}", number("/outcomes/answered") / seconds),
+        format!("{:.0}", number("/outcomes/answered") / f64::from(SECONDS)),
         format!("{:.0}", number("/answered_ms/p50")),
         format!("{:.0}", number("/answered_ms/p99")),
         format!("{:.0}", number("/failed_ms/p99")),
@@ -100,11 +99,17 @@
     assert!(output.status.success(), "{output:?}");
 }
 
-fn send(mesh: &Mesh, service: &str, rate: f64) -> Value {
+/// Sends requests for some seconds through all nodes and returns the summary of the load tool.
+pub fn send(mesh: &Mesh, service: &str, rate: f64, seconds: u32) -> Value {
     let entries: Vec<_> = mesh.hosts.iter().map(|h| h.caller.to_string()).collect();
     let output = Command::new(process::load())
         .args(["run", "--to", &entries.join(","), "--service", service])
-        .args(["--rate", &rate.to_string(), "--seconds", SECONDS])
+        .args([
+            "--rate",
+            &rate.to_string(),
+            "--seconds",
+            &seconds.to_string(),
+        ])
         .args(["--deadline-ms", DEADLINE_MS, "--seed", SEED])
         .args(["--spread", "uniform", "--writes", "0.2", "--json"])
         .output()
--- a/benches/mesh/main.rs
+++ b/benches/mesh/main.rs
@@ -10,9 +10,11 @@
 #[expect(clippy::unwrap_used, reason = "a measurement fails by panicking")]
 #[path = "../../tests/common/mod.rs"]
 mod common;
+mod cost;
 mod demo;
 mod faults;
 mod goodput;
+mod memory;
 mod overhead;
 mod probe;
 mod slopes;
@@ -28,8 +30,10 @@
 
 Commands:
     demo       start the Consortium's mesh, break it, and check what held
+    cost       processor time of the nodes for each request
     faults     imbalance, churn and unavailable time for each fault
     goodput    goodput and latency at 0.5, 1 and 2 times the capacity
+    memory     memory of the member table and of the route table
     overhead   added latency of the path at low load
     slopes     control traffic, processor time and memory by number of nodes";
 
@@ -42,8 +46,10 @@
     let args: Vec<_> = args.iter().map(String::as_str).collect();
     match args.as_slice() {
         ["demo"] => return demo::run(),
+        ["cost"] => cost::run(),
         ["faults", rest @ ..] => faults::run(rest),
         ["goodput"] => goodput::run(),
+        ["memory"] => memory::run(),
         ["overhead"] => overhead::run(),
         ["slopes"] => slopes::run(),
         _ => println!("{USAGE}"),
--- a/benches/mesh/slopes.rs
+++ b/benches/mesh/slopes.rs
@@ -21,7 +21,7 @@
 const CALM: Duration = Duration::from_secs(5);
 
 /// Clock ticks per second in `/proc/PID/stat`, fixed by the kernel's interface on Linux.
-const TICKS: f64 = 100.0;
+pub const TICKS: f64 = 100.0;
 
 /// TCP, IP and Ethernet headers of one packet, in bytes.
 const HEADERS: f64 = 66.0;
@@ -119,7 +119,8 @@
     }
 }
 
-fn ticks(id: u32) -> f64 {
+/// Processor time of a process in clock ticks.
+pub fn ticks(id: u32) -> f64 {
     let stat = fs::read_to_string(format!("/proc/{id}/stat")).expect("the process runs");
     // The name in parentheses may contain spaces; the fields after it are counted from the state.
     let fields: Vec<_> = stat
@@ -132,7 +133,8 @@
     field(11) + field(12)
 }
 
-fn memory(id: u32) -> f64 {
+/// Resident memory of a process in MB.
+pub fn memory(id: u32) -> f64 {
     let status = fs::read_to_string(format!("/proc/{id}/status")).expect("the process runs");
     let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
     let kib = line.and_then(|l| l.trim().trim_end_matches(" kB").parse::<f64>().ok());
