--- a/benches/mesh/cost.rs
+++ b/harness/src/bin/filbertflow-bench/cost.rs
@@ -5,9 +5,9 @@
 
 use serde_json::Value;
 
-use crate::common::document::User;
-use crate::common::mesh::{Mesh, Plan};
 use crate::{goodput, slopes, table};
+use filbertflow_harness::document::User;
+use filbertflow_harness::mesh::{Mesh, Plan};
 
 /// Requests per second over all nodes.
 const RATES: [u32; 4] = [250, 500, 1_000, 2_000];
--- a/benches/mesh/demo.rs
+++ b/harness/src/bin/filbertflow-bench/demo.rs
@@ -5,11 +5,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::common::document::User;
-use crate::common::journal;
-use crate::common::mesh::{Mesh, Part, Plan};
-use crate::common::wait_until;
 use crate::{probe, table};
+use filbertflow_harness::document::User;
+use filbertflow_harness::journal;
+use filbertflow_harness::mesh::{Mesh, Part, Plan};
+use filbertflow_harness::wait_until;
 
 /// Time within which a lost owner's keys must be served again.
 const REPAIR: Duration = Duration::from_secs(2);
--- a/benches/mesh/faults.rs
+++ b/harness/src/bin/filbertflow-bench/faults.rs
@@ -6,11 +6,11 @@
 
 use serde_json::json;
 
-use crate::common::document::User;
-use crate::common::journal::{self, Event};
-use crate::common::mesh::{Mesh, Part, Plan};
-use crate::common::{now, wait_until};
 use crate::{probe, table};
+use filbertflow_harness::document::User;
+use filbertflow_harness::journal::{self, Event};
+use filbertflow_harness::mesh::{Mesh, Part, Plan};
+use filbertflow_harness::{now, wait_until};
 
 /// Keys that callers ask for all the time.
 const PROBED: usize = 64;
@@ -265,7 +265,7 @@
     load: f64,
     keys: f64,
     churn: f64,
-    calls: &'a [crate::common::caller::Call],
+    calls: &'a [filbertflow_harness::caller::Call],
     at: u64,
     violations: usize,
 }
--- a/benches/mesh/goodput.rs
+++ b/harness/src/bin/filbertflow-bench/goodput.rs
@@ -4,10 +4,10 @@
 
 use serde_json::{Value, json};
 
-use crate::common::document::User;
-use crate::common::mesh::{Mesh, Plan};
-use crate::common::process;
 use crate::table;
+use filbertflow_harness::document::User;
+use filbertflow_harness::mesh::{Mesh, Plan};
+use filbertflow_harness::process;
 
 /// Service time of the backend servers; long enough that the machine itself is not the limit.
 const SERVICE_MS: u64 = 100;
@@ -102,7 +102,7 @@
 /// Sends requests for some seconds through all nodes and returns the summary of the load tool.
 pub fn send(mesh: &Mesh, service: &str, rate: f64, seconds: u32) -> Value {
     let entries: Vec<_> = mesh.hosts.iter().map(|h| h.caller.to_string()).collect();
-    let output = Command::new(process::load())
+    let output = Command::new(process::binary("filbertflow-load"))
         .args(["run", "--to", &entries.join(","), "--service", service])
         .args([
             "--rate",
--- a/benches/mesh/overhead.rs
+++ b/harness/src/bin/filbertflow-bench/overhead.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::common::caller::{Outcome, Request};
-use crate::common::document::User;
-use crate::common::mesh::{Mesh, Plan};
 use crate::table;
+use filbertflow_harness::caller::{Outcome, Request};
+use filbertflow_harness::document::User;
+use filbertflow_harness::mesh::{Mesh, Plan};
 
 /// Requests of each kind.
 const COUNT: usize = 1_000;
--- a/benches/mesh/probe.rs
+++ b/harness/src/bin/filbertflow-bench/probe.rs
@@ -7,8 +7,8 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use crate::common::caller::{Call, Outcome, Request};
-use crate::common::now;
+use filbertflow_harness::caller::{Call, Outcome, Request};
+use filbertflow_harness::now;
 
 /// Threads; each asks for its own keys in turn.
 const THREADS: usize = 16;
--- a/benches/mesh/slopes.rs
+++ b/harness/src/bin/filbertflow-bench/slopes.rs
@@ -7,9 +7,9 @@
 
 use serde_json::Value;
 
-use crate::common::document::{Service, User};
-use crate::common::mesh::{Mesh, Plan};
 use crate::table;
+use filbertflow_harness::document::{Service, User};
+use filbertflow_harness::mesh::{Mesh, Plan};
 
 /// Numbers of nodes that are measured.
 const SIZES: [usize; 6] = [1, 2, 4, 8, 16, 32];
--- a/tests/common/caller.rs
+++ b/harness/src/caller.rs
@@ -5,7 +5,7 @@
 
 use serde::Deserialize;
 
-use super::now;
+use crate::now;
 
 /// Time beyond a request's deadline after which the caller gives up on the node.
 const PATIENCE: Duration = Duration::from_secs(5);
@@ -13,23 +13,32 @@
 /// Request of a caller.
 #[derive(Debug, Clone)]
 pub struct Request {
+    /// Identifier, a version 7 UUID.
     pub id: String,
+    /// Service.
     pub service: String,
+    /// Key; empty if the service is not divided by key.
     pub key: String,
+    /// HTTP method.
     pub method: String,
     /// Path below the service's name.
     pub path: String,
+    /// Body.
     pub body: String,
+    /// Time for which the caller waits.
     pub deadline: Duration,
 }
 
 /// Request with what became of it.
 #[derive(Debug, Clone)]
 pub struct Call {
+    /// Request.
     pub request: Request,
     /// Times on `CLOCK_BOOTTIME` in nanoseconds.
     pub sent: u64,
+    /// Time of the response.
     pub ended: u64,
+    /// What the caller was told.
     pub outcome: Outcome,
     /// Why an answer isn't the complete answer to this request.
     pub defect: Option<String>,
@@ -38,8 +47,11 @@
 /// What the caller was told.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
+    /// Status of the answer.
     Answered(u16),
+    /// Reason of the refusal.
     NotRun(String),
+    /// Reason of the doubt.
     Unknown(String),
     /// Status without an outcome.
     Invalid(u16),
@@ -48,7 +60,8 @@
 }
 
 /// Body of the backend stand-in.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Echo {
     id: String,
     key: String,
--- a/tests/common/document.rs
+++ b/harness/src/document.rs
@@ -5,19 +5,25 @@
 /// One of the two users, with the services and failure domains of the design page.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum User {
+    /// Shared Lantern Tours Consortium.
     Consortium,
+    /// Thrissur Municipal Water and Ward Services.
     Thrissur,
 }
 
 /// Service of a user.
 #[derive(Debug, Clone, Copy)]
 pub struct Service {
+    /// Name.
     pub name: &'static str,
+    /// Number of backend servers.
     pub instances: usize,
+    /// Whether it is divided by key.
     pub keyed: bool,
 }
 
 impl User {
+    /// Returns the region.
     pub fn region(self) -> &'static str {
         match self {
             Self::Consortium => "ie-east",
@@ -25,6 +31,7 @@
         }
     }
 
+    /// Returns the failure domains.
     pub fn domains(self) -> &'static [&'static str] {
         match self {
             Self::Consortium => &["ie-east-a", "ie-east-b", "ie-east-c"],
@@ -32,6 +39,7 @@
         }
     }
 
+    /// Returns the services with their sizes of today.
     pub fn services(self) -> Vec<Service> {
         let service = |name, instances, keyed| Service {
             name,
--- a/tests/common/journal.rs
+++ b/harness/src/journal.rs
@@ -5,40 +5,57 @@
 
 use serde::Deserialize;
 
-use super::caller::{Call, Outcome};
+use crate::caller::{Call, Outcome};
 
 /// Time after the announcement of a drain until which new work may start.
 pub const DRAIN_LIMIT_NS: u64 = 5_000_000_000;
 
 /// Line of a journal.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 pub struct Line {
+    /// Time on `CLOCK_BOOTTIME` in nanoseconds.
     pub at: u64,
+    /// What happened.
     pub event: Event,
+    /// Name of the server.
     pub server: String,
+    /// Identifier of the request.
     #[serde(default)]
     pub id: String,
+    /// Attempt.
     #[serde(default)]
     pub attempt: String,
+    /// Key; empty if there is none.
     #[serde(default)]
     pub key: String,
+    /// Fencing token.
     #[serde(default)]
     pub token: String,
+    /// Whether the request may run more than once.
     #[serde(default)]
     pub idempotent: bool,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+/// What a line is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Event {
+    /// Work began.
     Start,
+    /// Work took effect.
     End,
+    /// Work was given up without effect.
     Abort,
+    /// A request was refused.
     Refusal,
+    /// The server announced that it drains.
     Drain,
 }
 
 /// Violation of a guarantee.
+#[expect(missing_docs, reason = "each variant describes its fields")]
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Violation {
     /// Two servers served a key in overlapping time.
--- a/tests/common/mod.rs
+++ b/harness/src/lib.rs
@@ -1,5 +1,14 @@
-//! Helper of the process tests: starts the real binaries and the stand-ins on loopback addresses,
-//! sends requests, puts faults between the processes and checks the journals.
+//! Helper of the process tests and measurements: starts the real binaries and the stand-ins on
+//! loopback addresses, sends requests, puts faults between the processes and checks the journals.
+//!
+//! Failures of the helper itself end the test or the measurement by a panic.
+
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+#![expect(clippy::missing_panics_doc, reason = "a test fails by panicking")]
+#![expect(
+    clippy::must_use_candidate,
+    reason = "results are used or the test is pointless"
+)]
 
 pub mod caller;
 pub mod document;
@@ -10,7 +19,7 @@
 
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -25,13 +34,17 @@
 }
 
 impl Scratch {
+    /// Creates a directory with a unique name.
     pub fn create(name: &str) -> Self {
         let unique = uuid::Uuid::now_v7();
-        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{unique}"));
+        let path = process::directory()
+            .join("scratch")
+            .join(format!("{name}-{unique}"));
         fs::create_dir_all(&path).unwrap();
         Self { path }
     }
 
+    /// Returns the path of a file in the directory.
     pub fn file(&self, name: &str) -> PathBuf {
         self.path.join(name)
     }
@@ -56,6 +69,7 @@
 }
 
 impl Network {
+    /// Chooses a network that no other mesh of this process uses.
     pub fn choose() -> Self {
         static NEXT: AtomicU8 = AtomicU8::new(0);
         let process = 64 + u8::try_from(std::process::id() % 128).unwrap();
--- a/tests/common/mesh.rs
+++ b/harness/src/mesh.rs
@@ -11,10 +11,10 @@
 use filbertflow::state::timing;
 use serde_json::{Value, json};
 
-use super::document::{Service, User};
-use super::process::{self, Process};
-use super::relay::{Net, Party};
-use super::{Network, Scratch, journal, wait_until};
+use crate::document::{Service, User};
+use crate::process::{self, Process};
+use crate::relay::{Net, Party};
+use crate::{Network, Scratch, journal, wait_until};
 
 /// Time for a mesh to start; generous, because other tests use the machine as well.
 const START_LIMIT: Duration = Duration::from_mins(1);
@@ -25,21 +25,28 @@
 /// What a mesh consists of.
 #[derive(Debug, Clone)]
 pub struct Plan {
+    /// User whose names and failure domains are taken.
     pub user: User,
+    /// Services.
     pub services: Vec<Service>,
     /// Whether relays are put between the processes.
     pub relays: bool,
     /// Whether the backend servers check fencing tokens.
     pub checks: bool,
+    /// Hold time of claims, in milliseconds.
     pub hold_ms: u64,
+    /// Time that a request takes at a backend server, in milliseconds.
     pub service_ms: u64,
 }
 
 /// Running mesh.
 #[derive(Debug)]
 pub struct Mesh {
+    /// Plan by which it was started.
     pub plan: Plan,
+    /// Hosts.
     pub hosts: Vec<Host>,
+    /// Relays, if the plan asks for them.
     pub net: Option<Net>,
     platform: SocketAddr,
     platform_control: SocketAddr,
@@ -50,25 +57,38 @@
 /// Host with a node and a backend server.
 #[derive(Debug)]
 pub struct Host {
+    /// Service of the backend server.
     pub service: &'static str,
+    /// Failure domain.
     pub domain: &'static str,
+    /// Address for callers.
     pub caller: SocketAddr,
+    /// Address for other nodes.
     pub peer: SocketAddr,
+    /// Address for operators.
     pub admin: SocketAddr,
+    /// Address that controls the backend stand-in.
     pub control: SocketAddr,
     peer_listen: SocketAddr,
     platform: SocketAddr,
+    /// Address of the backend server.
     pub server_addr: SocketAddr,
+    /// Node, unless it was killed.
     pub node: Option<Process>,
+    /// Backend server, unless it was killed.
     pub server: Option<Process>,
+    /// Whether the node is stopped without being ended.
     pub frozen: bool,
 }
 
 /// Which processes of a host are meant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Part {
+    /// Node only.
     Node,
+    /// Backend server only.
     Server,
+    /// Node and backend server.
     Both,
 }
 
@@ -92,7 +112,7 @@
             ("--listen", platform.to_string()),
             ("--control", platform_control.to_string()),
         ]);
-        let kv = process::standin("standin-kv");
+        let kv = process::binary("standin-kv");
         let kv = Process::start(&kv, &args, &scratch.file("kv.log"));
         let hosts = hosts(&plan, network, platform);
         let ips: Vec<_> = hosts.iter().map(|h| h.peer.ip()).collect();
@@ -136,12 +156,16 @@
             fs::write(&file, settings.to_string()).unwrap();
             let args = options(&[("--settings", file.display().to_string())]);
             let log = self.scratch.file(&format!("node{i}.log"));
-            self.hosts[i].node = Some(Process::start(&process::node(), &args, &log));
+            self.hosts[i].node = Some(Process::start(
+                &process::binary("filbertflow-node"),
+                &args,
+                &log,
+            ));
         }
         if part.has_server() {
             let args = self.server_args(i);
             let log = self.scratch.file(&format!("server{i}.log"));
-            let program = process::standin("standin-backend");
+            let program = process::binary("standin-backend");
             self.hosts[i].server = Some(Process::start(&program, &args, &log));
         }
     }
@@ -346,7 +370,7 @@
 
     /// Returns a command of `filbertflow-ctl` for this mesh.
     pub fn ctl(&self, args: &[&str]) -> Command {
-        let mut command = Command::new(process::ctl());
+        let mut command = Command::new(process::binary("filbertflow-ctl"));
         command.args(args);
         command.env("FILBERTFLOW_PLATFORM", self.platform.to_string());
         if let Some(i) = self.live().first() {
--- a/tests/common/relay.rs
+++ b/harness/src/relay.rs
@@ -17,7 +17,9 @@
 /// End of a connection: a node by its number, or the platform's service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Party {
+    /// Node of the host with this number.
     Node(usize),
+    /// Platform's service.
     Platform,
 }
 
--- a/src/cmd/burn.rs
+++ b/src/cmd/burn.rs
@@ -19,7 +19,8 @@
 const CANCELLED: &str = "cancelled";
 
 /// Burn of one service.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Service {
     /// Name.
     pub service: String,
@@ -36,7 +37,8 @@
 }
 
 /// Burn of one class of callers.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Class {
     /// Name, `all` for all classes together.
     pub class: String,
@@ -49,7 +51,8 @@
 }
 
 /// Requests in a window.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Serialize)]
 pub struct Burn {
     /// Part of the window for which there are counters, in seconds.
     pub covered_seconds: f64,
@@ -62,7 +65,8 @@
 }
 
 /// Cause of bad requests.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Cause {
     /// Outcome and reason; `answered late` for answers beyond the objective's latency.
     pub cause: String,
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -19,7 +19,8 @@
 
 Options:";
 
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 struct Args {
     #[options(help = "print this help")]
     help: bool,
--- a/src/cmd/diff.rs
+++ b/src/cmd/diff.rs
@@ -28,7 +28,8 @@
 
 Options:";
 
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 struct Args {
     #[options(help = "print this help")]
     help: bool,
--- a/src/cmd/drain.rs
+++ b/src/cmd/drain.rs
@@ -32,7 +32,8 @@
 /// Tries when other documents are accepted in between; the change does not depend on theirs.
 const TRIES: usize = 5;
 
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 struct Args {
     #[options(help = "print this help")]
     help: bool,
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -30,7 +30,8 @@
 const HTTP_BAD_REQUEST: u16 = 400;
 const HTTP_NOT_FOUND: u16 = 404;
 
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 struct Args {
     #[options(help = "print this help")]
     help: bool,
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -36,7 +36,8 @@
 /// Interval at which a draining node looks whether it still holds slices or owes answers.
 const DRAIN_POLL: time::Duration = time::Duration::from_millis(50);
 
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 struct Args {
     #[options(help = "print this help")]
     help: bool,
--- a/src/cmd/policy.rs
+++ b/src/cmd/policy.rs
@@ -27,7 +27,8 @@
 /// Rates above this need more memory than the comparison should take.
 const MAX_RATE: f64 = 10_000.0;
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 struct Args {
     #[options(help = "print this help")]
     help: bool,
@@ -45,7 +46,8 @@
 }
 
 /// Row of the comparison.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Row {
     deployment: &'static str,
     event: &'static str,
--- a/src/cmd/progress.rs
+++ b/src/cmd/progress.rs
@@ -23,7 +23,8 @@
 const NAMED: usize = 10;
 
 /// Revision in force on a node.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct NodeRevision {
     /// Peer address.
     pub address: ids::NodeAddr,
--- a/src/cmd/replay.rs
+++ b/src/cmd/replay.rs
@@ -23,7 +23,8 @@
 const MINUTE: usize = 6;
 
 /// Result of one replay.
-#[derive(Debug, Clone, Copy, Serialize)]
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize)]
 pub struct Score {
     /// Maximum over mean of the load of servers, on average over the measured steps.
     pub load_mean: f64,
--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -41,7 +41,8 @@
 /// Burn rate at which a bar is full.
 const FULL_RATE: f64 = 10.0;
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 struct Args {
     #[options(help = "print this help")]
     help: bool,
@@ -77,7 +78,8 @@
 }
 
 /// What is printed.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Report {
     /// Nodes that answered.
     nodes: usize,
--- a/src/cmd/run.rs
+++ b/src/cmd/run.rs
@@ -42,7 +42,8 @@
 /// Time after the deadline at which a request without a response counts as unknown.
 const GRACE: time::Duration = time::Duration::from_millis(500);
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 struct Args {
     #[options(help = "print this help")]
     help: bool,
@@ -125,7 +126,8 @@
 }
 
 /// Line of the request log.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Line<'a> {
     id: String,
     key: String,
--- a/src/cmd/snapshot.rs
+++ b/src/cmd/snapshot.rs
@@ -20,7 +20,8 @@
 const KEPT: usize = 400;
 
 /// Counters of all nodes at one time.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Snapshot {
     /// Time since the Unix epoch, in milliseconds.
     pub at_ms: u64,
@@ -29,7 +30,8 @@
 }
 
 /// Counters of one node since its start.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Node {
     /// Start of the process, which is also the start of its counters.
     pub incarnation: ids::Incarnation,
@@ -40,7 +42,8 @@
 }
 
 /// Requests of one kind.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Count {
     /// Service.
     pub service: String,
@@ -55,7 +58,8 @@
 }
 
 /// Latency of answered requests.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Latency {
     /// Service.
     pub service: String,
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -33,7 +33,8 @@
 /// Width of a terminal, without room for the number of owners that are left out.
 const OWNERS_WIDTH: usize = 72;
 
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 struct Args {
     #[options(help = "print this help")]
     help: bool,
@@ -48,7 +49,8 @@
 }
 
 /// Status of one node with the revisions that all nodes report.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Report {
     #[serde(flatten)]
     status: admin::Status,
--- a/src/cmd/submit.rs
+++ b/src/cmd/submit.rs
@@ -29,7 +29,8 @@
 
 Options:";
 
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 struct Args {
     #[options(help = "print this help")]
     help: bool,
--- a/src/cmd/tally.rs
+++ b/src/cmd/tally.rs
@@ -14,7 +14,8 @@
 const WORST_KEYS: usize = 5;
 
 /// Final result of a request as its caller sees it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Outcome {
     /// Complete answer to this request.
@@ -61,7 +62,8 @@
 }
 
 /// Summary of a run.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub struct Summary {
     /// Seed of the workload.
     pub seed: u64,
@@ -86,7 +88,8 @@
 }
 
 /// Quantiles in milliseconds.
-#[derive(Debug, Clone, Copy, Default, Serialize)]
+#[derive(Debug, Clone, Copy, Default)]
+#[derive(Serialize)]
 pub struct Latency {
     /// Number of values.
     pub count: u64,
@@ -106,7 +109,8 @@
 ///
 /// For a key that is requested rarely it is an upper bound, because it ends with the next request
 /// that is answered.
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize)]
 pub struct Unavailable {
     /// Keys that were requested.
     pub keys: usize,
--- a/src/protocol/admin.rs
+++ b/src/protocol/admin.rs
@@ -7,7 +7,8 @@
 use crate::state::ids;
 
 /// Answer to `GET /status`.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Status {
     /// Node that answers.
     pub node: Identity,
@@ -24,7 +25,8 @@
 }
 
 /// Node with its place and addresses.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Identity {
     /// Peer address.
     pub address: ids::NodeAddr,
@@ -41,7 +43,8 @@
 }
 
 /// What a node does for a partition.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Role {
     /// Partition, as `SERVICE/N`.
     pub partition: String,
@@ -54,7 +57,8 @@
 }
 
 /// Node in the member table.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Member {
     /// Peer address.
     pub address: ids::NodeAddr,
@@ -75,7 +79,8 @@
 }
 
 /// Summary of a partition record.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Partition {
     /// Partition, as `SERVICE/N`.
     pub partition: String,
@@ -100,7 +105,8 @@
 }
 
 /// Server of a partition.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Owner {
     /// Peer address of the node beside the server.
     pub address: ids::NodeAddr,
@@ -113,7 +119,8 @@
 }
 
 /// Node that the document drains.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Drain {
     /// Peer address.
     pub address: ids::NodeAddr,
@@ -122,7 +129,8 @@
 }
 
 /// Answer to `GET /explain?service=S&key=K`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Explanation {
     /// Service.
     pub service: String,
@@ -149,7 +157,8 @@
 }
 
 /// Change of a slice's owner.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Move {
     /// Time at which the node learned of it, in seconds since the Unix epoch.
     pub time_s: u64,
@@ -164,7 +173,8 @@
 }
 
 /// Answer to `GET /document`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Document {
     /// Revision.
     pub revision: ids::DocRevision,
@@ -173,7 +183,8 @@
 }
 
 /// Answer to `GET /revision`, which a command asks of every node.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct InForce {
     /// Peer address of the node that answers.
     pub address: ids::NodeAddr,
@@ -182,7 +193,8 @@
 }
 
 /// Answer to a call that was refused.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Refused {
     /// Why it was refused.
     pub error: String,
--- a/src/protocol/backend.rs
+++ b/src/protocol/backend.rs
@@ -42,7 +42,8 @@
 }
 
 /// Notice by which a backend server makes itself known to its node.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Announcement {
     /// Service that it belongs to.
     pub service: String,
@@ -139,7 +140,8 @@
 }
 
 /// Grant of slices, sent with each renewal of the node's lease; it replaces the one before.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct GrantBody {
     /// Service.
     pub service: String,
@@ -154,7 +156,8 @@
 }
 
 /// Slice of a grant; both ends are part of it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct GrantSlice {
     /// First hash.
     pub start: ids::KeyHash,
--- a/src/protocol/config.rs
+++ b/src/protocol/config.rs
@@ -12,7 +12,8 @@
 pub const PREFIX: &str = "config/";
 
 /// Value of the entry, as JSON.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Stored {
     /// Revision, increased by one with every accepted submission.
     pub revision: ids::DocRevision,
--- a/src/protocol/document.rs
+++ b/src/protocol/document.rs
@@ -32,7 +32,8 @@
 const METHODS: [&str; 7] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
 
 /// Text form of [`document::Document`].
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, expecting = "an object with a document")]
 pub struct Document {
     hold_ms: Option<u64>,
@@ -42,14 +43,16 @@
     services: Option<Vec<Option<Service>>>,
 }
 
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, expecting = "an object with a class")]
 struct Class {
     name: Option<String>,
     priority: Option<u64>,
 }
 
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, expecting = "an object with a service")]
 struct Service {
     name: Option<String>,
@@ -64,7 +67,8 @@
     routes: Option<Vec<Option<Route>>>,
 }
 
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(
     default,
     deny_unknown_fields,
@@ -79,7 +83,8 @@
     query: Option<String>,
 }
 
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, expecting = "an object with weights")]
 struct Weights {
     imbalance: Option<f64>,
@@ -87,7 +92,8 @@
     unavailable_time: Option<f64>,
 }
 
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(
     default,
     deny_unknown_fields,
@@ -99,7 +105,8 @@
     window_hours: Option<u64>,
 }
 
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, expecting = "an object with a route")]
 struct Route {
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/src/protocol/member.rs
+++ b/src/protocol/member.rs
@@ -12,7 +12,8 @@
 pub const PREFIX: &str = "node/";
 
 /// Value at `node/ADDR`, written once by each start of a node.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Registration {
     /// Address for other nodes.
     pub peer: ids::NodeAddr,
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -40,14 +40,16 @@
 }
 
 /// Keep-alive; also tells which incarnation answers.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize, Deserialize)]
 pub struct Ping {
     /// Sender.
     pub from: ids::NodeRef,
 }
 
 /// Request on its way to its owner.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct Forward {
     /// Entry node.
     pub from: ids::NodeRef,
@@ -82,7 +84,8 @@
 }
 
 /// Final result of an attempt at its owner.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Reply {
     /// Identifier of the request that is answered.
     pub id: ids::RequestId,
@@ -93,7 +96,8 @@
 }
 
 /// What happened to a request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Outcome {
     /// The backend server answered.
     Answered(Answer),
@@ -104,7 +108,8 @@
 }
 
 /// Answer of a backend server.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Answer {
     /// HTTP status.
     pub status: u16,
@@ -115,7 +120,8 @@
 }
 
 /// Refusal with proof that the request did not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct NotRun {
     /// Why it did not run.
     pub reason: NotRunReason,
@@ -124,7 +130,8 @@
 }
 
 /// Why a request did not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum NotRunReason {
     /// Receiver does not hold the slice.
     NotOwner,
@@ -157,7 +164,8 @@
 }
 
 /// Why the outcome of a request is unknown.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum UnknownReason {
     /// Backend server did not answer within the deadline.
     Timeout,
@@ -174,7 +182,8 @@
 }
 
 /// Question about the outcome of an attempt.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize, Deserialize)]
 pub struct OutcomeQuery {
     /// Entry node.
     pub from: ids::NodeRef,
@@ -189,7 +198,8 @@
 }
 
 /// Answer to an [`OutcomeQuery`].
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub enum OutcomeReply {
     /// The attempt has finished, or is barred from now on.
     Final(Reply),
@@ -198,7 +208,8 @@
 }
 
 /// Request for a lease on all slices that the record assigns to the sender.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct Renew {
     /// Owner.
     pub from: ids::NodeRef,
@@ -215,7 +226,8 @@
 }
 
 /// What a coordinator needs to know about a server less often than it renews.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Report {
     /// Failure domain of the owner's host.
     pub domain: String,
@@ -224,7 +236,8 @@
 }
 
 /// State of a backend server as its node sees it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct BackendState {
     /// Whether it can serve.
     pub up: bool,
@@ -237,7 +250,8 @@
 }
 
 /// Load report.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Load {
     /// Time over which the rates were measured, in seconds; 0 if they were not.
     pub seconds: f64,
@@ -250,7 +264,8 @@
 }
 
 /// Answer to a [`Renew`].
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub enum RenewReply {
     /// Lease on the slices of the record at this stamp.
     Granted {
@@ -266,7 +281,8 @@
 }
 
 /// Request for a promise not to claim.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct Promise {
     /// Coordinator.
     pub from: ids::NodeRef,
@@ -281,7 +297,8 @@
 }
 
 /// Answer to a [`Promise`].
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub enum PromiseReply {
     /// The standby will not claim for the length of a promise.
     Given {
@@ -299,7 +316,8 @@
 }
 
 /// Recent outcomes of a slice for its next owner.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct Handover {
     /// Old owner.
     pub from: ids::NodeRef,
@@ -319,7 +337,8 @@
 }
 
 /// Outcome of a request that has run.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct Finished {
     /// Identifier of the request.
     pub id: ids::RequestId,
@@ -330,7 +349,8 @@
 }
 
 /// Answer to a [`Handover`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum HandoverReply {
     /// Outcomes are kept.
     Taken,
@@ -339,7 +359,8 @@
 }
 
 /// Notice that an owner has stopped serving a slice.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct Release {
     /// Old owner.
     pub from: ids::NodeRef,
@@ -352,7 +373,8 @@
 }
 
 /// Answer to a [`Release`].
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub enum ReleaseReply {
     /// The record shows the slices with their new owner.
     Done(Box<record::Record>),
@@ -364,7 +386,8 @@
 ///
 /// Every message carries the hashes of the sender's tables. The lists are filled only when the
 /// hashes differ, step by step, so that a round between equal nodes costs a few dozen bytes.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Gossip {
     /// Sender.
     pub from: ids::NodeRef,
@@ -391,7 +414,8 @@
 }
 
 /// Entry of a node in the member table.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Member {
     /// Node.
     pub node: ids::NodeRef,
@@ -416,7 +440,8 @@
 }
 
 /// Configuration document.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct Document {
     /// Revision.
     pub revision: ids::DocRevision,
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -15,7 +15,8 @@
 pub const MAX_VALUE: usize = 1 << 20;
 
 /// Entry of the service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Entry {
     /// Key.
     pub key: String,
@@ -26,7 +27,8 @@
 }
 
 /// Compare-and-swap.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct Put {
     /// New value.
     pub value: String,
@@ -35,21 +37,24 @@
 }
 
 /// Result of a compare-and-swap that took effect.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize, Deserialize)]
 pub struct Written {
     /// New modification revision.
     pub revision: ids::ModRevision,
 }
 
 /// Result of a compare-and-swap that did not take effect.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct Conflict {
     /// Entry as it is, if there is one.
     pub current: Option<Entry>,
 }
 
 /// Entries under a prefix.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct Listing {
     /// Entries in the order of their keys.
     pub entries: Vec<Entry>,
--- a/src/protocol/record.rs
+++ b/src/protocol/record.rs
@@ -8,7 +8,8 @@
 use crate::state::{ids, record};
 
 /// Wire form of [`record::PartitionRecord`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Record {
     id: ids::PartitionId,
     epoch: ids::Epoch,
@@ -25,7 +26,8 @@
 ///
 /// The hold time is stored with the record because the coordinator and a node that claims must
 /// use the same value, even while they have different documents.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Stored {
     /// Hold time of a claim by a node that is not a standby, in milliseconds.
     pub hold_ms: u64,
@@ -34,7 +36,8 @@
     pub record: Record,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct Server {
     node: ids::NodeRef,
     domain: String,
@@ -42,7 +45,8 @@
     checks: bool,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct Slice {
     start: ids::KeyHash,
     owner: Option<u16>,
@@ -50,13 +54,15 @@
     target: Option<u16>,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct Intent {
     node: ids::NodeRef,
     revision: ids::Revision,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct Writer {
     node: ids::NodeRef,
     number: u64,
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -8,7 +8,8 @@
 use crate::state::{ids, settings};
 
 /// Text form of [`settings::Settings`].
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, expecting = "an object with settings")]
 pub struct Settings {
     region: Option<String>,
--- a/src/state/ids.rs
+++ b/src/state/ids.rs
@@ -79,7 +79,8 @@
 }
 
 /// Peer address of a node, its stable name.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct NodeAddr(pub SocketAddr);
 
@@ -98,7 +99,8 @@
 }
 
 /// One incarnation of a node.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct NodeRef {
     /// Peer address.
     pub addr: NodeAddr,
@@ -113,9 +115,8 @@
 }
 
 /// Fencing token, ordered by epoch and then by slice version.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Token {
     /// Epoch of the coordinator that granted the slice.
     pub epoch: Epoch,
@@ -130,9 +131,8 @@
 }
 
 /// Position of a key in the 64-bit hash space.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct KeyHash(pub u64);
 
@@ -145,7 +145,8 @@
 }
 
 /// Identifier of a request: a version 7 UUID, which carries its time of creation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct RequestId([u8; 16]);
 
 impl RequestId {
@@ -202,7 +203,8 @@
 }
 
 /// One attempt to run a request, drawn at random.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct AttemptId(pub u64);
 
@@ -221,7 +223,8 @@
 }
 
 /// Partition of a service.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct PartitionId {
     /// Name of the service.
     pub service: String,
--- a/standins/src/backend/announce.rs
+++ b/standins/src/backend/announce.rs
@@ -12,7 +12,8 @@
 const INTERVAL: Duration = Duration::from_millis(500);
 
 /// Announcement.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub struct Announcement {
     /// Service that the server belongs to.
     pub service: String,
--- a/standins/src/backend/cmd.rs
+++ b/standins/src/backend/cmd.rs
@@ -16,7 +16,8 @@
 const SPARE_THREADS: usize = 16;
 
 /// Runs a stand-in for a backend server.
-#[derive(Debug, Clone, Options)]
+#[derive(Debug, Clone)]
+#[derive(Options)]
 pub struct Args {
     /// Print this help.
     help: bool,
--- a/standins/src/backend/fence.rs
+++ b/standins/src/backend/fence.rs
@@ -19,7 +19,8 @@
 }
 
 /// Grant as its node sends it.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub struct Grant {
     /// Service.
     pub service: String,
@@ -34,7 +35,8 @@
 }
 
 /// Granted range of the hash space.
-#[derive(Debug, Clone, Copy, Deserialize)]
+#[derive(Debug, Clone, Copy)]
+#[derive(Deserialize)]
 pub struct Slice {
     /// First hash.
     pub start: u64,
--- a/standins/src/backend/mode.rs
+++ b/standins/src/backend/mode.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Behaviour; a control request replaces it as a whole, with defaults for what it leaves out.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 #[expect(
     clippy::struct_excessive_bools,
--- a/standins/src/backend/requests.rs
+++ b/standins/src/backend/requests.rs
@@ -61,7 +61,8 @@
 }
 
 /// Numbers for tests.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub struct Stats {
     running: usize,
     highest_running: usize,
--- a/standins/src/backend/server.rs
+++ b/standins/src/backend/server.rs
@@ -27,7 +27,8 @@
 }
 
 /// Body of a response; a client compares it with what it asked for.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 struct Echo {
     id: String,
     key: String,
@@ -38,13 +39,15 @@
     complete: bool,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Health {
     status: String,
     draining: bool,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Load {
     in_flight: u32,
     slots: u32,
--- a/standins/src/journal.rs
+++ b/standins/src/journal.rs
@@ -20,7 +20,8 @@
 }
 
 /// What happened.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Event {
     /// Work starts.
@@ -36,7 +37,8 @@
 }
 
 /// Request as the journal names it.
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize)]
 pub struct Work {
     /// Identifier of the request.
     pub id: String,
@@ -50,7 +52,8 @@
     pub idempotent: bool,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Line<'a> {
     at: u64,
     event: Event,
--- a/standins/src/kv/api.rs
+++ b/standins/src/kv/api.rs
@@ -17,18 +17,21 @@
     pub faults: fault::Faults,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct PutBody {
     value: String,
     expect: u64,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Written {
     revision: u64,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Conflict {
     current: Option<store::Entry>,
 }
--- a/standins/src/kv/cmd.rs
+++ b/standins/src/kv/cmd.rs
@@ -10,7 +10,8 @@
 use crate::kv::{api, control, fault, store};
 
 /// Runs a stand-in for the platform's key-value service.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub struct Args {
     /// Print this help.
     help: bool,
--- a/standins/src/kv/fault.rs
+++ b/standins/src/kv/fault.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 /// How the service behaves.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Mode {
     /// It answers.
@@ -22,7 +23,8 @@
 }
 
 /// Fault as set over control.
-#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[derive(Debug, Clone, Copy, Default)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Fault {
     /// Behaviour.
@@ -59,7 +61,8 @@
 }
 
 /// Counts of calls since the start, also of those that a fault left unanswered.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub struct Counts {
     get: u64,
     put: u64,
--- a/standins/src/kv/store.rs
+++ b/standins/src/kv/store.rs
@@ -26,7 +26,8 @@
 }
 
 /// Entry.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub struct Entry {
     /// Key.
     pub key: String,
@@ -37,7 +38,8 @@
 }
 
 /// Entries under a prefix.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub struct Listing {
     /// Entries in the order of their keys.
     pub entries: Vec<Entry>,
--- a/tests/ownership/chaos.rs
+++ b/tests/ownership/chaos.rs
@@ -10,7 +10,7 @@
 
 use crate::cluster::{self, Observer, TestNode, wait_for};
 use crate::fake::{Fake, Mode};
-use crate::relay::{Net, Party};
+use filbertflow_harness::relay::{Net, Party};
 
 const DOMAINS: [&str; 3] = ["ie-east-a", "ie-east-b", "ie-east-c"];
 
--- a/tests/processes/checker.rs
+++ b/tests/processes/checker.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use crate::common::caller::{Call, Outcome, Request};
-use crate::common::journal::{self, Violation};
+use filbertflow_harness::caller::{Call, Outcome, Request};
+use filbertflow_harness::journal::{self, Violation};
 
 const SECOND: u64 = 1_000_000_000;
 
--- a/tests/processes/load.rs
+++ b/tests/processes/load.rs
@@ -8,7 +8,7 @@
 
 use filbertflow::state::ids::KeyHash;
 
-use crate::common::caller::{Call, Outcome, Request};
+use filbertflow_harness::caller::{Call, Outcome, Request};
 
 /// Calls of all callers of a session.
 pub type Calls = Arc<Mutex<Vec<Call>>>;
--- a/tests/processes/session.rs
+++ b/tests/processes/session.rs
@@ -14,13 +14,13 @@
 use datadriven::TestCase;
 use serde_json::{Value, json};
 
-use crate::common::caller::{Call, Outcome, Request};
-use crate::common::document::User;
-use crate::common::mesh::{Mesh, Plan};
-use crate::common::relay::Party;
-use crate::common::{journal, wait_until};
 use crate::load::{Calls, Entries, Load, Traffic};
 use crate::target::{self, Marks};
+use filbertflow_harness::caller::{Call, Outcome, Request};
+use filbertflow_harness::document::User;
+use filbertflow_harness::mesh::{Mesh, Plan};
+use filbertflow_harness::relay::Party;
+use filbertflow_harness::{journal, wait_until};
 
 /// Meshes that run at once; more of them starve each other on a small machine.
 const MESHES: usize = 2;
--- a/tests/processes/session/expect.rs
+++ b/tests/processes/session/expect.rs
@@ -6,11 +6,11 @@
 
 use datadriven::TestCase;
 
-use crate::common::caller::{Outcome, Request};
-use crate::common::wait_until;
 use crate::load::{Calls, Entries};
 use crate::session::Session;
 use crate::target;
+use filbertflow_harness::caller::{Outcome, Request};
+use filbertflow_harness::wait_until;
 
 /// Deadline of one try while a key is awaited; short, so that the next try starts soon.
 const TRY_DEADLINE: Duration = Duration::from_millis(300);
--- a/tests/processes/target.rs
+++ b/tests/processes/target.rs
@@ -4,7 +4,7 @@
 
 use datadriven::TestCase;
 
-use crate::common::mesh::{Mesh, Part};
+use filbertflow_harness::mesh::{Mesh, Part};
 
 /// Hosts that a scenario has marked.
 pub type Marks = BTreeMap<String, BTreeSet<usize>>;
