--- a/harness/src/caller.rs
+++ b/harness/src/caller.rs
@@ -98,10 +98,10 @@
     /// Sends the request to a node and waits for the response.
     pub fn send(self, entry: SocketAddr) -> Call {
         let url = format!("http://{entry}/{}{}", self.service, self.path);
-        let method = self.method.parse().unwrap();
+        let method = self.method.parse().expect("the method is valid");
         let sent = now();
         let response = attohttpc::RequestBuilder::try_new(method, url)
-            .unwrap()
+            .expect("the address makes a valid URL")
             .header("filbert-id", &self.id)
             .header("filbert-deadline-ms", self.deadline.as_millis().to_string())
             .connect_timeout(PATIENCE)
@@ -126,7 +126,7 @@
         let status = response.status().as_u16();
         let header = |name: &str| {
             let value = response.headers().get(name)?;
-            Some(value.to_str().unwrap().to_owned())
+            Some(value.to_str().expect("the header is text").to_owned())
         };
         let reason = header("filbert-reason").unwrap_or_default();
         let id = header("filbert-id").unwrap_or_default();
--- a/harness/src/lib.rs
+++ b/harness/src/lib.rs
@@ -3,7 +3,6 @@
 //!
 //! Failures of the helper itself end the test or the measurement by a panic.
 
-#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 #![expect(clippy::missing_panics_doc, reason = "a test fails by panicking")]
 #![expect(
     clippy::must_use_candidate,
@@ -40,7 +39,7 @@
         let path = process::directory()
             .join("scratch")
             .join(format!("{name}-{unique}"));
-        fs::create_dir_all(&path).unwrap();
+        fs::create_dir_all(&path).expect("the build directory is writable");
         Self { path }
     }
 
@@ -55,7 +54,7 @@
         if thread::panicking() {
             eprintln!("files of the failed test: {}", self.path.display());
         } else {
-            fs::remove_dir_all(&self.path).unwrap();
+            fs::remove_dir_all(&self.path).expect("the scratch directory can be removed");
         }
     }
 }
@@ -72,7 +71,7 @@
     /// Chooses a network that no other mesh of this process uses.
     pub fn choose() -> Self {
         static NEXT: AtomicU8 = AtomicU8::new(0);
-        let process = 64 + u8::try_from(std::process::id() % 128).unwrap();
+        let process = 64 + u8::try_from(std::process::id() % 128).expect("the remainder fits");
         let mesh = NEXT.fetch_add(1, Ordering::Relaxed);
         Self { process, mesh }
     }
@@ -80,8 +79,10 @@
     /// Returns a free address on a host of the network.
     pub fn free(self, host: u8) -> SocketAddr {
         let ip = IpAddr::V4(Ipv4Addr::new(127, self.process, self.mesh, host));
-        let listener = TcpListener::bind((ip, 0)).unwrap();
-        listener.local_addr().unwrap()
+        let listener = TcpListener::bind((ip, 0)).expect("a loopback address has free ports");
+        listener
+            .local_addr()
+            .expect("a bound socket has an address")
     }
 }
 
@@ -102,5 +103,5 @@
 /// Reads `CLOCK_BOOTTIME` in nanoseconds, the clock of the journals.
 pub fn now() -> u64 {
     let now = filbertflow::state::clock::Instant::now();
-    u64::try_from(now.since_boot().as_nanos()).unwrap()
+    u64::try_from(now.since_boot().as_nanos()).expect("the time since boot fits")
 }
--- a/harness/src/mesh.rs
+++ b/harness/src/mesh.rs
@@ -153,7 +153,7 @@
         if part.has_node() {
             let settings = self.settings(i);
             let file = self.scratch.file(&format!("node{i}.json"));
-            fs::write(&file, settings.to_string()).unwrap();
+            fs::write(&file, settings.to_string()).expect("the scratch directory is writable");
             let args = options(&[("--settings", file.display().to_string())]);
             let log = self.scratch.file(&format!("node{i}.log"));
             self.hosts[i].node = Some(Process::start(
@@ -334,10 +334,10 @@
             .into_iter()
             .filter_map(|i| get::<admin::Explanation>(self.hosts[i].admin, &path));
         let newest = known.max_by_key(|e| {
-            let (epoch, version) = e.token.split_once('.').unwrap();
+            let (epoch, version) = e.token.split_once('.').expect("a token has two parts");
             (
-                epoch.parse::<u64>().unwrap(),
-                version.parse::<u64>().unwrap(),
+                epoch.parse::<u64>().expect("an epoch is a number"),
+                version.parse::<u64>().expect("a version is a number"),
             )
         })?;
         self.host_at(newest.owner?.address.0)
@@ -350,7 +350,9 @@
 
     /// Writes the document with this queue length, and submits it by `filbertflow-ctl`.
     pub fn submit(&self, queue: u64, based_on: u64) -> Output {
-        self.submission(queue, based_on).output().unwrap()
+        self.submission(queue, based_on)
+            .output()
+            .expect("filbertflow-ctl can be started")
     }
 
     /// Returns the command that submits the document.
@@ -363,7 +365,7 @@
     /// Returns the command that submits a document.
     pub fn submission_of(&self, document: &Value, name: &str, based_on: u64) -> Command {
         let file = self.scratch.file(name);
-        fs::write(&file, document.to_string()).unwrap();
+        fs::write(&file, document.to_string()).expect("the scratch directory is writable");
         let file = file.display().to_string();
         self.ctl(&["submit", &file, "--based-on", &based_on.to_string()])
     }
@@ -392,8 +394,11 @@
     /// Returns the metrics of a node in text format.
     pub fn metrics(&self, i: usize) -> String {
         let url = format!("http://{}/metrics", self.hosts[i].admin);
-        let response = attohttpc::get(url).timeout(CALL_LIMIT).send().unwrap();
-        response.text().unwrap()
+        let response = attohttpc::get(url)
+            .timeout(CALL_LIMIT)
+            .send()
+            .expect("a live node answers");
+        response.text().expect("the metrics are text")
     }
 
     /// Sets the behaviour of a backend server.
@@ -426,7 +431,7 @@
     let mut hosts = Vec::new();
     for service in &plan.services {
         for instance in 0..service.instances {
-            let number = u8::try_from(10 + hosts.len()).unwrap();
+            let number = u8::try_from(10 + hosts.len()).expect("a mesh has fewer than 200 hosts");
             let domains = plan.user.domains();
             let peer = network.free(number);
             hosts.push(Host {
@@ -477,11 +482,11 @@
         .timeout(CALL_LIMIT)
         .text(body.to_string())
         .send()
-        .unwrap();
+        .expect("the stand-in answers its control calls");
     let status = response.status();
     assert!(
         status.is_success(),
         "{path}: {status}: {}",
-        response.text().unwrap()
+        response.text().expect("the answer is text")
     );
 }
--- a/harness/src/process.rs
+++ b/harness/src/process.rs
@@ -19,12 +19,16 @@
 impl Process {
     /// Starts a program; its output goes to a log file.
     pub fn start(program: &Path, args: &[String], log: &Path) -> Self {
-        let out = File::options().create(true).append(true).open(log).unwrap();
+        let out = File::options()
+            .create(true)
+            .append(true)
+            .open(log)
+            .expect("the scratch directory is writable");
         let child = Command::new(program)
             .args(args)
             .env("TOKIO_WORKER_THREADS", WORKERS)
             .stdin(Stdio::null())
-            .stdout(out.try_clone().unwrap())
+            .stdout(out.try_clone().expect("a file handle can be duplicated"))
             .stderr(out)
             .spawn()
             .unwrap_or_else(|e| panic!("can't start {}: {e}", program.display()));
@@ -38,7 +42,10 @@
 
     /// Returns whether the process has not ended.
     pub fn is_running(&mut self) -> bool {
-        self.child.try_wait().unwrap().is_none()
+        self.child
+            .try_wait()
+            .expect("the process is a child")
+            .is_none()
     }
 
     /// Stops the process without ending it.
@@ -57,8 +64,8 @@
     }
 
     fn signal(&self, signal: Signal) {
-        let pid = i32::try_from(self.child.id()).unwrap();
-        kill(Pid::from_raw(pid), signal).unwrap();
+        let pid = i32::try_from(self.child.id()).expect("a process id fits");
+        kill(Pid::from_raw(pid), signal).expect("the process is a child that was not reaped");
     }
 }
 
@@ -72,11 +79,13 @@
 
 /// Returns the directory of the binaries that were built with this one.
 pub fn directory() -> PathBuf {
-    let own = std::env::current_exe().unwrap();
-    let directory = own.parent().unwrap();
+    let own = std::env::current_exe().expect("the running binary has a path");
+    let directory = own.parent().expect("a binary is in a directory");
     // Tests are built into a directory below that of the binaries.
     let directory = if directory.ends_with("deps") {
-        directory.parent().unwrap()
+        directory
+            .parent()
+            .expect("the directory of tests is in that of the binaries")
     } else {
         directory
     };
--- a/harness/src/relay.rs
+++ b/harness/src/relay.rs
@@ -67,7 +67,7 @@
             .worker_threads(2)
             .enable_all()
             .build()
-            .unwrap();
+            .expect("the runtime can be started");
         Self {
             runtime,
             faults: Arc::new(watch::Sender::default()),
@@ -95,7 +95,10 @@
     where
         F: Fn(SocketAddr) -> Option<Party> + Send + 'static,
     {
-        let listener = self.runtime.block_on(TcpListener::bind(listen)).unwrap();
+        let listener = self
+            .runtime
+            .block_on(TcpListener::bind(listen))
+            .expect("the address was free a moment ago");
         let faults = Arc::clone(&self.faults);
         let task = self
             .runtime
