--- /dev/null
+++ b/standins/tests/commands.rs
@@ -0,0 +1,30 @@
+//! Command lines of the stand-ins. As an integration test of this package it also makes
+//! `cargo test --workspace` build both binaries, which the process tests start.
+
+use std::process::Command;
+
+macro_rules! commands {
+    ($($name:ident: $binary:literal;)*) => {
+        $(
+            /// Guards against a stand-in that starts without its addresses, or without usage.
+            #[test]
+            fn $name() {
+                let help = Command::new(env!(concat!("CARGO_BIN_EXE_", $binary)))
+                    .arg("--help")
+                    .output()
+                    .unwrap();
+                assert!(help.status.success());
+                assert!(String::from_utf8_lossy(&help.stdout).contains("--listen"));
+                let bare = Command::new(env!(concat!("CARGO_BIN_EXE_", $binary)))
+                    .output()
+                    .unwrap();
+                assert!(!bare.status.success());
+            }
+        )*
+    };
+}
+
+commands! {
+    key_value_service: "standin-kv";
+    backend_server: "standin-backend";
+}
