--- a/tests/common/mod.rs
+++ b/harness/src/lib.rs
@@ -1,5 +1,13 @@
-//! Helper of the process tests: starts the real binaries and the stand-ins on loopback addresses,
-//! sends requests, puts faults between the processes and checks the journals.
+//! Helper of the process tests and measurements: starts the real binaries and the stand-ins on
+//! loopback addresses, sends requests, puts faults between the processes and checks the journals.
+//!
+//! Failures of the helper itself end the test or the measurement by a panic.
+
+#![expect(clippy::missing_panics_doc, reason = "a test fails by panicking")]
+#![expect(
+    clippy::must_use_candidate,
+    reason = "results are used or the test is pointless"
+)]
 
 pub mod caller;
 pub mod document;
@@ -10,7 +18,7 @@
 
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -25,13 +33,17 @@
 }
 
 impl Scratch {
+    /// Creates a directory with a unique name.
     pub fn create(name: &str) -> Self {
         let unique = uuid::Uuid::now_v7();
-        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{unique}"));
-        fs::create_dir_all(&path).unwrap();
+        let path = process::directory()
+            .join("scratch")
+            .join(format!("{name}-{unique}"));
+        fs::create_dir_all(&path).expect("the build directory is writable");
         Self { path }
     }
 
+    /// Returns the path of a file in the directory.
     pub fn file(&self, name: &str) -> PathBuf {
         self.path.join(name)
     }
@@ -42,7 +54,7 @@
         if thread::panicking() {
             eprintln!("files of the failed test: {}", self.path.display());
         } else {
-            fs::remove_dir_all(&self.path).unwrap();
+            fs::remove_dir_all(&self.path).expect("the scratch directory can be removed");
         }
     }
 }
@@ -56,9 +68,10 @@
 }
 
 impl Network {
+    /// Chooses a network that no other mesh of this process uses.
     pub fn choose() -> Self {
         static NEXT: AtomicU8 = AtomicU8::new(0);
-        let process = 64 + u8::try_from(std::process::id() % 128).unwrap();
+        let process = 64 + u8::try_from(std::process::id() % 128).expect("the remainder fits");
         let mesh = NEXT.fetch_add(1, Ordering::Relaxed);
         Self { process, mesh }
     }
@@ -66,8 +79,10 @@
     /// Returns a free address on a host of the network.
     pub fn free(self, host: u8) -> SocketAddr {
         let ip = IpAddr::V4(Ipv4Addr::new(127, self.process, self.mesh, host));
-        let listener = TcpListener::bind((ip, 0)).unwrap();
-        listener.local_addr().unwrap()
+        let listener = TcpListener::bind((ip, 0)).expect("a loopback address has free ports");
+        listener
+            .local_addr()
+            .expect("a bound socket has an address")
     }
 }
 
@@ -88,5 +103,5 @@
 /// Reads `CLOCK_BOOTTIME` in nanoseconds, the clock of the journals.
 pub fn now() -> u64 {
     let now = filbertflow::state::clock::Instant::now();
-    u64::try_from(now.since_boot().as_nanos()).unwrap()
+    u64::try_from(now.since_boot().as_nanos()).expect("the time since boot fits")
 }
