--- a/harness/src/lib.rs
+++ b/harness/src/lib.rs
@@ -16,10 +16,12 @@
 pub mod process;
 pub mod relay;
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -76,13 +78,21 @@
         Self { process, mesh }
     }
 
-    /// Returns a free address on a host of the network.
+    /// Returns a free address on a host of the network, a different one with each call. Until a
+    /// process listens on it, the kernel may offer the same port again.
     pub fn free(self, host: u8) -> SocketAddr {
+        static TAKEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
         let ip = IpAddr::V4(Ipv4Addr::new(127, self.process, self.mesh, host));
-        let listener = TcpListener::bind((ip, 0)).expect("a loopback address has free ports");
-        listener
-            .local_addr()
-            .expect("a bound socket has an address")
+        loop {
+            let listener = TcpListener::bind((ip, 0)).expect("a loopback address has free ports");
+            let addr = listener
+                .local_addr()
+                .expect("a bound socket has an address");
+            let mut taken = TAKEN.lock().unwrap_or_else(PoisonError::into_inner);
+            if taken.insert(addr) {
+                return addr;
+            }
+        }
     }
 }
 
