Give each listener of the ownership and gossip tests a host of its own

A fault of the product was ruled out: the panic is in the test's bind. Change: the harness hands out addresses on a loopback host for each call; both tests use it instead of copies of their own.

--- a/harness/src/lib.rs
+++ b/harness/src/lib.rs
@@ -20,7 +20,7 @@
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU16, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -96,6 +96,20 @@
     }
 }
 
+/// Returns a free address on a loopback host of its own, so that neither another listener of this
+/// process nor an outgoing connection can take the port before it is used, or between two uses.
+pub fn free_addr() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(1);
+    let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    // Below the networks of meshes, and above 127.0, from which connections go out.
+    let process = 1 + u8::try_from(std::process::id() % 62).expect("the remainder fits");
+    let ip = Ipv4Addr::new(127, process, high, low);
+    let listener = TcpListener::bind((ip, 0)).expect("a loopback address has free ports");
+    listener
+        .local_addr()
+        .expect("a bound socket has an address")
+}
+
 /// Waits until a condition holds; returns false when the limit has passed.
 pub fn wait_until(limit: Duration, mut condition: impl FnMut() -> bool) -> bool {
     let end = Instant::now() + limit;
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -25,7 +25,7 @@
 
 impl Running {
     fn start(addr: net::SocketAddr, peers: Vec<ids::NodeAddr>) -> Self {
-        Self::with_platform(addr, peers, free_addr())
+        Self::with_platform(addr, peers, filbertflow_harness::free_addr())
     }
 
     fn with_platform(
@@ -38,7 +38,7 @@
             .enable_all()
             .build()
             .unwrap();
-        let nowhere = free_addr();
+        let nowhere = filbertflow_harness::free_addr();
         let node = node::Node::new(settings::Settings {
             region: "ie-east".to_owned(),
             domain: "ie-east-a".to_owned(),
@@ -85,15 +85,10 @@
     }
 }
 
-fn free_addr() -> net::SocketAddr {
-    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
 fn start(count: usize) -> Vec<Running> {
-    let first = Running::start(free_addr(), Vec::new());
+    let first = Running::start(filbertflow_harness::free_addr(), Vec::new());
     let seed = first.addr();
-    let others = (1..count).map(|_| Running::start(free_addr(), vec![seed]));
+    let others = (1..count).map(|_| Running::start(filbertflow_harness::free_addr(), vec![seed]));
     std::iter::once(first).chain(others).collect()
 }
 
@@ -175,7 +170,8 @@
 fn nodes_register_once_and_find_each_other_in_the_platform() {
     let platform = fake::Fake::start();
     platform.set(fake::Mode::LoseAnswers);
-    let start = || Running::with_platform(free_addr(), Vec::new(), platform.addr);
+    let start =
+        || Running::with_platform(filbertflow_harness::free_addr(), Vec::new(), platform.addr);
     let nodes = [start()];
     until("the first write took effect", || platform.writes() == 1);
     platform.set(fake::Mode::Normal);
@@ -188,7 +184,7 @@
 #[test]
 fn restarted_node_replaces_its_registration() {
     let platform = fake::Fake::start();
-    let addr = free_addr();
+    let addr = filbertflow_harness::free_addr();
     for start in 1..=2 {
         let mut node = Running::with_platform(addr, Vec::new(), platform.addr);
         until("the node is registered", || platform.writes() == start);
--- a/tests/ownership/cluster.rs
+++ b/tests/ownership/cluster.rs
@@ -2,7 +2,7 @@
 //! that checks after every admission that no older owner is still admitting.
 
 use std::collections::HashMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
 use std::thread;
@@ -47,15 +47,6 @@
     thread: Option<thread::JoinHandle<()>>,
 }
 
-/// Chooses a free port at an address of this process alone, so that a test process that runs at
-/// the same time can't take it before the node binds it.
-pub fn free_addr() -> SocketAddr {
-    let [_, high, middle, low] = std::process::id().to_be_bytes();
-    let own = [127, 64 | high & 63, middle, low.clamp(1, 254)];
-    let listener = TcpListener::bind((std::net::IpAddr::from(own), 0)).unwrap();
-    listener.local_addr().unwrap()
-}
-
 pub fn settings(platform: SocketAddr, peer: SocketAddr, domain: &str) -> settings::Settings {
     settings::Settings {
         region: "ie-east".to_owned(),
@@ -71,7 +62,7 @@
 
 impl TestNode {
     pub fn start(platform: SocketAddr, domain: &str) -> Self {
-        Self::start_at(platform, free_addr(), domain)
+        Self::start_at(platform, filbertflow_harness::free_addr(), domain)
     }
 
     pub fn start_at(platform: SocketAddr, addr: SocketAddr, domain: &str) -> Self {
@@ -329,7 +320,11 @@
 pub fn bare(platform: SocketAddr) -> Bare {
     let runtime = tokio::runtime::Runtime::new().unwrap();
     let inside = runtime.enter();
-    let node = node::Node::new(settings(platform, free_addr(), "ie-east-a"));
+    let node = node::Node::new(settings(
+        platform,
+        filbertflow_harness::free_addr(),
+        "ie-east-a",
+    ));
     drop(inside);
     Bare { node, runtime }
 }
