--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -1,7 +1,6 @@
 //! Answers of the admin address.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::{fs, net, time};
 
 use filbertflow::coordination::{admin, node};
@@ -15,35 +14,17 @@
     _runtime: tokio::runtime::Runtime,
 }
 
-/// Returns a free address on a loopback address of its own, on which no other process and no
-/// outgoing connection takes the port before it is bound.
-fn free_addr() -> net::SocketAddr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let [.., high, low] = std::process::id().to_be_bytes();
-    let ip = [
-        127,
-        64 + high % 64,
-        low,
-        NEXT.fetch_add(1, Ordering::Relaxed),
-    ];
-    let listener =
-        net::TcpListener::bind((net::Ipv4Addr::from(ip), 0)).expect("loopback has a free port");
-    listener
-        .local_addr()
-        .expect("a bound socket has an address")
-}
-
 fn start() -> Running {
     let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
     let guard = runtime.enter();
     let node = node::Node::new(settings::Settings {
         region: "ie-east".to_owned(),
         domain: "ie-east-a".to_owned(),
-        caller: free_addr(),
-        peer: ids::NodeAddr(free_addr()),
+        caller: filbertflow_harness::free_addr(),
+        peer: ids::NodeAddr(filbertflow_harness::free_addr()),
         peer_listen: None,
-        admin: free_addr(),
-        platform: free_addr(),
+        admin: filbertflow_harness::free_addr(),
+        platform: filbertflow_harness::free_addr(),
         peers: Vec::new(),
     });
     let server = admin::start(Arc::clone(&node)).expect("the admin address is free");
--- a/tests/ctl/fleet.rs
+++ b/tests/ctl/fleet.rs
@@ -1,8 +1,7 @@
 //! Nodes of one process, without backend servers.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
 
 use filbertflow::coordination::{admin, config, membership, node, service};
 use filbertflow::state::{ids, settings};
@@ -17,21 +16,6 @@
     runtime: Option<tokio::runtime::Runtime>,
 }
 
-/// Returns a free address on a loopback address of its own, on which no other process and no
-/// outgoing connection takes the port before it is bound.
-fn free_addr() -> SocketAddr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let [.., high, low] = std::process::id().to_be_bytes();
-    let ip = [
-        127,
-        64 + high % 64,
-        low,
-        NEXT.fetch_add(1, Ordering::Relaxed),
-    ];
-    let listener = TcpListener::bind((Ipv4Addr::from(ip), 0)).unwrap();
-    listener.local_addr().unwrap()
-}
-
 /// Starts nodes in two failure domains.
 pub fn start(fake: &Fake, count: usize) -> Fleet {
     let mut fleet = Fleet {
@@ -54,9 +38,9 @@
         let node = node::Node::new(settings::Settings {
             region: "ie-east".to_owned(),
             domain: format!("ie-east-{}", self.nodes.len() % 2),
-            caller: free_addr(),
-            peer: ids::NodeAddr(free_addr()),
-            admin: free_addr(),
+            caller: filbertflow_harness::free_addr(),
+            peer: ids::NodeAddr(filbertflow_harness::free_addr()),
+            admin: filbertflow_harness::free_addr(),
             platform: fake.addr,
             peer_listen: None,
             peers: self.nodes.iter().map(|n| n.me.addr).collect(),
--- a/tests/requests/host.rs
+++ b/tests/requests/host.rs
@@ -1,7 +1,6 @@
 //! Nodes of these tests, with records and leases set by the test instead of a coordinator.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::{net, time};
 
@@ -58,7 +57,7 @@
             .build()
             .unwrap();
         let any: net::SocketAddr = "127.0.0.1:0".parse().unwrap();
-        let peer = free_addr();
+        let peer = filbertflow_harness::free_addr();
         let node = node::Node::new(settings::Settings {
             region: "ie-east".to_owned(),
             domain: "ie-east-a".to_owned(),
@@ -66,7 +65,7 @@
             peer: ids::NodeAddr(peer),
             peer_listen: None,
             admin: any,
-            platform: free_addr(),
+            platform: filbertflow_harness::free_addr(),
             peers: Vec::new(),
         });
         node.config
@@ -170,18 +169,6 @@
     }
 }
 
-/// Returns an address at which nothing listens. Each has an IP number of its own, so that no other
-/// test takes over its port.
-pub fn free_addr() -> net::SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(1);
-    let next = NEXT.fetch_add(1, Ordering::Relaxed);
-    // 127.0.0.0/16 is left to listeners that are bound without a number of their own.
-    let process = std::process::id() % 0xfe + 1;
-    let ip = net::Ipv4Addr::from(0x7f00_0000 | process << 16 | next);
-    let listener = net::TcpListener::bind((ip, 0)).unwrap();
-    listener.local_addr().unwrap()
-}
-
 pub fn record(
     service: &str,
     owner: Option<ids::NodeRef>,
--- a/tests/requests/liar.rs
+++ b/tests/requests/liar.rs
@@ -9,7 +9,7 @@
 use tarpc::context;
 use tarpc::server::Channel;
 
-use crate::host::{Host, free_addr};
+use crate::host::Host;
 
 /// Node at this address; answers are those of a request that nobody sent.
 #[derive(Clone)]
@@ -18,7 +18,7 @@
 impl Liar {
     /// Starts the peer on the runtime of a host.
     pub fn start(host: &Host) -> ids::NodeRef {
-        let addr: net::SocketAddr = free_addr();
+        let addr: net::SocketAddr = filbertflow_harness::free_addr();
         let me = ids::NodeRef {
             addr: ids::NodeAddr(addr),
             incarnation: ids::Incarnation(1),
--- a/tests/requests/limits.rs
+++ b/tests/requests/limits.rs
@@ -110,7 +110,7 @@
 #[test]
 fn refused_connection_proves_not_run() {
     let host = Host::start();
-    host.announce("walks", host::free_addr(), 4);
+    host.announce("walks", filbertflow_harness::free_addr(), 4);
     host.learn("walks", Some(host.node.me), 1);
     let headers = [("filbert-deadline-ms", "1500")];
     let got = call("POST", &host.url("/walks/k"), &headers, "");
@@ -140,7 +140,7 @@
 #[test]
 fn relapsed_server_is_probed_only_after_its_lease() {
     let server = backend::Backend::default();
-    let announcement = host::announcement("walks", host::free_addr(), 4);
+    let announcement = host::announcement("walks", filbertflow_harness::free_addr(), 4);
     server.announce(announcement.clone());
     let up = || server.state().is_some_and(|(_, s)| s.up);
     let now = clock::Instant::now();
--- a/tests/requests/routing.rs
+++ b/tests/requests/routing.rs
@@ -10,7 +10,7 @@
 use crate::caller::{call, start};
 use crate::eventually;
 use crate::fake::{Act, Fake};
-use crate::host::{self, Host};
+use crate::host::Host;
 use crate::liar::Liar;
 
 fn answering() -> Fake {
@@ -58,7 +58,7 @@
     let owner = owner(&fake);
     let entry = Host::start();
     let ended = ids::NodeRef {
-        addr: ids::NodeAddr(host::free_addr()),
+        addr: ids::NodeAddr(filbertflow_harness::free_addr()),
         incarnation: ids::Incarnation(1),
     };
     entry.learn("walks", Some(ended), 1);
