--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -17,6 +17,7 @@
 pub mod run;
 pub mod scenario;
 pub mod shared;
+pub mod sidecar;
 pub mod snapshot;
 pub mod status;
 pub mod submission;
--- /dev/null
+++ b/src/cmd/sidecar.rs
@@ -0,0 +1,144 @@
+//! `filbertflow-sidecar`: runs one sidecar until it is told to stop.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use gumdrop::Options;
+use tokio::signal::unix;
+use tokio::{runtime, task, time};
+
+use crate::cmd::{exit, logging};
+use crate::coordination::sidecar::node::Node;
+use crate::metrics::Metrics;
+use crate::protocol::edge::Adapter;
+use crate::state::site::Site;
+
+const USAGE: &str = "\
+Runs one filbertflow sidecar beside a backend server.
+
+Usage:
+    filbertflow-sidecar [--settings FILE] [--metrics-port PORT] [--check]
+
+The sidecar takes requests of callers on its host and runs those of others on
+its backend server. On SIGTERM or SIGINT it finishes what is in flight and
+exits; on SIGHUP it reads its settings again.
+
+Example:
+    filbertflow-sidecar --settings sidecar.jsonc --check
+
+Exit codes: 0 stopped as told, 1 failure at run time, 2 invalid settings.
+
+Options:";
+
+/// Interval at which the settings file is compared with the settings in force.
+const SETTINGS_POLL: Duration = Duration::from_secs(2);
+
+#[derive(Debug, Default)]
+#[derive(Options)]
+struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print the version", short = "V")]
+    version: bool,
+    #[options(help = "settings file, JSON with comments", meta = "FILE")]
+    settings: Option<String>,
+    #[options(help = "port of the metrics, on the callers' address", meta = "PORT")]
+    metrics_port: Option<u16>,
+    #[options(help = "check the settings and exit")]
+    check: bool,
+}
+
+/// Source of the settings.
+#[derive(Debug)]
+pub struct Source {
+    /// Environment variable with the path of the file.
+    pub variable: &'static str,
+    /// Reads a file; the error is a message for a person.
+    pub load: fn(&str) -> Result<Site, String>,
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Returns an error with its exit code if the settings are invalid or an address can't be bound.
+pub fn run(args: &[String], adapter: Rc<dyn Adapter>, source: &Source) -> eyre::Result<()> {
+    let args = Args::parse_args_default(args)
+        .map_err(|e| exit::Failure::new(exit::Exit::BadInput, format!("{e}\n\n{USAGE}")))?;
+    if args.help {
+        println!("{USAGE}\n{}", Args::usage());
+        return Ok(());
+    }
+    if args.version {
+        println!("filbertflow-sidecar {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    let bad = |message: String| exit::Failure::new(exit::Exit::BadInput, message);
+    let named = args
+        .settings
+        .clone()
+        .or_else(|| std::env::var(source.variable).ok());
+    let path = named.ok_or_else(|| {
+        bad(format!(
+            "neither --settings nor {} names a settings file",
+            source.variable
+        ))
+    })?;
+    let site = (source.load)(&path).map_err(bad)?;
+    if args.check {
+        println!("{path}: valid");
+        return Ok(());
+    }
+    logging::start_bounded();
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let local = task::LocalSet::new();
+    local.block_on(&runtime, serve(&args, &path, site, adapter, source))
+}
+
+async fn serve(
+    args: &Args,
+    path: &str,
+    site: Site,
+    adapter: Rc<dyn Adapter>,
+    source: &Source,
+) -> eyre::Result<()> {
+    let mut term = unix::signal(unix::SignalKind::terminate())?;
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
+    let mut hangup = unix::signal(unix::SignalKind::hangup())?;
+    let metrics = args
+        .metrics_port
+        .map(|port| SocketAddr::new(site.listen.callers.ip(), port));
+    let node = Node::new(&site, &adapter, &Metrics::default());
+    node.start(&adapter, metrics)?;
+    tracing::info!(event = 111, node = %site.node, domain = %site.domain, service = %site.service, backend = %site.backend, "sidecar has started");
+    let mut current = site;
+    let signal = loop {
+        let reason = tokio::select! {
+            _ = term.recv() => break "SIGTERM",
+            _ = interrupt.recv() => break "SIGINT",
+            _ = hangup.recv() => "SIGHUP",
+            () = time::sleep(SETTINGS_POLL) => "file",
+        };
+        match (source.load)(path) {
+            Ok(site) if site != current => {
+                tracing::info!(event = 112, node = %site.node, reason, "settings have changed");
+                node.reload(&site);
+                current = site;
+            }
+            Ok(_) if reason == "SIGHUP" => {
+                tracing::info!(event = 113, reason, "settings are as before");
+            }
+            Ok(_) => {}
+            Err(e) => {
+                tracing::warn!(event = 114, reason, error = %e, "settings can't be read; the last ones stay in force");
+            }
+        }
+    };
+    tracing::info!(event = 115, node = %current.node, signal, "sidecar stops");
+    node.stop().await;
+    tracing::info!(event = 116, node = %current.node, "sidecar has stopped");
+    Ok(())
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -25,6 +25,7 @@
 pub mod retry;
 pub mod router;
 pub mod service;
+pub mod sidecar;
 pub mod standby;
 pub mod store;
 pub mod succession;
--- /dev/null
+++ b/src/coordination/sidecar/admission.rs
@@ -0,0 +1,269 @@
+//! Queue in front of one backend server: who starts, who waits, who is refused.
+//!
+//! The queue is ordered by rank and then by latency objective, so that the work that a running
+//! request waits for goes first and nobody is served late because of somebody who has more time.
+//! A request that can't meet its objective any more waits behind those that can; one that can't
+//! even end before its caller gives up is refused when it arrives, not after it has waited.
+//!
+//! Nothing here does input or output: time is passed in, so a test can replay a day's load.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use crate::state::clock::Instant;
+
+/// Weight of the newest request in the mean run times; about 30 requests count.
+const SMOOTHING: f64 = 0.03;
+
+/// Requests that may wait without a chance to meet their objective, per slot.
+const LATE_PER_SLOT: f64 = 0.5;
+
+/// Share of the expected run time that must be left for a request to be started; run times vary.
+const START_SHARE: f64 = 0.6;
+
+/// Run time that is assumed before the first request has ended.
+const FIRST_GUESS: Duration = Duration::from_millis(100);
+
+/// Requests after which the mean run time is worth telling.
+const ENOUGH: u32 = 20;
+
+/// Rank of requests that a running request waits for.
+pub const CALLED: u8 = 0;
+
+/// Identifier of a request in the queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TicketId(pub u64);
+
+/// Request that asks to be run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ticket {
+    /// Rank; 0 goes first.
+    pub rank: u8,
+    /// Kind of request, for its expected run time.
+    pub kind: u32,
+    /// Latency objective.
+    pub aim: Instant,
+    /// Time at which the caller or the route gives up.
+    pub limit: Instant,
+}
+
+/// Answer to a request that asks to be run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Runs now; [`Queue::finish`] ends it.
+    Start,
+    /// Waits.
+    Wait(TicketId),
+    /// Can't be run in time; another try may succeed after the time given.
+    Refuse(Duration),
+}
+
+/// What happens when a slot becomes free.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Turn {
+    /// Requests that run now.
+    pub start: Vec<TicketId>,
+    /// Requests that can't end in time any more.
+    pub expired: Vec<TicketId>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    late: bool,
+    rank: u8,
+    aim: Instant,
+    id: TicketId,
+}
+
+/// Queue of one backend server.
+#[derive(Debug)]
+pub struct Queue {
+    slots: usize,
+    running: usize,
+    waiting: BTreeMap<Place, Ticket>,
+    places: HashMap<TicketId, Place>,
+    late: usize,
+    mean: Option<f64>,
+    kinds: HashMap<u32, f64>,
+    ended: u32,
+    next: u64,
+}
+
+impl Queue {
+    /// Creates a queue for a backend server with `slots` places.
+    #[must_use]
+    pub fn new(slots: usize) -> Self {
+        Self {
+            slots,
+            running: 0,
+            waiting: BTreeMap::new(),
+            places: HashMap::new(),
+            late: 0,
+            mean: None,
+            kinds: HashMap::new(),
+            ended: 0,
+            next: 0,
+        }
+    }
+
+    /// Sets the number of places.
+    pub fn set_slots(&mut self, slots: usize) {
+        self.slots = slots;
+    }
+
+    /// Forgets the run times, when another backend server takes the place.
+    pub fn reset_times(&mut self) {
+        self.mean = None;
+        self.ended = 0;
+        self.kinds.clear();
+    }
+
+    /// Returns the number of running requests.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running
+    }
+
+    /// Returns the number of waiting requests.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns the mean run time of all requests, once enough have ended.
+    #[must_use]
+    pub fn mean(&self) -> Option<Duration> {
+        let mean = self.mean.filter(|_| self.ended >= ENOUGH)?;
+        Some(Duration::from_secs_f64(mean))
+    }
+
+    /// Returns the expected run time of a kind of request.
+    #[must_use]
+    pub fn expected(&self, kind: u32) -> Duration {
+        let known = self.kinds.get(&kind).copied().or(self.mean);
+        known.map_or(FIRST_GUESS, Duration::from_secs_f64)
+    }
+
+    fn wait_behind(&self, ahead: usize) -> Duration {
+        let mean = self.mean.unwrap_or(FIRST_GUESS.as_secs_f64());
+        Duration::from_secs_f64(mean * (ahead + 1) as f64 / self.slots.max(1) as f64)
+    }
+
+    /// Decides on a request that arrives.
+    pub fn offer(&mut self, ticket: Ticket, now: Instant) -> Verdict {
+        let cost = self.expected(ticket.kind);
+        if now + cost.mul_f64(START_SHARE) > ticket.limit {
+            return Verdict::Refuse(self.wait_behind(self.waiting.len()));
+        }
+        if self.running < self.slots && self.waiting.is_empty() {
+            self.running += 1;
+            return Verdict::Start;
+        }
+        self.next += 1;
+        let mut place = Place {
+            late: false,
+            rank: ticket.rank,
+            aim: ticket.aim,
+            id: TicketId(self.next),
+        };
+        let wait = self.wait_behind(self.waiting.range(..place).count());
+        let called = ticket.rank == CALLED;
+        if !called && now + wait + cost > ticket.aim {
+            place.late = true;
+            let wait = self.wait_behind(self.waiting.len());
+            let full = self.late as f64 >= LATE_PER_SLOT * self.slots as f64;
+            if full || now + wait.mul_f64(1.5) + cost > ticket.limit {
+                return Verdict::Refuse(wait);
+            }
+        } else if called && now + wait + cost > ticket.limit {
+            return Verdict::Refuse(wait);
+        }
+        self.insert(place, ticket);
+        Verdict::Wait(place.id)
+    }
+
+    fn insert(&mut self, place: Place, ticket: Ticket) {
+        self.late += usize::from(place.late);
+        self.waiting.insert(place, ticket);
+        self.places.insert(place.id, place);
+    }
+
+    fn remove(&mut self, place: Place) -> Option<Ticket> {
+        self.places.remove(&place.id);
+        let ticket = self.waiting.remove(&place)?;
+        self.late -= usize::from(place.late);
+        Some(ticket)
+    }
+
+    /// Takes a waiting request out, because its caller has left.
+    pub fn withdraw(&mut self, id: TicketId) -> bool {
+        match self.places.get(&id).copied() {
+            Some(place) => self.remove(place).is_some(),
+            None => false,
+        }
+    }
+
+    /// Ends a running request; `took` is its run time if it ran to its end.
+    pub fn finish(&mut self, kind: u32, took: Option<Duration>, now: Instant) -> Turn {
+        self.running = self.running.saturating_sub(1);
+        if let Some(took) = took {
+            self.ended = self.ended.saturating_add(1);
+            let took = took.as_secs_f64();
+            let blend = |old: f64| old + SMOOTHING * (took - old);
+            self.mean = Some(self.mean.map_or(took, blend));
+            let kind = self.kinds.entry(kind).or_insert(took);
+            *kind = blend(*kind);
+        }
+        self.turn(now)
+    }
+
+    /// Starts what can be started.
+    pub fn turn(&mut self, now: Instant) -> Turn {
+        let mut turn = Turn::default();
+        while self.running < self.slots {
+            let Some((&place, &ticket)) = self.waiting.first_key_value() else {
+                break;
+            };
+            self.remove(place);
+            let cost = self.expected(ticket.kind).mul_f64(START_SHARE);
+            if now + cost > ticket.limit {
+                turn.expired.push(place.id);
+                continue;
+            }
+            let missed = !place.late && ticket.rank != CALLED && now + cost > ticket.aim;
+            if missed && self.waiting.keys().any(|p| !p.late) {
+                self.insert(
+                    Place {
+                        late: true,
+                        ..place
+                    },
+                    ticket,
+                );
+                continue;
+            }
+            self.running += 1;
+            turn.start.push(place.id);
+        }
+        turn
+    }
+
+    /// Takes out the waiting requests that can't end in time any more.
+    pub fn expire(&mut self, now: Instant) -> Vec<TicketId> {
+        let past = |(p, t): (&Place, &Ticket)| {
+            let cost = self.expected(t.kind).mul_f64(START_SHARE);
+            (now + cost > t.limit).then_some(*p)
+        };
+        let gone: Vec<_> = self.waiting.iter().filter_map(past).collect();
+        for place in &gone {
+            self.remove(*place);
+        }
+        gone.into_iter().map(|p| p.id).collect()
+    }
+
+    /// Takes all waiting requests out.
+    pub fn clear(&mut self) -> Vec<TicketId> {
+        self.waiting.clear();
+        self.late = 0;
+        self.places.drain().map(|(id, _)| id).collect()
+    }
+}
--- /dev/null
+++ b/src/coordination/sidecar/beats.rs
@@ -0,0 +1,133 @@
+//! Heartbeats of the backend server beside this node.
+//!
+//! Heartbeats may be late, repeated or from an earlier life. The start of a life and the counter
+//! within it tell which one is newest; anything older is acknowledged or refused, and changes
+//! nothing.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::task;
+
+use crate::coordination::sidecar::configuration::Configuration;
+use crate::coordination::sidecar::gate::{Backend, Gate};
+use crate::coordination::sidecar::owner::Owner;
+use crate::protocol::edge::{Adapter, Heartbeat, Notice, Phase};
+use crate::protocol::http;
+use crate::state::clock::Instant;
+use crate::state::keyspace::Holder;
+use crate::transport::sidecar::server::Reply;
+
+/// Longest slow time after a start that is believed.
+const LONGEST_WARMUP: Duration = Duration::from_mins(1);
+
+/// Receiver of heartbeats.
+#[derive(Debug)]
+pub struct Beats {
+    /// Address of this node.
+    pub node: String,
+    /// Address of the backend server on this host.
+    pub address: SocketAddr,
+    /// Translation of heartbeats.
+    pub adapter: Rc<dyn Adapter>,
+    /// Configuration.
+    pub configuration: Rc<Configuration>,
+    /// Gate.
+    pub gate: Rc<Gate>,
+    /// Keys of the backend server.
+    pub owner: Rc<Owner>,
+}
+
+impl Beats {
+    /// Answers a call of the backend server.
+    pub fn answer(&self, head: &http::RequestHead, body: &[u8]) -> Reply {
+        match self.adapter.notice(head, body) {
+            Ok(Notice::Heartbeat(beat)) => self.heartbeat(beat),
+            Ok(Notice::Leave { backend, born }) => self.leave(&backend, born),
+            Err(e) => {
+                tracing::warn!(event = 371, target = %head.target, error = %e, "a heartbeat can't be read and is ignored");
+                (400, Vec::new())
+            }
+        }
+    }
+
+    fn leave(&self, id: &str, born: Option<u64>) -> Reply {
+        if let Some(mut backend) = self.gate.backend()
+            && backend.holder.backend == id
+            && born.is_none_or(|b| b == backend.holder.born)
+        {
+            tracing::info!(event = 372, backend = %id, "the backend server leaves");
+            backend.leaving.get_or_insert_with(Instant::now);
+            self.gate.set_backend(backend);
+        }
+        (200, self.adapter.grants(None))
+    }
+
+    fn heartbeat(&self, beat: Heartbeat) -> Reply {
+        let refused = self.refusal(&beat);
+        if let Some((status, reason)) = refused {
+            tracing::warn!(event = 373, backend = %beat.backend, born = beat.born, sequence = beat.sequence, reason, "a heartbeat changes nothing");
+            return (status, self.adapter.grants(None));
+        }
+        let backend = self.describe(&beat);
+        self.gate.set_backend(backend.clone());
+        if !backend.keyed {
+            return (200, self.adapter.grants(None));
+        }
+        let owner = Rc::clone(&self.owner);
+        let grants = self.owner.heartbeat(&beat, &backend);
+        task::spawn_local(async move { owner.settle(&beat, &backend).await });
+        (200, self.adapter.grants(grants.as_ref()))
+    }
+
+    /// Returns why a heartbeat must not change anything.
+    fn refusal(&self, beat: &Heartbeat) -> Option<(u16, &'static str)> {
+        let stated: Result<SocketAddr, _> = beat.address.parse();
+        if stated.ok() != Some(self.address) {
+            return Some((400, "not the backend server on this host"));
+        }
+        let current = self.gate.backend()?;
+        let same = current.holder.backend == beat.backend && current.holder.born == beat.born;
+        if same && beat.sequence <= current.sequence {
+            return Some((200, "older than the last one"));
+        }
+        if !same && beat.born <= current.holder.born {
+            return Some((409, "from an earlier life"));
+        }
+        None
+    }
+
+    fn describe(&self, beat: &Heartbeat) -> Backend {
+        let now = Instant::now();
+        let holder = Holder {
+            node: self.node.clone(),
+            backend: beat.backend.clone(),
+            born: beat.born,
+        };
+        let before = self.gate.backend().filter(|b| b.holder == holder);
+        let known = before.is_some();
+        let before = before.and_then(|b| b.leaving);
+        let leaving = match beat.phase {
+            Phase::Draining => Some(before.unwrap_or(now)),
+            // A life that leaves does not come back.
+            Phase::Ready => before,
+        };
+        if !known || leaving != before {
+            tracing::info!(event = 374, backend = %beat.backend, born = beat.born, sequence = beat.sequence, service = %beat.service, phase = ?beat.phase, "the backend server's state changed");
+        }
+        let routes = self.configuration.get();
+        let service = routes.as_ref().and_then(|r| r.service(&beat.service));
+        Backend {
+            holder,
+            sequence: beat.sequence,
+            service: beat.service.clone(),
+            address: self.address,
+            slots: beat.slots,
+            leaving,
+            keyed: service.is_some_and(|s| s.keyed),
+            warm_at: now + beat.warmup.min(LONGEST_WARMUP),
+            heard: now,
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/sidecar/choose.rs
@@ -0,0 +1,72 @@
+//! Choice of a backend server for a request that any of a service may run.
+//!
+//! Each candidate gets the time that the request is expected to take there: its wait, its run time
+//! and what a failure would cost. The load that a node reported is corrected by what this node has
+//! sent there since.
+
+use rand::Rng;
+
+/// Extra time for a candidate in another failure domain, in milliseconds; covers two crossings.
+const CROSSING_MS: f64 = 2.0;
+
+/// Weight of a nearly full backend server, which is slower than its mean run time says.
+const CROWDING: f64 = 0.5;
+
+/// Largest random factor on an estimate; keeps nodes with the same reports from choosing alike.
+const SPREAD: f64 = 0.1;
+
+/// Factor on the run time of a backend server that has just started.
+const WARMUP_FACTOR: f64 = 2.0;
+
+/// Share of failures above which a candidate counts as failing all the time.
+const WORST_SHARE: f64 = 0.9;
+
+/// Run time that is assumed for a backend server without reports, in milliseconds.
+const FIRST_GUESS_MS: f64 = 100.0;
+
+/// Backend server that may run a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// Requests that it runs at the same time.
+    pub slots: u16,
+    /// Requests that it runs or that wait for it: as reported, and sent there since.
+    pub busy: u16,
+    /// Mean run time in milliseconds, 0 if it isn't known.
+    pub service_ms: f64,
+    /// Share of failed requests, 0 to 1.
+    pub failing: f64,
+    /// Whether it has just started.
+    pub warming: bool,
+    /// Whether it is in the failure domain of this node.
+    pub near: bool,
+}
+
+impl Candidate {
+    /// Returns the expected time until the answer, in milliseconds.
+    #[must_use]
+    pub fn expected_ms(&self) -> f64 {
+        let slots = f64::from(self.slots.max(1));
+        let mut run = match self.service_ms {
+            ms if ms > 0.0 => ms,
+            _ => FIRST_GUESS_MS,
+        };
+        if self.warming {
+            run *= WARMUP_FACTOR;
+        }
+        let ahead = f64::from(self.busy);
+        let full = (ahead / slots).min(1.0);
+        let wait = (ahead + 1.0 - slots).max(0.0) * run / slots;
+        let crossing = if self.near { 0.0 } else { CROSSING_MS };
+        let once = run * (1.0 + CROWDING * full.powi(3)) + wait + crossing;
+        let success = 1.0 - self.failing.min(WORST_SHARE);
+        once / (success * success * success)
+    }
+}
+
+/// Returns the index of the candidate with the shortest expected time.
+pub fn pick(candidates: &[Candidate], rng: &mut impl Rng) -> Option<usize> {
+    let estimate = |c: &Candidate| c.expected_ms() * (1.0 + SPREAD * rng.random::<f64>());
+    let estimates: Vec<f64> = candidates.iter().map(estimate).collect();
+    let indexed = estimates.iter().enumerate();
+    indexed.min_by(|a, b| a.1.total_cmp(b.1)).map(|(i, _)| i)
+}
--- /dev/null
+++ b/src/coordination/sidecar/entry.rs
@@ -0,0 +1,632 @@
+//! Requests of callers on this host: where each goes, and what its caller is told.
+//!
+//! A request passes through `answer`: its terms and route are read, a backend server is chosen, and
+//! the request is sent on until it has an answer, may not be sent again, or can't be served in
+//! time. A refusal is given as soon as that is known.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time;
+
+use crate::coordination::sidecar::admission::CALLED;
+use crate::coordination::sidecar::budget::{self, Budget};
+use crate::coordination::sidecar::choose::{self, Candidate};
+use crate::coordination::sidecar::configuration::Configuration;
+use crate::coordination::sidecar::gate::Gate;
+use crate::coordination::sidecar::roster::Roster;
+use crate::coordination::sidecar::tables::Tables;
+use crate::metrics::Metrics;
+use crate::protocol::edge::{Adapter, Terms};
+use crate::protocol::http;
+use crate::protocol::mesh::{self, Call, Cause, Failure, Health, Load, Outcome};
+use crate::state::clock::Instant;
+use crate::state::keyspace::Key;
+use crate::state::routes::{Limits, Repeat, Route, RouteId, RouteTable};
+use crate::transport::sidecar::caller::{self, Answer, Request, Response};
+use crate::transport::sidecar::links::Link;
+use crate::transport::sidecar::peers::Running;
+
+/// Gates that a request is offered to before it is refused.
+const MOST_OFFERS: usize = 4;
+
+/// Time after a request's limit at which its final answer is due.
+const OVERTIME: Duration = Duration::from_millis(20);
+
+/// Part of its time for which a request waits for a key without a holder.
+const PARKED_SHARE: f64 = 0.55;
+
+/// Pause before the holder of a key is tried again after it could not be reached.
+const SAME_PAUSE: Duration = Duration::from_millis(120);
+
+/// Longest wait for a first node of a service.
+const NODE_WAIT: Duration = Duration::from_millis(150);
+
+/// Pause after which a request without a node or holder may be sent again.
+const NOBODY_PAUSE_MS: u32 = 400;
+
+/// Shortest Retry-After, in seconds.
+const SHORTEST_RETRY: f64 = 0.05;
+
+/// Longest Retry-After, in seconds.
+const LONGEST_RETRY: f64 = 2.0;
+
+/// Time that is assumed for callers that don't state any, beside the route's timeout.
+const USUAL_PATIENCE: Duration = Duration::from_secs(30);
+
+/// How far a node is on its way to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// Serves.
+    Open,
+    /// Ends connections with their next response.
+    Closing,
+    /// Ends idle connections too.
+    Ending,
+}
+
+/// Place to send a request to.
+enum Target {
+    Here,
+    There(Rc<Link>),
+}
+
+impl Target {
+    fn name(&self) -> &str {
+        match self {
+            Self::Here => "here",
+            Self::There(link) => &link.node,
+        }
+    }
+}
+
+/// What became of a request, for its log line.
+#[derive(Debug, Default)]
+struct Trail {
+    offers: usize,
+    arrivals: u32,
+    node: String,
+}
+
+/// Request on its way, with what decides about it.
+struct Passage {
+    route: Rc<Route>,
+    service: String,
+    key: Option<Key>,
+    arrived: Instant,
+    limit: Instant,
+    aim: Instant,
+    call: Call,
+}
+
+/// Entry of a node.
+#[derive(Debug)]
+pub struct Entry {
+    node: String,
+    domain: String,
+    service: String,
+    host: IpAddr,
+    adapter: Rc<dyn Adapter>,
+    configuration: Rc<Configuration>,
+    roster: Rc<Roster>,
+    tables: Rc<Tables>,
+    gate: Rc<Gate>,
+    budget: RefCell<Budget>,
+    metrics: Metrics,
+    /// Unserved share of each part of a split route.
+    splits: RefCell<HashMap<RouteId, Vec<f64>>>,
+    /// Longest time that callers of a route have stated; less means that they come again.
+    patience: RefCell<HashMap<RouteId, Duration>>,
+    stage: Cell<Stage>,
+    open: Cell<usize>,
+}
+
+/// Parts of a node that an entry works with.
+#[derive(Debug)]
+pub struct Parts {
+    /// Address of the node.
+    pub node: String,
+    /// Failure domain of the node.
+    pub domain: String,
+    /// Service of the host.
+    pub service: String,
+    /// Address of the host.
+    pub host: IpAddr,
+    /// Translation of headers.
+    pub adapter: Rc<dyn Adapter>,
+    /// Configuration.
+    pub configuration: Rc<Configuration>,
+    /// Other nodes.
+    pub roster: Rc<Roster>,
+    /// Ownership.
+    pub tables: Rc<Tables>,
+    /// Gate of this node.
+    pub gate: Rc<Gate>,
+    /// Budget for repeats.
+    pub budget: Budget,
+    /// Metrics.
+    pub metrics: Metrics,
+}
+
+impl Entry {
+    /// Creates an entry.
+    #[must_use]
+    pub fn new(parts: Parts) -> Rc<Self> {
+        Rc::new(Self {
+            node: parts.node,
+            domain: parts.domain,
+            service: parts.service,
+            host: parts.host,
+            adapter: parts.adapter,
+            configuration: parts.configuration,
+            roster: parts.roster,
+            tables: parts.tables,
+            gate: parts.gate,
+            budget: RefCell::new(parts.budget),
+            metrics: parts.metrics,
+            splits: RefCell::new(HashMap::new()),
+            patience: RefCell::new(HashMap::new()),
+            stage: Cell::new(Stage::Open),
+            open: Cell::new(0),
+        })
+    }
+
+    /// Sets the bounds on repeats.
+    pub fn set_bounds(&self, bounds: budget::Bounds) {
+        self.budget.borrow_mut().set_bounds(bounds);
+    }
+
+    /// Goes on towards the node's end.
+    pub fn set_stage(&self, stage: Stage) {
+        self.stage.set(stage);
+    }
+
+    /// Returns the number of requests without an answer.
+    #[must_use]
+    pub fn unanswered(&self) -> usize {
+        self.open.get()
+    }
+
+    async fn respond(self: Rc<Self>, request: Request) -> Response {
+        self.open.set(self.open.get() + 1);
+        let open = Open(&self);
+        let response = self.process(request).await;
+        drop(open);
+        response
+    }
+
+    async fn process(&self, request: Request) -> Response {
+        let terms = match self.adapter.terms(&request.head) {
+            Ok(terms) => terms,
+            Err(e) => {
+                tracing::info!(event = 571, error = %e, "refused a request without the terms it needs");
+                return Response::empty(400);
+            }
+        };
+        let mut response = match self.configuration.get() {
+            Some(routes) => self.routed(&routes, &terms, request).await,
+            None => Self::refuse(
+                &terms.id,
+                "",
+                Failure::before(Cause::NoConfiguration, NOBODY_PAUSE_MS),
+            ),
+        };
+        if http::value(&response.headers, &self.adapter.echo(&terms.id).name).is_none() {
+            response.headers.push(self.adapter.echo(&terms.id));
+        }
+        response
+    }
+
+    async fn routed(&self, routes: &RouteTable, terms: &Terms, request: Request) -> Response {
+        let host = http::value(&request.head.headers, "host").unwrap_or_default();
+        let Some(route) = routes.find(host, &request.head.target).cloned() else {
+            tracing::info!(event = 572, id = %terms.id, host, target = %request.head.target, version = routes.version.0, "no route");
+            return Response::empty(404);
+        };
+        let service = self.part(&route);
+        let keyed = routes.service(&service).is_some_and(|s| s.keyed);
+        let passage = self.passage(route, service, keyed, terms, request);
+        self.budget
+            .borrow_mut()
+            .request(&passage.service, passage.arrived);
+        let mut trail = Trail::default();
+        let due = passage.limit + OVERTIME;
+        let passed = time::timeout(due.left(), self.pass(&passage, &mut trail)).await;
+        let outcome = passed.unwrap_or(Outcome::Unknown(Failure {
+            arrived: trail.arrivals > 0,
+            ..Failure::after(Cause::Timeout)
+        }));
+        self.finish(&passage, &trail, outcome)
+    }
+
+    /// Chooses the part of a split route whose share is furthest behind.
+    fn part(&self, route: &Route) -> String {
+        let [only] = &route.parts[..] else {
+            let mut splits = self.splits.borrow_mut();
+            let owed = splits.entry(route.id).or_default();
+            owed.resize(route.parts.len(), 0.0);
+            let total: u32 = route.parts.iter().map(|p| p.weight).sum();
+            for (owed, part) in owed.iter_mut().zip(&route.parts) {
+                *owed += f64::from(part.weight) / f64::from(total.max(1));
+            }
+            let most = (0..owed.len()).max_by(|&a, &b| owed[a].total_cmp(&owed[b]));
+            let most = most.unwrap_or(0);
+            owed[most] -= 1.0;
+            return route.parts[most].service.clone();
+        };
+        only.service.clone()
+    }
+
+    fn passage(
+        &self,
+        route: Rc<Route>,
+        service: String,
+        keyed: bool,
+        terms: &Terms,
+        request: Request,
+    ) -> Passage {
+        let Request {
+            head,
+            body,
+            arrived,
+            from,
+        } = request;
+        let patience = terms.patience.unwrap_or(USUAL_PATIENCE);
+        let mut longest = self.patience.borrow_mut();
+        let longest = longest.entry(route.id).or_insert(patience);
+        *longest = patience.max(*longest);
+        // A caller that comes again has less time left than it had at first.
+        let spent = longest.saturating_sub(patience).min(route.objective);
+        let called = from.is_some_and(|ip| ip == self.host);
+        let mut headers = http::end_to_end(&head.headers);
+        self.adapter.strip(&mut headers);
+        let key = terms.key.filter(|_| keyed);
+        let call = Call {
+            id: terms.id.clone(),
+            service: service.clone(),
+            origin: self.service.clone(),
+            route: route.id,
+            repeat: route.repeat,
+            rank: if called {
+                CALLED
+            } else {
+                route.priority.saturating_add(1)
+            },
+            key,
+            left_ms: 0,
+            aim_ms: 0,
+            method: head.method,
+            target: head.target,
+            headers,
+            body,
+        };
+        Passage {
+            limit: arrived + route.timeout.min(patience),
+            aim: arrived + route.objective.saturating_sub(spent),
+            route,
+            service,
+            key,
+            arrived,
+            call,
+        }
+    }
+
+    /// Sends a request on until there is a final outcome.
+    async fn pass(&self, passage: &Passage, trail: &mut Trail) -> Outcome {
+        let mut tried = HashSet::new();
+        let mut last = Failure::before(Cause::NoNode, NOBODY_PAUSE_MS);
+        let mut first = true;
+        // Failure that a backend server has answered itself; the caller gets it in the end.
+        let mut answered = None;
+        loop {
+            let Some(target) = self.target(passage, &tried, last.cause).await else {
+                if let Some(answer) = answered {
+                    return answer;
+                }
+                let failed = if first && passage.key.is_some() {
+                    Failure::before(Cause::NoHolder, NOBODY_PAUSE_MS)
+                } else {
+                    last
+                };
+                return Outcome::NotRun(failed);
+            };
+            first = false;
+            trail.offers += 1;
+            target.name().clone_into(&mut trail.node);
+            if passage.key.is_none() {
+                tried.insert(target.name().to_owned());
+            }
+            let outcome = self.send(passage, &target).await;
+            let (failure, ran) = match &outcome {
+                Outcome::Answered(r) if r.status >= 500 => (Failure::after(Cause::Broken), true),
+                Outcome::Answered(_) => return outcome,
+                Outcome::NotRun(f) => (*f, false),
+                Outcome::Unknown(f) => (*f, true),
+            };
+            trail.arrivals += u32::from(failure.arrived);
+            if !self.again(passage, trail, failure, ran) {
+                return outcome;
+            }
+            tracing::info!(event = 573, id = %passage.call.id, node = %trail.node, cause = failure.cause.name(), offers = trail.offers, arrivals = trail.arrivals, "a request is sent on to another place");
+            if matches!(outcome, Outcome::Answered(_)) {
+                answered = Some(outcome);
+            }
+            last = Failure {
+                wait_ms: match last.cause {
+                    Cause::NoNode => failure.wait_ms,
+                    _ => failure.wait_ms.min(last.wait_ms),
+                },
+                ..failure
+            };
+        }
+    }
+
+    /// Returns whether a request may be sent once more after a failure.
+    fn again(&self, passage: &Passage, trail: &Trail, failure: Failure, ran: bool) -> bool {
+        if trail.offers >= MOST_OFFERS && passage.key.is_none() {
+            return false;
+        }
+        if ran && passage.route.repeat == Repeat::Once {
+            return false;
+        }
+        let now = Instant::now();
+        if now >= passage.limit || failure.cause == Cause::Timeout {
+            return false;
+        }
+        // The owner of a key is the only place for it, so its refusals are final.
+        let final_one = matches!(
+            failure.cause,
+            Cause::Full | Cause::Expired | Cause::Stopping
+        );
+        if passage.key.is_some() && final_one {
+            return false;
+        }
+        if !failure.arrived {
+            return true;
+        }
+        let nodes = self.roster.size();
+        trail.arrivals < passage.route.attempts
+            && self
+                .budget
+                .borrow_mut()
+                .repeat(&passage.service, nodes, now)
+    }
+
+    async fn send(&self, passage: &Passage, target: &Target) -> Outcome {
+        let now = Instant::now();
+        let ms = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
+        let call = Call {
+            left_ms: ms(passage.limit.since(now)),
+            aim_ms: ms(passage.aim.since(now)),
+            ..passage.call.clone()
+        };
+        match target {
+            Target::There(link) => match link.call(call) {
+                Some(call) => call.outcome().await,
+                None => Outcome::NotRun(Failure::before(Cause::LinkLost, 0)),
+            },
+            Target::Here => {
+                let (tell, told) = tokio::sync::oneshot::channel();
+                let running = Running::spawn(self.gate.run(call), move |outcome| {
+                    // The receiver is gone if the caller has left.
+                    let _told = tell.send(outcome);
+                });
+                let guard = Cancel(running);
+                let outcome = told.await;
+                drop(guard);
+                outcome.unwrap_or(Outcome::Unknown(Failure::after(Cause::Broken)))
+            }
+        }
+    }
+
+    async fn target(
+        &self,
+        passage: &Passage,
+        tried: &HashSet<String>,
+        last: Cause,
+    ) -> Option<Target> {
+        match passage.key {
+            Some(key) => self.owner(passage, key, last).await,
+            None => self.any(passage, tried).await,
+        }
+    }
+
+    /// Waits for a node beside the holder of a key that may take the request now.
+    async fn owner(&self, passage: &Passage, key: Key, last: Cause) -> Option<Target> {
+        let time = passage.limit.since(passage.arrived).mul_f64(PARKED_SHARE);
+        let end = passage.arrived + time;
+        // Another try at the same place is of use at once only if it was the attempt that failed.
+        let at_once = [Cause::NoNode, Cause::Broken, Cause::Garbled, Cause::Shed];
+        let mut wait = !at_once.contains(&last);
+        let before = wait
+            .then(|| self.holder(&passage.service, key, last))
+            .flatten();
+        loop {
+            let changed = self.tables.changed.notified();
+            let news = self.roster.news.notified();
+            let node = self.holder(&passage.service, key, last);
+            wait = wait && node == before;
+            if !wait && let Some(target) = node.as_deref().and_then(|n| self.reach(n)) {
+                return Some(target);
+            }
+            let left = end.left();
+            if left.is_zero() {
+                return None;
+            }
+            tokio::select! {
+                () = changed => {}
+                () = news, if !wait => {}
+                () = time::sleep(left.min(SAME_PAUSE)) => wait = false,
+            }
+        }
+    }
+
+    /// Returns the node beside the holder of a key.
+    fn holder(&self, service: &str, key: Key, last: Cause) -> Option<String> {
+        let table = self.tables.get(service)?;
+        let slice = table.keys.find(key)?;
+        // A holder that has let go of the key is followed by its target.
+        let holder = match &slice.target {
+            Some(target) if last == Cause::NotHolder => Some(target),
+            _ => slice.holder.as_ref(),
+        };
+        holder.map(|h| h.node.clone())
+    }
+
+    fn reach(&self, node: &str) -> Option<Target> {
+        if node == self.node {
+            return Some(Target::Here);
+        }
+        let link = self.roster.link(node).filter(|l| l.is_up())?;
+        Some(Target::There(link))
+    }
+
+    /// Chooses among all backend servers of a service.
+    async fn any(&self, passage: &Passage, tried: &HashSet<String>) -> Option<Target> {
+        let end = Instant::now() + NODE_WAIT;
+        loop {
+            let news = self.roster.news.notified();
+            if let Some(target) = self.best(&passage.service, tried) {
+                return Some(target);
+            }
+            if !tried.is_empty() || time::timeout(end.left(), news).await.is_err() {
+                return None;
+            }
+        }
+    }
+
+    fn best(&self, service: &str, tried: &HashSet<String>) -> Option<Target> {
+        let mut targets = Vec::new();
+        let mut candidates = Vec::new();
+        let usable = |l: &Load| l.health == Health::Ready && !l.stopping && l.slots > 0;
+        let own = self.gate.load();
+        if self.gate.about().service == service
+            && usable(&own)
+            && !tried.contains(Target::Here.name())
+        {
+            candidates.push(candidate(&own, 0, true));
+            targets.push(Target::Here);
+        }
+        for (link, report) in self.roster.of_service(service) {
+            let load = report.load;
+            if usable(&load) && !tried.contains(&link.node) {
+                let near = *link.domain.borrow() == self.domain;
+                candidates.push(candidate(&load, link.since_report(), near));
+                targets.push(Target::There(link));
+            }
+        }
+        let i = choose::pick(&candidates, &mut rand::rng())?;
+        Some(targets.swap_remove(i))
+    }
+
+    fn refuse(id: &str, service: &str, failure: Failure) -> Response {
+        let spread = 0.8 + 0.4 * rand::random::<f64>();
+        let wait = f64::from(failure.wait_ms) / 1000.0 * spread;
+        let wait = wait.clamp(SHORTEST_RETRY, LONGEST_RETRY);
+        tracing::debug!(
+            event = 574,
+            id,
+            service,
+            cause = failure.cause.name(),
+            retry_after = wait,
+            "told a caller to come back"
+        );
+        Response {
+            headers: vec![http::Header::new("Retry-After", format!("{wait:.3}"))],
+            ..Response::empty(503)
+        }
+    }
+
+    fn finish(&self, passage: &Passage, trail: &Trail, outcome: Outcome) -> Response {
+        let id = &passage.call.id;
+        let took = Instant::now().since(passage.arrived);
+        let (name, cause) = match &outcome {
+            Outcome::Answered(_) => ("answered", ""),
+            Outcome::NotRun(f) => ("not_run", f.cause.name()),
+            Outcome::Unknown(f) => ("unknown", f.cause.name()),
+        };
+        let response = match outcome {
+            Outcome::Answered(mesh::Response {
+                status,
+                headers,
+                body,
+            }) => Response {
+                status,
+                headers,
+                body,
+            },
+            Outcome::NotRun(f) if trail.arrivals == 0 || passage.route.repeat == Repeat::Once => {
+                Self::refuse(id, &passage.service, f)
+            }
+            Outcome::Unknown(f) if f.cause == Cause::Timeout => Response::empty(504),
+            // After an earlier attempt, a refusal does not mean that the request has not run.
+            Outcome::NotRun(_) | Outcome::Unknown(_) => Response::empty(502),
+        };
+        tracing::info!(event = 575, id, route = %passage.route.name, rank = passage.call.rank, service = %passage.service, key = passage.key, node = %trail.node, offers = trail.offers, arrivals = trail.arrivals, status = response.status, cause, took_ms = took.as_millis(), "answered a request");
+        let class = format!("{}", passage.call.rank);
+        let labels = [passage.service.as_str(), class.as_str(), name];
+        self.metrics
+            .latency
+            .with_label_values(&labels)
+            .observe(took.as_secs_f64());
+        let labels = [labels[0], labels[1], name, cause];
+        self.metrics.requests.with_label_values(&labels).inc();
+        response
+    }
+}
+
+fn candidate(load: &Load, since: i32, near: bool) -> Candidate {
+    let busy = i32::from(load.running) + i32::from(load.queued) + since;
+    Candidate {
+        slots: load.slots,
+        busy: u16::try_from(busy.max(0)).unwrap_or(u16::MAX),
+        service_ms: load.service_ms.into(),
+        failing: load.failing,
+        warming: load.warmup_ms > 0,
+        near,
+    }
+}
+
+/// Counts a request as answered when dropped.
+struct Open<'a>(&'a Entry);
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// Cancels a call when dropped.
+struct Cancel(Running);
+
+impl Drop for Cancel {
+    fn drop(&mut self) {
+        // What may not be repeated and has begun runs to its end.
+        let _cancelled = self.0.cancel();
+    }
+}
+
+/// Entry as the handler of callers' connections.
+#[derive(Debug)]
+pub struct Door(pub Rc<Entry>);
+
+impl caller::Handler for Door {
+    fn answer(&self, request: Request) -> Answer {
+        Box::pin(Rc::clone(&self.0).respond(request))
+    }
+
+    fn limits(&self) -> Option<Limits> {
+        self.0.configuration.get().map(|c| c.limits)
+    }
+
+    fn is_closing(&self) -> bool {
+        self.0.stage.get() >= Stage::Closing
+    }
+
+    fn closes_idle(&self) -> bool {
+        self.0.stage.get() >= Stage::Ending
+    }
+}
--- /dev/null
+++ b/src/coordination/sidecar/follow.rs
@@ -0,0 +1,128 @@
+//! Follows what lies below a prefix of the store, by reading it once and watching it then.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time;
+
+use crate::protocol::edge::{Event, Item, StoreCall, StoreReply};
+use crate::transport::sidecar::store::{self, Store};
+
+/// Pause after a failed call; a random part is added.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// Longest wait of a watch. One that a connection has forgotten ends soon after it. A random part
+/// is taken off, so that those of several nodes don't end together.
+const WATCH_WAIT: Duration = Duration::from_secs(5);
+
+/// Interval at which a node that does not watch looks whether it has to.
+const ROLE_POLL: Duration = Duration::from_millis(300);
+
+/// Sleeps for about the pause after a failed call.
+pub async fn pause() {
+    time::sleep(PAUSE.mul_f64(1.0 + rand::random::<f64>())).await;
+}
+
+/// Receiver of what lies below a prefix of the store.
+pub trait Follower {
+    /// Takes all items over, which were read at revision `as_of` or later.
+    fn reset(&self, items: &[Item], as_of: u64);
+
+    /// Takes a change over.
+    fn apply(&self, event: &Event);
+
+    /// Returns the revision up to which everything is known, if it is learnt by other ways too.
+    fn position(&self) -> Option<u64>;
+
+    /// Returns whether this node watches the store at present.
+    fn watches(&self) -> bool;
+}
+
+/// Keeps a follower up to date until the task is dropped; `again` asks for a new reading.
+pub async fn follow(
+    store: Rc<Store>,
+    prefix: String,
+    follower: Rc<dyn Follower>,
+    again: Rc<Notify>,
+) {
+    loop {
+        let (items, mut as_of) = match read(&store, &prefix).await {
+            Ok(read) => read,
+            Err(e) => {
+                tracing::warn!(event = 337, prefix, error = %e, "can't read from the store");
+                pause().await;
+                continue;
+            }
+        };
+        tracing::info!(
+            event = 338,
+            prefix,
+            as_of,
+            items = items.len(),
+            "read from the store"
+        );
+        follower.reset(&items, as_of);
+        loop {
+            if !follower.watches() {
+                tokio::select! {
+                    () = time::sleep(ROLE_POLL) => continue,
+                    () = again.notified() => break,
+                }
+            }
+            let call = StoreCall::Watch {
+                prefix: prefix.clone(),
+                after: follower.position().unwrap_or(0).max(as_of),
+                wait: WATCH_WAIT.mul_f64(0.6 + 0.4 * rand::random::<f64>()),
+            };
+            let reply = tokio::select! {
+                reply = store.call(&call) => reply,
+                () = again.notified() => break,
+            };
+            match reply {
+                Ok(StoreReply::Events { events, as_of: to }) => {
+                    for event in &events {
+                        follower.apply(event);
+                    }
+                    as_of = to.max(as_of);
+                }
+                Ok(_) => {
+                    tracing::info!(
+                        event = 339,
+                        prefix,
+                        as_of,
+                        "the store has dropped its history"
+                    );
+                    break;
+                }
+                Err(e) => {
+                    tracing::info!(event = 326, prefix, as_of, error = %e, "a watch ended early");
+                    pause().await;
+                    // Changes may have been missed while other nodes were served.
+                    break;
+                }
+            }
+        }
+    }
+}
+
+async fn read(store: &Store, prefix: &str) -> Result<(Vec<Item>, u64), store::Error> {
+    let mut all = Vec::new();
+    let mut first = None;
+    loop {
+        let call = StoreCall::Range {
+            prefix: prefix.to_owned(),
+            after: all.last().map(|i: &Item| i.key.clone()),
+        };
+        let StoreReply::Page { items, more, as_of } = store.call(&call).await? else {
+            return Err(store::Error::Refused);
+        };
+        // Pages are not a snapshot: changes from the first one on are seen by the watch.
+        let start = *first.get_or_insert(as_of);
+        let end = items.is_empty() || !more;
+        all.extend(items);
+        if end {
+            return Ok((all, start));
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/sidecar/gate.rs
@@ -0,0 +1,492 @@
+//! Gate in front of the backend server beside this node.
+//!
+//! Only this node talks to it, so what must be exact is decided here: how many requests run, in
+//! which order they start, whether the backend server is leaving, and whether it may run a key.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::{Notify, oneshot};
+use tokio::time;
+
+use crate::coordination::sidecar::admission::{Queue, Ticket, TicketId, Turn, Verdict};
+use crate::coordination::sidecar::holdings::Holdings;
+use crate::protocol::edge::{self, Adapter};
+use crate::protocol::http;
+use crate::protocol::mesh::{About, Call, Cause, Failure, Health, Load, Outcome, Response};
+use crate::state::clock::Instant;
+use crate::state::heat::{Heat, HeatReport};
+use crate::state::keyspace::{Holder, Key};
+use crate::transport::sidecar::backend::{self, Failed, Pool};
+use crate::transport::sidecar::peers::Job;
+
+/// Weight of the newest request in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.06;
+
+/// Time in which the share of failures falls to about a third without requests, so that a backend
+/// server that has recovered is tried again.
+const FAILURE_FADE: Duration = Duration::from_secs(4);
+
+/// Share of failures after a refused connection.
+const UNREACHABLE: f64 = 0.9;
+
+/// Longest wait of a request for a permission that its backend server is about to get; a bit more
+/// than one heartbeat.
+const PERMISSION_WAIT: Duration = Duration::from_millis(1100);
+
+/// Pause after which a request without permission may be sent again.
+const PERMISSION_PAUSE_MS: u32 = 300;
+
+/// Pause after which a request to a backend server that can't be reached may be sent again.
+const UNREACHABLE_PAUSE_MS: u32 = 200;
+
+/// Time after the limit of a request for which a response is still awaited; the backend server's
+/// own answer at its deadline comes within it.
+const OVERTIME: Duration = Duration::from_millis(80);
+
+/// Part of the bound on draining within which new requests may still be started.
+const DRAIN_SHARE: f64 = 0.6;
+
+/// Backend server beside this node, as its heartbeats describe it.
+#[derive(Debug, Clone)]
+pub struct Backend {
+    /// Identity as a holder of keys.
+    pub holder: Holder,
+    /// Counter of its last heartbeat.
+    pub sequence: u64,
+    /// Service.
+    pub service: String,
+    /// Address.
+    pub address: SocketAddr,
+    /// Requests that it runs at the same time.
+    pub slots: u16,
+    /// Time at which it said that it leaves.
+    pub leaving: Option<Instant>,
+    /// Whether its keys are owned one by one.
+    pub keyed: bool,
+    /// End of its slow time after the start.
+    pub warm_at: Instant,
+    /// Arrival of its last heartbeat.
+    pub heard: Instant,
+}
+
+/// Word to a waiting request.
+#[derive(Debug)]
+enum Go {
+    Start,
+    Expired,
+}
+
+/// Gate of the node.
+#[derive(Debug)]
+pub struct Gate {
+    adapter: Rc<dyn Adapter>,
+    pool: Pool,
+    drain: Cell<Duration>,
+    backend: RefCell<Option<Backend>>,
+    queue: RefCell<Queue>,
+    waiters: RefCell<HashMap<TicketId, oneshot::Sender<Go>>>,
+    /// Keys that may be run.
+    pub holdings: RefCell<Holdings>,
+    /// Told when [`Gate::holdings`] has changed.
+    pub granted: Notify,
+    failing: Cell<f64>,
+    failed_at: Cell<Instant>,
+    heat: RefCell<Heat>,
+    stopping: Cell<bool>,
+    changed: Rc<Notify>,
+}
+
+/// Place among the running requests, given back when dropped.
+struct Place {
+    gate: Rc<Gate>,
+    kind: u32,
+    took: Option<Duration>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut queue = self.gate.queue.borrow_mut();
+        let turn = queue.finish(self.kind, self.took, Instant::now());
+        drop(queue);
+        self.gate.dispatch(turn);
+    }
+}
+
+/// Place in the queue, given back when dropped.
+struct Waiting<'a> {
+    gate: &'a Gate,
+    id: TicketId,
+    kind: u32,
+    told: oneshot::Receiver<Go>,
+    done: bool,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if self.done {
+            return;
+        }
+        self.gate.waiters.borrow_mut().remove(&self.id);
+        let mut queue = self.gate.queue.borrow_mut();
+        match self.told.try_recv() {
+            // Started at the moment at which its caller left.
+            Ok(Go::Start) => {
+                let turn = queue.finish(self.kind, None, Instant::now());
+                drop(queue);
+                self.gate.dispatch(turn);
+            }
+            Ok(Go::Expired) => {}
+            Err(_) => {
+                queue.withdraw(self.id);
+            }
+        }
+    }
+}
+
+impl Gate {
+    /// Creates a gate without a backend server; `changed` is told of changes of state.
+    #[must_use]
+    pub fn new(adapter: Rc<dyn Adapter>, drain: Duration, changed: Rc<Notify>) -> Rc<Self> {
+        let now = Instant::now();
+        Rc::new(Self {
+            pool: Pool::new(Rc::clone(&adapter)),
+            adapter,
+            drain: Cell::new(drain),
+            backend: RefCell::new(None),
+            queue: RefCell::new(Queue::new(0)),
+            waiters: RefCell::new(HashMap::new()),
+            holdings: RefCell::new(Holdings::default()),
+            granted: Notify::new(),
+            failing: Cell::new(0.0),
+            failed_at: Cell::new(now),
+            heat: RefCell::new(Heat::new(now)),
+            stopping: Cell::new(false),
+            changed,
+        })
+    }
+
+    /// Returns the backend server.
+    #[must_use]
+    pub fn backend(&self) -> Option<Backend> {
+        self.backend.borrow().clone()
+    }
+
+    /// Takes over the backend server's newest description.
+    pub fn set_backend(&self, backend: Backend) {
+        let backend = Some(backend);
+        let before = self.backend.replace(backend.clone());
+        let life = |b: &Option<Backend>| b.as_ref().map(|b| b.holder.clone());
+        if life(&before) != life(&backend) {
+            self.pool.clear();
+            self.holdings.borrow_mut().clear();
+            self.queue.borrow_mut().reset_times();
+            self.failing.set(0.0);
+        }
+        let slots = backend.as_ref().map_or(0, |b| usize::from(b.slots));
+        let mut queue = self.queue.borrow_mut();
+        queue.set_slots(slots);
+        let turn = queue.turn(Instant::now());
+        drop(queue);
+        self.dispatch(turn);
+        let phase = |b: &Option<Backend>| b.as_ref().map(|b| b.leaving.is_some());
+        if life(&before) != life(&backend) || phase(&before) != phase(&backend) {
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Sets the bound on draining.
+    pub fn set_drain(&self, drain: Duration) {
+        self.drain.set(drain);
+    }
+
+    /// Refuses further calls, because the node is about to end.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the number of requests that run or wait.
+    #[must_use]
+    pub fn busy(&self) -> usize {
+        let queue = self.queue.borrow();
+        queue.running() + queue.waiting()
+    }
+
+    /// Returns the mean run time in milliseconds, 0 if it isn't known.
+    #[must_use]
+    pub fn service_ms(&self) -> f64 {
+        let mean = self.queue.borrow().mean();
+        mean.map_or(0.0, |d| d.as_secs_f64() * 1000.0)
+    }
+
+    /// Returns the share of failures.
+    #[must_use]
+    pub fn failing(&self) -> f64 {
+        let age = Instant::now().since(self.failed_at.get()).as_secs_f64();
+        self.failing.get() * (-age / FAILURE_FADE.as_secs_f64()).exp()
+    }
+
+    fn count(&self, failed: bool) {
+        let sample = if failed { 1.0 } else { 0.0 };
+        let old = self.failing();
+        self.failing.set(old + FAILURE_WEIGHT * (sample - old));
+        self.failed_at.set(Instant::now());
+    }
+
+    /// Returns the state of the backend server for callers.
+    #[must_use]
+    pub fn health(&self) -> Health {
+        match &*self.backend.borrow() {
+            None => Health::Absent,
+            Some(b) if b.leaving.is_some() => Health::Leaving,
+            Some(_) => Health::Ready,
+        }
+    }
+
+    /// Returns the backend server as other nodes see it.
+    #[must_use]
+    pub fn about(&self) -> About {
+        let backend = self.backend.borrow();
+        backend.as_ref().map_or_else(About::default, |b| About {
+            service: b.service.clone(),
+            holder: Some(b.holder.clone()),
+        })
+    }
+
+    /// Returns the load as other nodes see it, without what the gate doesn't know.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        let backend = self.backend.borrow();
+        let queue = self.queue.borrow();
+        let short = |n: usize| u16::try_from(n).unwrap_or(u16::MAX);
+        let warm = backend
+            .as_ref()
+            .map_or(Duration::ZERO, |b| b.warm_at.left());
+        Load {
+            health: self.health(),
+            slots: backend.as_ref().map_or(0, |b| b.slots),
+            running: short(queue.running()),
+            queued: short(queue.waiting()),
+            service_ms: queue.mean().map_or(0.0, |d| d.as_secs_f32() * 1000.0),
+            failing: self.failing(),
+            warmup_ms: u32::try_from(warm.as_millis()).unwrap_or(u32::MAX),
+            stopping: self.stopping.get(),
+            ..Load::default()
+        }
+    }
+
+    /// Returns the rates of the keys since the last report.
+    pub fn heat(&self) -> HeatReport {
+        self.heat.borrow_mut().report(Instant::now())
+    }
+
+    /// Refuses waiting requests that can't end in time, and closes old connections.
+    pub fn tick(&self) {
+        let expired = self.queue.borrow_mut().expire(Instant::now());
+        let turn = Turn {
+            expired,
+            ..Turn::default()
+        };
+        self.dispatch(turn);
+        self.pool.prune();
+    }
+
+    fn dispatch(&self, turn: Turn) {
+        for id in turn.expired {
+            if let Some(waiter) = self.waiters.borrow_mut().remove(&id) {
+                // The request's future is gone if its caller has left.
+                let _told = waiter.send(Go::Expired);
+            }
+        }
+        for id in turn.start {
+            let waiter = self.waiters.borrow_mut().remove(&id);
+            let started = waiter.is_some_and(|w| w.send(Go::Start).is_ok());
+            debug_assert!(started, "a waiting request takes itself out of the queue");
+        }
+    }
+
+    /// Starts a call.
+    #[must_use]
+    pub fn run(self: &Rc<Self>, call: Call) -> Job {
+        let started = Rc::new(Cell::new(false));
+        let repeat = call.repeat;
+        let flag = Rc::clone(&started);
+        let gate = Rc::clone(self);
+        let arrived = Instant::now();
+        Job {
+            outcome: Box::pin(async move { gate.serve(call, arrived, &flag).await }),
+            started,
+            repeat,
+        }
+    }
+
+    /// Returns the backend server if it may start a request now.
+    fn open(&self, service: &str) -> Result<Backend, Cause> {
+        let backend = self.backend().ok_or(Cause::NoBackend)?;
+        if backend.service != service {
+            return Err(Cause::NoBackend);
+        }
+        if self.stopping.get() {
+            return Err(Cause::Stopping);
+        }
+        match backend.leaving {
+            None => Ok(backend),
+            Some(since) => {
+                let window = self.drain.get().mul_f64(DRAIN_SHARE);
+                let open = backend.keyed && Instant::now().since(since) < window;
+                open.then_some(backend).ok_or(Cause::Leaving)
+            }
+        }
+    }
+
+    async fn permitted(&self, key: Key, kind: u32, limit: Instant) -> bool {
+        let cost = self.queue.borrow().expected(kind);
+        let end = (limit - cost).min(Instant::now() + PERMISSION_WAIT);
+        loop {
+            let granted = self.granted.notified();
+            let now = Instant::now();
+            if self.holdings.borrow().contains(key, now) {
+                return true;
+            }
+            if now >= end || time::timeout(end.left(), granted).await.is_err() {
+                return false;
+            }
+        }
+    }
+
+    fn refuse(call: &Call, cause: Cause, wait_ms: u32, waited: Duration) -> Outcome {
+        tracing::info!(event = 561, id = %call.id, cause = cause.name(), wait_ms, waited_ms = waited.as_millis(), left_ms = call.left_ms, "the gate did not run a request");
+        Outcome::NotRun(Failure::before(cause, wait_ms))
+    }
+
+    async fn serve(self: Rc<Self>, call: Call, arrived: Instant, started: &Cell<bool>) -> Outcome {
+        let limit = arrived + Duration::from_millis(call.left_ms.into());
+        let waited = || Instant::now().since(arrived);
+        if let Err(cause) = self.open(&call.service) {
+            return Self::refuse(&call, cause, 0, waited());
+        }
+        if let Some(key) = call.key {
+            let keyed = self.backend.borrow().as_ref().is_some_and(|b| b.keyed);
+            if keyed && !self.permitted(key, call.route.0, limit).await {
+                return Self::refuse(&call, Cause::NotHolder, PERMISSION_PAUSE_MS, waited());
+            }
+            self.heat.borrow_mut().count(key);
+        }
+        let ticket = Ticket {
+            rank: call.rank,
+            kind: call.route.0,
+            aim: arrived + Duration::from_millis(call.aim_ms.into()),
+            limit,
+        };
+        let mut place = match self.admit(ticket).await {
+            Ok(place) => place,
+            Err((cause, wait)) => {
+                let wait = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+                return Self::refuse(&call, cause, wait, waited());
+            }
+        };
+        let backend = match self.open(&call.service) {
+            Ok(backend) => backend,
+            Err(cause) => return Self::refuse(&call, cause, 0, waited()),
+        };
+        if let Some(key) = call.key.filter(|_| backend.keyed)
+            && !self.holdings.borrow().contains(key, Instant::now())
+        {
+            return Self::refuse(&call, Cause::NotHolder, PERMISSION_PAUSE_MS, waited());
+        }
+        started.set(true);
+        let begun = Instant::now();
+        let done = self.send(&call, &backend, limit).await;
+        let took = Instant::now().since(begun);
+        let whole = matches!(&done, Ok(r) if r.status != 504);
+        place.took = whole.then_some(took);
+        self.settle(&call, done, took)
+    }
+
+    async fn admit(self: &Rc<Self>, ticket: Ticket) -> Result<Place, (Cause, Duration)> {
+        let verdict = self.queue.borrow_mut().offer(ticket, Instant::now());
+        match verdict {
+            Verdict::Start => {}
+            Verdict::Refuse(wait) => return Err((Cause::Full, wait)),
+            Verdict::Wait(id) => {
+                let (tell, told) = oneshot::channel();
+                self.waiters.borrow_mut().insert(id, tell);
+                let mut waiting = Waiting {
+                    gate: self,
+                    id,
+                    kind: ticket.kind,
+                    told,
+                    done: false,
+                };
+                let go = (&mut waiting.told).await;
+                waiting.done = true;
+                if !matches!(go, Ok(Go::Start)) {
+                    return Err((Cause::Expired, Duration::ZERO));
+                }
+            }
+        }
+        Ok(Place {
+            gate: Rc::clone(self),
+            kind: ticket.kind,
+            took: None,
+        })
+    }
+
+    async fn send(
+        &self,
+        call: &Call,
+        backend: &Backend,
+        limit: Instant,
+    ) -> Result<Response, Failed> {
+        let left = limit.left();
+        let order = edge::Order {
+            left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+            backend: &backend.holder.backend,
+            origin: &call.origin,
+        };
+        let mut headers = call.headers.clone();
+        headers.extend(self.adapter.order(order));
+        let bytes = http::write_request(&call.method, &call.target, &headers, &call.body);
+        let request = backend::Request {
+            id: &call.id,
+            method: &call.method,
+            repeat: call.repeat,
+            bytes: &bytes,
+        };
+        self.pool
+            .send(backend.address, &request, limit + OVERTIME)
+            .await
+    }
+
+    fn settle(&self, call: &Call, done: Result<Response, Failed>, took: Duration) -> Outcome {
+        let outcome = match done {
+            Ok(response) => {
+                // A failed call of the request itself says nothing about this backend server.
+                self.count(false);
+                return Outcome::Answered(response);
+            }
+            Err(Failed::NotSent(cause)) => {
+                self.failing.set(UNREACHABLE);
+                self.failed_at.set(Instant::now());
+                Outcome::NotRun(Failure::before(cause, UNREACHABLE_PAUSE_MS))
+            }
+            Err(Failed::NotRun(cause)) => {
+                self.count(true);
+                Outcome::NotRun(Failure {
+                    arrived: true,
+                    ..Failure::before(cause, UNREACHABLE_PAUSE_MS)
+                })
+            }
+            Err(Failed::Unknown(cause)) => {
+                self.count(cause != Cause::Timeout);
+                Outcome::Unknown(Failure::after(cause))
+            }
+        };
+        tracing::info!(event = 562, id = %call.id, outcome = ?outcome, took_ms = took.as_millis(), failing = self.failing(), "the backend server did not answer a request");
+        outcome
+    }
+}
--- /dev/null
+++ b/src/coordination/sidecar/membership.rs
@@ -0,0 +1,174 @@
+//! Registration of this node in the store.
+//!
+//! A node has an entry under a lease. The lease is more than a sign of life: while it runs, nobody
+//! may take away the keys of the backend server beside the node, because such a change is made on
+//! condition that the entry is gone. So the node may grant keys until the time at which its last
+//! renewal was sent plus the duration of the lease, by its own clock.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time;
+
+use crate::coordination::sidecar::follow;
+use crate::coordination::sidecar::tables;
+use crate::protocol::edge::{Commit, LeaseId, StoreCall, StoreReply};
+use crate::protocol::ownership::NodeEntry;
+use crate::state::clock::Instant;
+use crate::transport::sidecar::store::{self, Store};
+
+/// Duration of a node's lease. A lost host's keys wait for it, and keys are held through an outage
+/// of the store that is shorter.
+pub const LEASE: Duration = Duration::from_secs(5);
+
+/// Interval of renewals.
+const RENEWAL: Duration = Duration::from_secs(1);
+
+/// Safety margin at the end of a lease, for the clocks' drift.
+const MARGIN: Duration = Duration::from_millis(150);
+
+#[derive(Debug, Clone, Copy)]
+struct Lease {
+    id: LeaseId,
+    until: Instant,
+    /// Revision at which the node's entry was written.
+    entered: u64,
+}
+
+/// Registration of this node.
+#[derive(Debug)]
+pub struct Membership {
+    store: Rc<Store>,
+    entry: NodeEntry,
+    lease: Cell<Option<Lease>>,
+    registered: Cell<bool>,
+}
+
+impl Membership {
+    /// Creates an unregistered node.
+    #[must_use]
+    pub fn new(store: Rc<Store>, entry: NodeEntry) -> Self {
+        Self {
+            store,
+            entry,
+            lease: Cell::new(None),
+            registered: Cell::new(false),
+        }
+    }
+
+    /// Returns the store's key of a node's entry.
+    #[must_use]
+    pub fn key(address: &str) -> String {
+        format!("{}{address}", tables::NODES)
+    }
+
+    /// Returns whether the node has had an entry since its start.
+    #[must_use]
+    pub fn is_registered(&self) -> bool {
+        self.registered.get()
+    }
+
+    /// Returns the time until which keys may be granted, if all items up to revision `known` are known.
+    #[must_use]
+    pub fn authority(&self, known: u64, now: Instant) -> Option<Duration> {
+        let lease = self.lease.get().filter(|l| known >= l.entered)?;
+        let left = (lease.until - MARGIN).since(now);
+        (left > Duration::ZERO).then_some(left)
+    }
+
+    /// Keeps the node registered until the task is dropped.
+    pub async fn run(&self) {
+        loop {
+            match self.register().await {
+                Ok(()) => self.renew().await,
+                Err(e) => {
+                    tracing::warn!(event = 331, error = %e, "can't register with the store");
+                    follow::pause().await;
+                }
+            }
+        }
+    }
+
+    async fn register(&self) -> Result<(), store::Error> {
+        let sent = Instant::now();
+        let call = StoreCall::Grant { ttl: LEASE };
+        let StoreReply::Lease { id: Some(id), ttl } = self.store.call(&call).await? else {
+            return Err(store::Error::Refused);
+        };
+        let until = sent + ttl;
+        let key = Self::key(&self.entry.address);
+        let value = serde_json::to_vec(&self.entry).unwrap_or_default();
+        loop {
+            let call = StoreCall::Range {
+                prefix: key.clone(),
+                after: None,
+            };
+            let StoreReply::Page { items, .. } = self.store.call(&call).await? else {
+                return Err(store::Error::Refused);
+            };
+            let present = items.iter().find(|i| i.key == key);
+            let call = StoreCall::Commit(Commit {
+                expect: vec![(key.clone(), present.map_or(0, |i| i.revision))],
+                put: vec![(key.clone(), value.clone(), Some(id))],
+                delete: Vec::new(),
+            });
+            match self.store.call(&call).await? {
+                StoreReply::Committed { revision } => {
+                    let entered = revision;
+                    self.lease.set(Some(Lease { id, until, entered }));
+                    self.registered.set(true);
+                    tracing::info!(
+                        event = 332,
+                        lease = id.0,
+                        revision,
+                        "registered with the store"
+                    );
+                    return Ok(());
+                }
+                StoreReply::Conflict => {}
+                _ => return Err(store::Error::Refused),
+            }
+        }
+    }
+
+    /// Renews the lease until it has ended.
+    async fn renew(&self) {
+        while let Some(lease) = self.lease.get() {
+            time::sleep(RENEWAL).await;
+            let sent = Instant::now();
+            match self.store.call(&StoreCall::Renew(lease.id)).await {
+                Ok(StoreReply::Lease { ttl, .. }) => {
+                    let until = sent + ttl;
+                    self.lease.set(Some(Lease { until, ..lease }));
+                }
+                Ok(StoreReply::Missing) => {
+                    tracing::warn!(
+                        event = 333,
+                        lease = lease.id.0,
+                        "the node's lease has ended"
+                    );
+                    self.lease.set(None);
+                }
+                Ok(reply) => {
+                    tracing::warn!(event = 334, reply = ?reply, "unexpected answer to a renewal");
+                }
+                Err(e) => {
+                    let left_ms = lease.until.left().as_millis();
+                    tracing::warn!(event = 335, lease = lease.id.0, left_ms, error = %e, "the node's lease was not renewed");
+                }
+            }
+        }
+    }
+
+    /// Removes the node's entry, when the node stops and no backend server is beside it.
+    pub async fn leave(&self) {
+        let call = StoreCall::Commit(Commit {
+            delete: vec![Self::key(&self.entry.address)],
+            ..Commit::default()
+        });
+        if let Err(e) = self.store.call(&call).await {
+            tracing::info!(event = 336, error = %e, "the node's entry is left to its lease");
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/sidecar/node.rs
@@ -0,0 +1,506 @@
+//! Life of a sidecar: its parts, its timers, and its end.
+
+use std::cell::Cell;
+use std::fmt;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::{task, time};
+
+use crate::coordination::sidecar::beats::Beats;
+use crate::coordination::sidecar::budget::{self, Budget};
+use crate::coordination::sidecar::configuration::Configuration;
+use crate::coordination::sidecar::directory::{ConfigFollower, Directory};
+use crate::coordination::sidecar::entry::{Door, Entry, Parts, Stage};
+use crate::coordination::sidecar::follow;
+use crate::coordination::sidecar::gate::Gate;
+use crate::coordination::sidecar::membership::Membership;
+use crate::coordination::sidecar::owner::Owner;
+use crate::coordination::sidecar::planner::{self, Planner};
+use crate::coordination::sidecar::roster::Roster;
+use crate::coordination::sidecar::tables::{self, Tables};
+use crate::metrics::Metrics;
+use crate::protocol::edge::Adapter;
+use crate::protocol::mesh::{
+    About, Call, Frame, HeatOf, Hello, Items, Load, StoreRequest, StoreResponse,
+};
+use crate::protocol::ownership::NodeEntry;
+use crate::state::clock::Instant;
+use crate::state::site::Site;
+use crate::transport::sidecar::caller;
+use crate::transport::sidecar::links::{self, Link};
+use crate::transport::sidecar::peers::{Job, Peers, Service};
+use crate::transport::sidecar::server;
+use crate::transport::sidecar::socket;
+use crate::transport::sidecar::store::Store;
+
+/// Shortest interval between two reports of the load.
+const REPORT: Duration = Duration::from_millis(100);
+
+/// Longest interval between two reports of the load.
+const QUIET_REPORT: Duration = Duration::from_secs(1);
+
+/// Change of the number of busy slots that is worth a report.
+const BUSY_STEP: i32 = 2;
+
+/// Nodes above which the interval between reports grows with their number.
+const SMALL_FLEET: usize = 20;
+
+/// Interval of the gate's and the owner's checks.
+const CHECK: Duration = Duration::from_millis(100);
+
+/// Time for which another node's newer state is awaited before the store is read again.
+const BEHIND: Duration = Duration::from_millis(700);
+
+/// Pause between two questions for newer state.
+const ASK_PAUSE: Duration = Duration::from_millis(20);
+
+/// Part of the grace time in which a stopping node still takes work from other nodes.
+const OPEN_SHARE: f64 = 0.45;
+
+/// Part of the grace time after which a stopping node ends whatever is left.
+const END_SHARE: f64 = 0.93;
+
+/// Longest wait of a relayed call for the store.
+const RELAY_LIMIT: Duration = Duration::from_millis(900);
+
+/// Error at the start of a sidecar.
+#[derive(Debug)]
+pub struct StartError {
+    /// Purpose of the address.
+    pub purpose: &'static str,
+    /// Address that can't be listened on.
+    pub address: SocketAddr,
+    /// Error of the system call.
+    pub source: std::io::Error,
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "can't listen on {} for {}: {}",
+            self.address, self.purpose, self.source
+        )
+    }
+}
+
+impl std::error::Error for StartError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        Some(&self.source)
+    }
+}
+
+/// Sidecar that runs.
+#[derive(Debug)]
+pub struct Node {
+    site: Site,
+    store: Rc<Store>,
+    configuration: Rc<Configuration>,
+    roster: Rc<Roster>,
+    directory: Rc<Directory>,
+    duties: Rc<Duties>,
+    gate: Rc<Gate>,
+    membership: Rc<Membership>,
+    planner: Rc<Planner>,
+    owner: Rc<Owner>,
+    entry: Rc<Entry>,
+    peers: Rc<Peers>,
+    changed: Rc<Notify>,
+    read_config: Rc<Notify>,
+    read_directory: Rc<Notify>,
+    stopping: Cell<bool>,
+    metrics: Metrics,
+}
+
+/// What a node does for others.
+#[derive(Debug)]
+struct Duties {
+    gate: Rc<Gate>,
+    planner: Rc<Planner>,
+    store: Rc<Store>,
+    configuration: Rc<Configuration>,
+    directory: Rc<Directory>,
+}
+
+impl Duties {
+    fn load(&self) -> Load {
+        Load {
+            config: self.configuration.version(),
+            items: self.directory.newest(),
+            ..self.gate.load()
+        }
+    }
+}
+
+impl Service for Duties {
+    fn run(&self, call: Call) -> Job {
+        self.gate.run(call)
+    }
+
+    fn about(&self) -> About {
+        self.gate.about()
+    }
+
+    fn load(&self) -> Load {
+        Self::load(self)
+    }
+
+    fn items(&self, after: u64) -> Items {
+        self.directory.after(after)
+    }
+
+    fn config(&self) -> Items {
+        self.configuration.item()
+    }
+
+    fn heat(&self, heat: HeatOf) {
+        self.planner.heat(heat);
+    }
+
+    fn relay(&self, request: StoreRequest) -> Pin<Box<dyn Future<Output = Option<StoreResponse>>>> {
+        let store = Rc::clone(&self.store);
+        Box::pin(async move {
+            let answered = store.direct(&request, RELAY_LIMIT).await;
+            // A refusal of this node's call is no answer to the other node's question.
+            answered.ok().filter(|r| r.status != 503 && r.status != 429)
+        })
+    }
+}
+
+impl Node {
+    /// Creates the parts of a sidecar.
+    #[must_use]
+    pub fn new(site: &Site, adapter: &Rc<dyn Adapter>, metrics: &Metrics) -> Rc<Self> {
+        let address = site.listen.peers.to_string();
+        let incarnation = rand::random();
+        let hello = Hello {
+            node: address.clone(),
+            incarnation,
+        };
+        let changed = Rc::new(Notify::new());
+        let store = Rc::new(Store::new(Rc::clone(adapter), site.store));
+        let configuration = Rc::new(Configuration::new(Rc::clone(adapter), Rc::clone(&changed)));
+        let roster = Rc::new(Roster::new(hello.clone()));
+        let tables = Rc::new(Tables::new(Rc::clone(&store)));
+        let directory = Directory::new(
+            Rc::clone(&roster),
+            Rc::clone(&tables),
+            Rc::clone(&configuration),
+        );
+        let take = Rc::clone(&directory);
+        roster.set_take_items(Rc::new(move |items| take.take(items)));
+        let gate = Gate::new(Rc::clone(adapter), site.bounds.drain, Rc::clone(&changed));
+        let entry = NodeEntry {
+            address: address.clone(),
+            incarnation,
+            domain: site.domain.clone(),
+        };
+        let membership = Rc::new(Membership::new(Rc::clone(&store), entry));
+        let planner = Rc::new(Planner::new(
+            &address,
+            Rc::clone(&store),
+            Rc::clone(&gate),
+            Rc::clone(&roster),
+            Rc::clone(&tables),
+            Rc::clone(&directory),
+            Rc::clone(&membership),
+        ));
+        let owner = Owner::new(
+            &address,
+            site.bounds.longest_hold,
+            Rc::clone(&gate),
+            Rc::clone(&tables),
+            Rc::clone(&directory),
+            Rc::clone(&membership),
+        );
+        let duties = Rc::new(Duties {
+            gate: Rc::clone(&gate),
+            planner: Rc::clone(&planner),
+            store: Rc::clone(&store),
+            configuration: Rc::clone(&configuration),
+            directory: Rc::clone(&directory),
+        });
+        let entry = Entry::new(Parts {
+            node: address,
+            domain: site.domain.clone(),
+            service: site.service.clone(),
+            host: site.backend.ip(),
+            adapter: Rc::clone(adapter),
+            configuration: Rc::clone(&configuration),
+            roster: Rc::clone(&roster),
+            tables: Rc::clone(&tables),
+            gate: Rc::clone(&gate),
+            budget: Budget::new(budget::Bounds::from(site.bounds)),
+            metrics: metrics.clone(),
+        });
+        Rc::new(Self {
+            site: site.clone(),
+            store,
+            configuration,
+            roster,
+            directory,
+            gate,
+            membership,
+            planner,
+            owner,
+            entry,
+            peers: Peers::new(Rc::clone(&duties) as Rc<dyn Service>, hello),
+            duties,
+            changed,
+            read_config: Rc::new(Notify::new()),
+            read_directory: Rc::new(Notify::new()),
+            stopping: Cell::new(false),
+            metrics: metrics.clone(),
+        })
+    }
+
+    /// Opens the listeners and starts all tasks.
+    ///
+    /// # Errors
+    ///
+    /// Returns the address that can't be listened on.
+    pub fn start(
+        self: &Rc<Self>,
+        adapter: &Rc<dyn Adapter>,
+        metrics: Option<SocketAddr>,
+    ) -> Result<(), StartError> {
+        let listen = |purpose, address| {
+            socket::listen(address).map_err(|source| StartError {
+                purpose,
+                address,
+                source,
+            })
+        };
+        let callers = listen("callers", self.site.listen.callers)?;
+        let peers = listen("nodes", self.site.listen.peers)?;
+        let ready = listen("readiness probes", self.site.listen.ready)?;
+        let beats = listen("heartbeats", self.site.listen.heartbeats)?;
+        if let Some(address) = metrics {
+            let listener = listen("metrics", address)?;
+            task::spawn_local(server::serve(listener, "metrics", self.metrics_handler()));
+        }
+        let relay = Rc::clone(&self.roster);
+        self.store.set_relay(Box::new(move |request| {
+            let roster = Rc::clone(&relay);
+            Box::pin(async move { roster.relay(request).await })
+        }));
+        task::spawn_local(caller::accept(
+            callers,
+            Rc::new(Door(Rc::clone(&self.entry))),
+        ));
+        task::spawn_local(Rc::clone(&self.peers).accept(peers));
+        task::spawn_local(server::serve(ready, "ready", self.ready_handler(adapter)));
+        task::spawn_local(server::serve(
+            beats,
+            "heartbeats",
+            self.beats_handler(adapter),
+        ));
+        self.spawn(|node| async move { node.membership.run().await });
+        self.follow();
+        self.spawn(|node| async move { node.report_load().await });
+        self.spawn(|node| async move { node.check().await });
+        self.spawn(|node| async move { node.watch_links().await });
+        self.spawn(|node| async move { node.catch_up().await });
+        self.spawn(|node| async move { node.plan().await });
+        Ok(())
+    }
+
+    fn spawn<F: Future<Output = ()> + 'static>(self: &Rc<Self>, run: impl FnOnce(Rc<Self>) -> F) {
+        task::spawn_local(run(Rc::clone(self)));
+    }
+
+    fn metrics_handler(&self) -> server::Handler {
+        let metrics = self.metrics.clone();
+        Rc::new(move |_, _| {
+            let text = metrics.text().into_bytes();
+            Box::pin(async move { (200, text) })
+        })
+    }
+
+    fn ready_handler(self: &Rc<Self>, adapter: &Rc<dyn Adapter>) -> server::Handler {
+        let node = Rc::clone(self);
+        let adapter = Rc::clone(adapter);
+        Rc::new(move |head, _| {
+            let status = match adapter.is_ready_probe(&head) {
+                true if node.is_ready() => 200,
+                true => 503,
+                false => 404,
+            };
+            Box::pin(async move { (status, Vec::new()) })
+        })
+    }
+
+    fn beats_handler(self: &Rc<Self>, adapter: &Rc<dyn Adapter>) -> server::Handler {
+        let beats = Rc::new(Beats {
+            node: self.site.listen.peers.to_string(),
+            address: self.site.backend,
+            adapter: Rc::clone(adapter),
+            configuration: Rc::clone(&self.configuration),
+            gate: Rc::clone(&self.gate),
+            owner: Rc::clone(&self.owner),
+        });
+        Rc::new(move |head, body| {
+            let beats = Rc::clone(&beats);
+            Box::pin(async move { beats.answer(&head, &body) })
+        })
+    }
+
+    /// Returns whether the node can take callers.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.configuration.get().is_some()
+    }
+
+    fn follow(&self) {
+        let directory = Rc::clone(&self.directory);
+        let config = Rc::new(ConfigFollower {
+            directory: Rc::clone(&directory),
+        });
+        let start = |prefix, follower, again| {
+            task::spawn_local(follow::follow(
+                Rc::clone(&self.store),
+                prefix,
+                follower,
+                again,
+            ));
+        };
+        start(
+            self.configuration.key(),
+            config,
+            Rc::clone(&self.read_config),
+        );
+        start(
+            tables::PREFIX.to_owned(),
+            directory,
+            Rc::clone(&self.read_directory),
+        );
+    }
+
+    /// Tells other nodes the load when it has changed.
+    async fn report_load(&self) {
+        let mut last = Load::default();
+        let mut about = About::default();
+        let mut at = Instant::now();
+        loop {
+            let fleet = (self.roster.size() / SMALL_FLEET).max(1);
+            let interval = REPORT * u32::try_from(fleet).unwrap_or(1);
+            tokio::select! {
+                () = time::sleep(interval) => {}
+                () = self.changed.notified() => {}
+            }
+            let beside = self.gate.about();
+            if beside != about {
+                self.peers.publish(&Frame::About(beside.clone()));
+                about = beside;
+            }
+            let load = self.duties.load();
+            let busy = |l: &Load| i32::from(l.running) + i32::from(l.queued);
+            let moved = (busy(&load) - busy(&last)).abs() >= BUSY_STEP
+                || load.health != last.health
+                || load.stopping != last.stopping
+                || load.config != last.config
+                || load.items != last.items;
+            if moved || Instant::now().since(at) >= QUIET_REPORT {
+                self.peers.publish(&Frame::Load(load));
+                last = load;
+                at = Instant::now();
+            }
+        }
+    }
+
+    async fn check(&self) {
+        loop {
+            time::sleep(CHECK).await;
+            self.gate.tick();
+            self.owner.tick().await;
+        }
+    }
+
+    async fn watch_links(&self) {
+        loop {
+            time::sleep(links::TICK).await;
+            self.roster.tick(Instant::now());
+        }
+    }
+
+    /// Asks other nodes for state that they have reported and this one has not.
+    async fn catch_up(&self) {
+        let mut behind: Option<Instant> = None;
+        loop {
+            self.roster.news.notified().await;
+            let links = self.roster.links().into_iter();
+            let mut reports = links.filter_map(|l| Some((l.report()?.load, l)));
+            let newer = |(load, link): (Load, Rc<Link>)| {
+                let config = load.config > self.configuration.version();
+                let items = load.items > self.directory.newest();
+                (config || items).then_some((config, items, link))
+            };
+            let Some((config, items, link)) = reports.find_map(newer) else {
+                behind = None;
+                continue;
+            };
+            if config {
+                link.send(Frame::WantConfig);
+            }
+            if items {
+                link.send(Frame::Want(self.directory.newest()));
+            }
+            let now = Instant::now();
+            let since = *behind.get_or_insert(now);
+            if now.since(since) > BEHIND {
+                tracing::info!(event = 327, config, items, node = %link.node, "still behind another node; the store is read");
+                behind = None;
+                if config {
+                    self.read_config.notify_one();
+                }
+                if items {
+                    self.read_directory.notify_one();
+                }
+            }
+            // One question at a time; further reports come within this pause.
+            time::sleep(ASK_PAUSE).await;
+        }
+    }
+
+    async fn plan(&self) {
+        loop {
+            time::sleep(planner::TICK).await;
+            self.planner.tick().await;
+        }
+    }
+
+    /// Takes over what may change while the node runs.
+    pub fn reload(&self, site: &Site) {
+        self.gate.set_drain(site.bounds.drain);
+        self.entry.set_bounds(budget::Bounds::from(site.bounds));
+        self.store.set_address(site.store);
+    }
+
+    /// Stops: no new callers, then no new work, then the end when all is answered.
+    pub async fn stop(&self) {
+        self.stopping.set(true);
+        self.entry.set_stage(Stage::Closing);
+        let start = Instant::now();
+        let grace = self.site.bounds.grace;
+        time::sleep(grace.mul_f64(OPEN_SHARE)).await;
+        self.entry.set_stage(Stage::Ending);
+        self.gate.stop();
+        let end = start + grace.mul_f64(END_SHARE);
+        while Instant::now() < end {
+            let left = self.entry.unanswered() + self.peers.running() + self.gate.busy();
+            if left == 0 {
+                break;
+            }
+            time::sleep(Duration::from_millis(20)).await;
+        }
+        let alone = self.gate.backend().is_none_or(|b| b.leaving.is_some());
+        if alone {
+            self.membership.leave().await;
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/sidecar/owner.rs
@@ -0,0 +1,239 @@
+//! Keys of the backend server beside this node: what it is granted, what it has released.
+//!
+//! The ownership table says what it may hold. Only this node takes its keys away while the node's
+//! entry stands: when it has reported their release, when its permission has run out without a
+//! heartbeat, or when another life of it has begun.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::coordination::sidecar::directory::Directory;
+use crate::coordination::sidecar::gate::{Backend, Gate};
+use crate::coordination::sidecar::membership::Membership;
+use crate::coordination::sidecar::tables::Tables;
+use crate::protocol::edge::{Grant, Grants, Heartbeat, Hold, Released};
+use crate::state::clock::Instant;
+use crate::state::keyspace::{Holder, Key, Keyspace, Slice};
+
+/// Permission in an answer to a heartbeat; about three heartbeats.
+const HOLD: Duration = Duration::from_secs(3);
+
+/// Part of the authority that is granted, since a backend server's clock may run 2% slow.
+const CLOCK_SHARE: f64 = 0.97;
+
+/// Factor on a permission after which it has certainly run out on a slow clock.
+const SLOW_CLOCK: f64 = 1.03;
+
+/// Time after the end of a permission before it is taken as ended.
+const SETTLE: Duration = Duration::from_millis(100);
+
+/// Most ranges in an answer to a heartbeat, which may take 4 KiB.
+const MOST_RANGES: usize = 90;
+
+/// Ownership of the backend server beside the node.
+#[derive(Debug)]
+pub struct Owner {
+    node: String,
+    longest: Duration,
+    gate: Rc<Gate>,
+    tables: Rc<Tables>,
+    directory: Rc<Directory>,
+    membership: Rc<Membership>,
+    started: Instant,
+    /// Time at which all permissions given so far have ended.
+    bound: Cell<Option<Instant>>,
+    /// Ranges that the last answer left out although they were granted before.
+    withheld: RefCell<Vec<(Key, Key)>>,
+    released: RefCell<Vec<Released>>,
+    busy: Cell<bool>,
+}
+
+impl Owner {
+    /// Creates the owner's side of a node.
+    #[must_use]
+    pub fn new(
+        node: &str,
+        longest: Duration,
+        gate: Rc<Gate>,
+        tables: Rc<Tables>,
+        directory: Rc<Directory>,
+        membership: Rc<Membership>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            node: node.to_owned(),
+            longest,
+            gate,
+            tables,
+            directory,
+            membership,
+            started: Instant::now(),
+            bound: Cell::new(None),
+            withheld: RefCell::new(Vec::new()),
+            released: RefCell::new(Vec::new()),
+            busy: Cell::new(false),
+        })
+    }
+
+    /// Takes a heartbeat's ranges over and returns what to grant; `None` renews nothing.
+    pub fn heartbeat(&self, beat: &Heartbeat, backend: &Backend) -> Option<Grants> {
+        let now = Instant::now();
+        self.released
+            .borrow_mut()
+            .extend(beat.released.iter().cloned());
+        let table = self.tables.get(&backend.service)?;
+        let authority = self.membership.authority(self.directory.newest(), now)?;
+        let grants = Grants {
+            ranges: grants(&table.keys, &backend.holder, &beat.holds),
+            time: HOLD.min(self.longest).min(authority).mul_f64(CLOCK_SHARE),
+        };
+        let end = now + grants.time.mul_f64(SLOW_CLOCK) + SETTLE;
+        self.bound.set(self.bound.get().max(Some(end)));
+        let mine = table.keys.held_by(&backend.holder);
+        let moving = mine.filter(|s| s.target.is_some());
+        *self.withheld.borrow_mut() = moving.map(|s| (s.from, s.to)).collect();
+        let mut holdings = self.gate.holdings.borrow_mut();
+        holdings.grant(&grants, now);
+        drop(holdings);
+        self.gate.granted.notify_waiters();
+        Some(grants)
+    }
+
+    /// Records in the table what the backend server has let go of.
+    pub async fn settle(&self, beat: &Heartbeat, backend: &Backend) {
+        // What the answer before this heartbeat left out, and the heartbeat holds no longer.
+        let withheld = self.withheld.borrow().clone();
+        let held = |from: Key, to: Key| beat.holds.iter().any(|h| h.from <= to && from <= h.to);
+        let free: Vec<_> = withheld
+            .into_iter()
+            .filter(|&(from, to)| !held(from, to))
+            .collect();
+        if free.is_empty() || self.busy.replace(true) {
+            return;
+        }
+        let proofs = self.released.borrow().clone();
+        let holder = backend.holder.clone();
+        let done = self
+            .tables
+            .update(&backend.service, &[], |keys| {
+                release(keys, &holder, &free, &proofs)
+            })
+            .await;
+        self.busy.set(false);
+        match done {
+            Ok(true) => {
+                tracing::info!(event = 451, backend = %holder.backend, ranges = ?free, "released ranges are passed on");
+                self.released.borrow_mut().clear();
+            }
+            Ok(false) => {}
+            Err(e) => {
+                tracing::warn!(event = 452, backend = %holder.backend, error = %e, "the release of ranges is not recorded yet");
+            }
+        }
+    }
+
+    /// Takes away what earlier lives held, and what a silent backend server holds no longer.
+    pub async fn tick(&self) {
+        if self.busy.get() {
+            return;
+        }
+        let now = Instant::now();
+        if self
+            .membership
+            .authority(self.directory.newest(), now)
+            .is_none()
+        {
+            return;
+        }
+        let current = self.gate.backend();
+        // A process before this one may have granted keys for the longest time.
+        let first = self.started + self.longest.min(HOLD).mul_f64(SLOW_CLOCK) + SETTLE;
+        let bound = self.bound.get().unwrap_or(first).max(first);
+        for service in self.tables.services() {
+            let Some(table) = self.tables.get(&service) else {
+                continue;
+            };
+            let holders = table.keys.holders();
+            let mine = holders.into_iter().filter(|h| h.node == self.node);
+            for holder in mine {
+                let live = current.as_ref().filter(|b| b.holder == *holder);
+                let over = match (&current, live) {
+                    (_, Some(_)) | (None, None) => now > bound,
+                    // A later life on the same host: the earlier one has ended.
+                    (Some(_), None) => true,
+                };
+                if over {
+                    let next = current
+                        .as_ref()
+                        .filter(|b| b.service == service && b.leaving.is_none() && live.is_none());
+                    self.expire(&service, holder, next.map(|b| &b.holder)).await;
+                }
+            }
+        }
+    }
+
+    async fn expire(&self, service: &str, holder: &Holder, next: Option<&Holder>) {
+        self.busy.set(true);
+        let done = self
+            .tables
+            .update(service, &[], |keys| {
+                let mut after = keys.clone();
+                for s in keys.held_by(holder).filter(|_| next.is_some()) {
+                    if let Some(next) = next {
+                        after.plan(s.from, s.to, holder, next);
+                    }
+                }
+                after.expire(holder);
+                (after != *keys).then_some(after)
+            })
+            .await;
+        self.busy.set(false);
+        match done {
+            Ok(changed) => {
+                tracing::info!(event = 453, backend = %holder.backend, born = holder.born, changed, "a backend server's permission has ended");
+            }
+            Err(e) => {
+                tracing::warn!(event = 454, backend = %holder.backend, error = %e, "the end of a permission is not recorded yet");
+            }
+        }
+    }
+}
+
+/// Returns the ranges that a backend server is to hold.
+fn grants(keys: &Keyspace, holder: &Holder, holds: &[Hold]) -> Vec<Grant> {
+    let has = |s: &Slice| {
+        let same = |h: &&Hold| h.token == s.token && h.from <= s.from && s.to <= h.to;
+        holds.iter().find(same).is_some()
+    };
+    let mine = keys.held_by(holder).filter(|s| s.target.is_none());
+    let grant = |s: &Slice| Grant {
+        from: s.from,
+        to: s.to,
+        token: s.token,
+        handover: if has(s) {
+            String::new()
+        } else {
+            s.handover.clone()
+        },
+    };
+    mine.take(MOST_RANGES).map(grant).collect()
+}
+
+/// Returns the table after a release of ranges that are on the move.
+fn release(
+    keys: &Keyspace,
+    holder: &Holder,
+    free: &[(Key, Key)],
+    proofs: &[Released],
+) -> Option<Keyspace> {
+    let mut after = keys.clone();
+    let moving = keys.held_by(holder).filter(|s| s.target.is_some());
+    let freed = moving.filter(|s| free.iter().any(|&(from, to)| from <= s.from && s.to <= to));
+    for s in freed {
+        for p in proofs.iter().filter(|p| s.meets(p.from, p.to)) {
+            after.release(s.from.max(p.from), s.to.min(p.to), holder, &p.handover);
+        }
+        after.release(s.from, s.to, holder, "");
+    }
+    (after != *keys).then_some(after)
+}
--- /dev/null
+++ b/src/coordination/sidecar/tables.rs
@@ -0,0 +1,167 @@
+//! Ownership tables as this node knows them, and changes to them.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use tokio::sync::Notify;
+
+use crate::protocol::edge::{Commit, Item, StoreCall, StoreReply};
+use crate::protocol::ownership;
+use crate::state::keyspace::Keyspace;
+use crate::transport::sidecar::store::{self, Store};
+
+/// Prefix of all keys of this product in the store.
+pub const PREFIX: &str = "filbertflow/";
+
+/// Prefix of the entries of live nodes.
+pub const NODES: &str = "filbertflow/node/";
+
+/// Prefix of the ownership tables.
+pub const TABLES: &str = "filbertflow/keys/";
+
+/// Tries of one change, each on a newer table.
+const TRIES: usize = 4;
+
+/// Table with the revision of its last change.
+#[derive(Debug, Clone)]
+pub struct Table {
+    /// Revision in the store; 0 if there is no table yet.
+    pub revision: u64,
+    /// Ownership.
+    pub keys: Rc<Keyspace>,
+}
+
+/// All tables.
+#[derive(Debug)]
+pub struct Tables {
+    store: Rc<Store>,
+    all: RefCell<HashMap<String, Table>>,
+    /// Told of each change.
+    pub changed: Notify,
+}
+
+impl Tables {
+    /// Creates an empty set.
+    #[must_use]
+    pub fn new(store: Rc<Store>) -> Self {
+        Self {
+            store,
+            all: RefCell::new(HashMap::new()),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Returns the table of a service.
+    #[must_use]
+    pub fn get(&self, service: &str) -> Option<Table> {
+        self.all.borrow().get(service).cloned()
+    }
+
+    /// Returns the names of the services with tables.
+    #[must_use]
+    pub fn services(&self) -> Vec<String> {
+        self.all.borrow().keys().cloned().collect()
+    }
+
+    /// Takes an item of the store over, unless a newer one is known.
+    pub fn take(&self, item: &Item) {
+        let Some(service) = item.key.strip_prefix(TABLES) else {
+            return;
+        };
+        match ownership::read_table(&item.value) {
+            Ok(keys) => self.set(service, item.revision, Rc::new(keys)),
+            Err(e) => {
+                tracing::error!(event = 441, service, revision = item.revision, error = %e, "an ownership table can't be read and is ignored");
+            }
+        }
+    }
+
+    fn set(&self, service: &str, revision: u64, keys: Rc<Keyspace>) {
+        let mut all = self.all.borrow_mut();
+        if all.get(service).is_some_and(|t| t.revision >= revision) {
+            return;
+        }
+        tracing::info!(
+            event = 442,
+            service,
+            revision,
+            slices = keys.slices.len(),
+            "an ownership table changed"
+        );
+        all.insert(service.to_owned(), Table { revision, keys });
+        drop(all);
+        self.changed.notify_waiters();
+    }
+
+    async fn read(&self, service: &str) -> Result<(), store::Error> {
+        let call = StoreCall::Range {
+            prefix: format!("{TABLES}{service}"),
+            after: None,
+        };
+        if let StoreReply::Page { items, .. } = self.store.call(&call).await? {
+            let name = format!("{TABLES}{service}");
+            for item in items.iter().filter(|i| i.key == name) {
+                self.take(item);
+            }
+        }
+        Ok(())
+    }
+
+    /// Changes a table by compare-and-swap and returns whether it was changed.
+    ///
+    /// `change` returns `None` if the table needs no change; `guard` holds further conditions on
+    /// the store's items.
+    ///
+    /// # Errors
+    ///
+    /// Returns the store's error; the change may still take effect unless it was refused.
+    pub async fn update(
+        &self,
+        service: &str,
+        guard: &[(String, u64)],
+        change: impl Fn(&Keyspace) -> Option<Keyspace>,
+    ) -> Result<bool, store::Error> {
+        let name = format!("{TABLES}{service}");
+        for _ in 0..TRIES {
+            let (revision, base) = match self.get(service) {
+                Some(table) => (table.revision, table.keys),
+                None => (0, Rc::new(Keyspace::default())),
+            };
+            let Some(next) = change(&base) else {
+                return Ok(false);
+            };
+            let mut expect = vec![(name.clone(), revision)];
+            expect.extend_from_slice(guard);
+            let call = StoreCall::Commit(Commit {
+                expect,
+                put: vec![(name.clone(), ownership::write_table(&next), None)],
+                delete: Vec::new(),
+            });
+            match self.store.call(&call).await {
+                Ok(StoreReply::Committed { revision }) => {
+                    self.set(service, revision, Rc::new(next));
+                    return Ok(true);
+                }
+                Ok(_) => {
+                    self.read(service).await?;
+                    let moved = self.get(service).is_some_and(|t| t.revision != revision);
+                    if !moved {
+                        // One of the further conditions does not hold.
+                        return Ok(false);
+                    }
+                }
+                Err(e) if e.is_refused() => return Err(e),
+                Err(e) => {
+                    tracing::warn!(event = 443, service, revision, error = %e, "the outcome of a change of ownership is looked up");
+                    self.read(service).await?;
+                    if self.get(service).is_some_and(|t| *t.keys == next) {
+                        return Ok(true);
+                    }
+                    return Err(e);
+                }
+            }
+        }
+        Ok(false)
+    }
+}
--- /dev/null
+++ b/src/protocol/http.rs
@@ -0,0 +1,430 @@
+//! HTTP/1.1 messages: heads, the length of bodies, and what may not be passed on.
+//!
+//! Parsing is httparse's; this module decides where a message ends. A message whose end is not
+//! certain is refused, because what follows would be read as another message.
+
+use std::fmt;
+
+use bytes::{Buf, BytesMut};
+
+/// Most header lines of a head.
+const MAX_HEADERS: usize = 100;
+
+/// Longest line with the size of a chunk, in bytes.
+const MAX_CHUNK_LINE: usize = 256;
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Header line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Header {
+    /// Name as it was sent.
+    pub name: String,
+    /// Value without surrounding blanks; each byte is one character.
+    pub value: String,
+}
+
+impl Header {
+    /// Creates a header line.
+    #[must_use]
+    pub fn new(name: &str, value: impl Into<String>) -> Self {
+        Self {
+            name: name.to_owned(),
+            value: value.into(),
+        }
+    }
+
+    /// Returns whether this is the header of a name.
+    #[must_use]
+    pub fn is(&self, name: &str) -> bool {
+        self.name.eq_ignore_ascii_case(name)
+    }
+}
+
+/// Returns the value of the only header line of a name.
+#[must_use]
+pub fn value<'a>(headers: &'a [Header], name: &str) -> Option<&'a str> {
+    let found = headers.iter().find(|h| h.is(name));
+    found.map(|h| h.value.as_str())
+}
+
+/// Head of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestHead {
+    /// Method.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// Header lines in their order.
+    pub headers: Vec<Header>,
+    /// Where the body ends.
+    pub body: Body,
+    /// Whether the caller keeps the connection open after the response.
+    pub keep_open: bool,
+}
+
+/// Head of a response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// Status code.
+    pub status: u16,
+    /// Header lines in their order.
+    pub headers: Vec<Header>,
+    /// Where the body ends.
+    pub body: Body,
+    /// Whether the server keeps the connection open.
+    pub keep_open: bool,
+}
+
+/// End of a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Body {
+    /// After this number of bytes.
+    Length(usize),
+    /// After the last chunk.
+    Chunked,
+    /// With the connection; responses only.
+    UntilClose,
+}
+
+/// Reason why bytes are no message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Malformed {
+    /// Not HTTP/1.1.
+    Syntax,
+    /// The head is larger than allowed.
+    HeadTooLarge,
+    /// Two statements about the body's length, or one that can't be read.
+    Framing,
+    /// The body is larger than allowed.
+    BodyTooLarge,
+}
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Syntax => "malformed message",
+            Self::HeadTooLarge => "head too large",
+            Self::Framing => "ambiguous body length",
+            Self::BodyTooLarge => "body too large",
+        })
+    }
+}
+
+impl std::error::Error for Malformed {}
+
+fn text(bytes: &[u8]) -> String {
+    bytes.iter().map(|&b| char::from(b)).collect()
+}
+
+fn lines(parsed: &[httparse::Header<'_>]) -> Vec<Header> {
+    let line = |h: &httparse::Header<'_>| Header::new(h.name, text(h.value));
+    parsed.iter().map(line).collect()
+}
+
+fn has_token(headers: &[Header], name: &str, token: &str) -> bool {
+    let values = headers.iter().filter(|h| h.is(name));
+    let mut tokens = values.flat_map(|h| h.value.split(','));
+    tokens.any(|t| t.trim().eq_ignore_ascii_case(token))
+}
+
+/// Returns the body that the headers state, `None` if they state none.
+fn stated_body(headers: &[Header]) -> Result<Option<Body>, Malformed> {
+    let mut lengths = headers.iter().filter(|h| h.is("content-length"));
+    let mut codings = headers.iter().filter(|h| h.is("transfer-encoding"));
+    match (lengths.next(), codings.next()) {
+        (Some(_), Some(_)) => Err(Malformed::Framing),
+        (Some(h), None) => {
+            let digits = !h.value.is_empty() && h.value.bytes().all(|b| b.is_ascii_digit());
+            if !digits || lengths.next().is_some() {
+                return Err(Malformed::Framing);
+            }
+            let length = h.value.parse().map_err(|_| Malformed::Framing)?;
+            Ok(Some(Body::Length(length)))
+        }
+        (None, Some(h)) => {
+            let chunked = h.value.trim().eq_ignore_ascii_case("chunked");
+            let only = chunked && codings.next().is_none();
+            only.then_some(Some(Body::Chunked))
+                .ok_or(Malformed::Framing)
+        }
+        (None, None) => Ok(None),
+    }
+}
+
+impl RequestHead {
+    /// Takes a head off the front of a buffer; `None` if it isn't complete yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the bytes are no request or the head is larger than `limit` bytes.
+    pub fn take(buffer: &mut BytesMut, limit: usize) -> Result<Option<Self>, Malformed> {
+        let mut slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Request::new(&mut slots);
+        let size = match parsed.parse(buffer) {
+            Ok(httparse::Status::Complete(size)) if size <= limit => size,
+            Ok(httparse::Status::Partial) if buffer.len() <= limit => return Ok(None),
+            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Malformed::HeadTooLarge),
+            Err(_) => return Err(Malformed::Syntax),
+        };
+        let headers = lines(parsed.headers);
+        let body = match stated_body(&headers)? {
+            Some(body) => body,
+            None => Body::Length(0),
+        };
+        let current = parsed.version == Some(1);
+        let head = Self {
+            method: parsed.method.unwrap_or_default().to_owned(),
+            target: parsed.path.unwrap_or_default().to_owned(),
+            keep_open: current && !has_token(&headers, "connection", "close"),
+            headers,
+            body,
+        };
+        buffer.advance(size);
+        let routable = head.target.starts_with('/');
+        routable.then_some(Some(head)).ok_or(Malformed::Syntax)
+    }
+}
+
+impl ResponseHead {
+    /// Takes a head off the front of a buffer; `None` if it isn't complete yet.
+    ///
+    /// `method` is that of the request, on which the body depends.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the bytes are no response or the head is larger than `limit` bytes.
+    pub fn take(
+        buffer: &mut BytesMut,
+        method: &str,
+        limit: usize,
+    ) -> Result<Option<Self>, Malformed> {
+        let mut slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Response::new(&mut slots);
+        let size = match parsed.parse(buffer) {
+            Ok(httparse::Status::Complete(size)) => size,
+            Ok(httparse::Status::Partial) if buffer.len() <= limit => return Ok(None),
+            Ok(httparse::Status::Partial) => return Err(Malformed::HeadTooLarge),
+            Err(_) => return Err(Malformed::Syntax),
+        };
+        let headers = lines(parsed.headers);
+        let status = parsed.code.unwrap_or_default();
+        let empty = method == "HEAD" || matches!(status, 100..=199 | 204 | 304);
+        let body = match stated_body(&headers)? {
+            _ if empty => Body::Length(0),
+            Some(body) => body,
+            None => Body::UntilClose,
+        };
+        let current = parsed.version == Some(1);
+        let head = Self {
+            status,
+            keep_open: current
+                && body != Body::UntilClose
+                && !has_token(&headers, "connection", "close"),
+            headers,
+            body,
+        };
+        buffer.advance(size);
+        Ok(Some(head))
+    }
+}
+
+/// Reader of one body, fed from the buffer of its connection.
+#[derive(Debug)]
+pub struct BodyReader {
+    body: Body,
+    state: ChunkState,
+    limit: usize,
+    content: Vec<u8>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ChunkState {
+    Size,
+    Data(usize),
+    DataEnd,
+    Trailer,
+}
+
+impl BodyReader {
+    /// Creates a reader for a body of at most `limit` bytes.
+    #[must_use]
+    pub fn new(body: Body, limit: usize) -> Self {
+        Self {
+            body,
+            state: ChunkState::Size,
+            limit,
+            content: Vec::new(),
+        }
+    }
+
+    /// Takes what is there off the buffer and returns whether the body is complete.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the body is malformed or too large.
+    pub fn feed(&mut self, buffer: &mut BytesMut) -> Result<bool, Malformed> {
+        match self.body {
+            Body::Length(length) if length > self.limit => Err(Malformed::BodyTooLarge),
+            Body::Length(length) => {
+                self.take(buffer, length - self.content.len())?;
+                Ok(self.content.len() == length)
+            }
+            Body::UntilClose => {
+                self.take(buffer, usize::MAX)?;
+                Ok(false)
+            }
+            Body::Chunked => self.feed_chunks(buffer),
+        }
+    }
+
+    fn take(&mut self, buffer: &mut BytesMut, most: usize) -> Result<(), Malformed> {
+        let n = buffer.len().min(most);
+        if self.content.len() + n > self.limit {
+            return Err(Malformed::BodyTooLarge);
+        }
+        self.content.extend_from_slice(&buffer[..n]);
+        buffer.advance(n);
+        Ok(())
+    }
+
+    fn feed_chunks(&mut self, buffer: &mut BytesMut) -> Result<bool, Malformed> {
+        loop {
+            match self.state {
+                ChunkState::Size => match httparse::parse_chunk_size(buffer) {
+                    Ok(httparse::Status::Complete((size, length))) => {
+                        buffer.advance(size);
+                        let length = usize::try_from(length).map_err(|_| Malformed::Framing)?;
+                        self.state = match length {
+                            0 => ChunkState::Trailer,
+                            n => ChunkState::Data(n),
+                        };
+                    }
+                    Ok(httparse::Status::Partial) if buffer.len() <= MAX_CHUNK_LINE => {
+                        return Ok(false);
+                    }
+                    Ok(httparse::Status::Partial) | Err(_) => return Err(Malformed::Framing),
+                },
+                ChunkState::Data(left) => {
+                    let before = self.content.len();
+                    self.take(buffer, left)?;
+                    match left - (self.content.len() - before) {
+                        0 => self.state = ChunkState::DataEnd,
+                        left => {
+                            self.state = ChunkState::Data(left);
+                            return Ok(false);
+                        }
+                    }
+                }
+                ChunkState::DataEnd => {
+                    if buffer.len() < 2 {
+                        return Ok(false);
+                    }
+                    if !buffer.starts_with(b"\r\n") {
+                        return Err(Malformed::Framing);
+                    }
+                    buffer.advance(2);
+                    self.state = ChunkState::Size;
+                }
+                ChunkState::Trailer => {
+                    let Some(end) = buffer.windows(2).position(|w| w == b"\r\n") else {
+                        let bounded = buffer.len() <= MAX_CHUNK_LINE;
+                        return bounded.then_some(false).ok_or(Malformed::Framing);
+                    };
+                    buffer.advance(end + 2);
+                    if end == 0 {
+                        return Ok(true);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns the body.
+    #[must_use]
+    pub fn into_content(self) -> Vec<u8> {
+        self.content
+    }
+}
+
+/// Returns the header lines that may be passed on.
+#[must_use]
+pub fn end_to_end(headers: &[Header]) -> Vec<Header> {
+    let passed = headers.iter().filter(|h| {
+        let own = HOP_HEADERS.iter().any(|name| h.is(name)) || h.is("content-length");
+        !own && !has_token(headers, "connection", &h.name)
+    });
+    passed.cloned().collect()
+}
+
+/// Writes a request.
+#[must_use]
+pub fn write_request(method: &str, target: &str, headers: &[Header], body: &[u8]) -> Vec<u8> {
+    let mut out = Vec::with_capacity(256 + body.len());
+    out.extend_from_slice(method.as_bytes());
+    out.push(b' ');
+    out.extend_from_slice(target.as_bytes());
+    out.extend_from_slice(b" HTTP/1.1\r\n");
+    write_headers(&mut out, headers);
+    if !body.is_empty() || !matches!(method, "GET" | "HEAD" | "DELETE" | "OPTIONS") {
+        out.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(body);
+    out
+}
+
+/// Writes a response; `close` announces that the connection ends with it.
+#[must_use]
+pub fn write_response(status: u16, headers: &[Header], body: &[u8], close: bool) -> Vec<u8> {
+    let mut out = Vec::with_capacity(256 + body.len());
+    out.extend_from_slice(format!("HTTP/1.1 {status} {}\r\n", reason(status)).as_bytes());
+    write_headers(&mut out, headers);
+    if !matches!(status, 204 | 304) {
+        out.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+    }
+    if close {
+        out.extend_from_slice(b"Connection: close\r\n");
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(body);
+    out
+}
+
+fn write_headers(out: &mut Vec<u8>, headers: &[Header]) {
+    for h in headers {
+        out.extend_from_slice(h.name.as_bytes());
+        out.extend_from_slice(b": ");
+        out.extend(h.value.chars().map(|c| u8::try_from(c).unwrap_or(b'?')));
+        out.extend_from_slice(b"\r\n");
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- /dev/null
+++ b/src/state/keyspace.rs
@@ -0,0 +1,269 @@
+//! Ownership of a service's keys: which backend server holds which range, under which token.
+//!
+//! One table a service is kept in the platform's store and changed by compare-and-swap only. The
+//! functions here are the changes that may be made to it; they keep these invariants, which
+//! [`Keyspace::check`] verifies on every table that is read:
+//!
+//! - ranges are sorted, do not overlap and cover all keys;
+//! - a token is below `next_token`, and a change of holder takes a new one.
+
+use std::collections::HashSet;
+
+/// Number of keys.
+pub const KEYS: usize = 1 << 16;
+
+/// Key as callers send it.
+pub type Key = u16;
+
+/// One life of a backend server, beside one node.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Holder {
+    /// Address of the node beside it.
+    pub node: String,
+    /// Identifier of the backend server.
+    pub backend: String,
+    /// Start of this life, in Unix milliseconds.
+    pub born: u64,
+}
+
+/// Range of keys with one holder.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Slice {
+    /// First key.
+    pub from: Key,
+    /// Last key.
+    pub to: Key,
+    /// Fencing token of the holder; the last one used if there is no holder.
+    pub token: u64,
+    /// Backend server that may hold the range now.
+    pub holder: Option<Holder>,
+    /// Backend server that gets the range once the holder has released it.
+    pub target: Option<Holder>,
+    /// Proof of release by the previous holder, empty if there is none.
+    pub handover: String,
+}
+
+impl Slice {
+    /// Returns whether the range has a key.
+    #[must_use]
+    pub fn contains(&self, key: Key) -> bool {
+        self.from <= key && key <= self.to
+    }
+
+    /// Returns the number of keys.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        usize::from(self.to - self.from) + 1
+    }
+
+    /// Returns whether the range is empty, which it never is.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        false
+    }
+
+    /// Returns whether the range shares a key with `from..=to`.
+    #[must_use]
+    pub fn meets(&self, from: Key, to: Key) -> bool {
+        self.from <= to && from <= self.to
+    }
+}
+
+/// Violated invariant of a table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Invalid(pub String);
+
+impl std::fmt::Display for Invalid {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for Invalid {}
+
+/// Ownership table of one service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Keyspace {
+    /// Token for the next change of a holder.
+    pub next_token: u64,
+    /// Ranges in ascending order.
+    pub slices: Vec<Slice>,
+}
+
+impl Default for Keyspace {
+    fn default() -> Self {
+        Self {
+            next_token: 1,
+            slices: vec![Slice {
+                from: 0,
+                to: Key::MAX,
+                token: 0,
+                holder: None,
+                target: None,
+                handover: String::new(),
+            }],
+        }
+    }
+}
+
+impl Keyspace {
+    /// Verifies the invariants.
+    ///
+    /// # Errors
+    ///
+    /// Returns the invariant that does not hold.
+    pub fn check(&self) -> Result<(), Invalid> {
+        let mut next = 0;
+        for s in &self.slices {
+            if usize::from(s.from) != next || s.to < s.from {
+                return Err(Invalid(format!(
+                    "range {}-{} is out of order",
+                    s.from, s.to
+                )));
+            }
+            if s.token >= self.next_token {
+                return Err(Invalid(format!("token {} was not issued", s.token)));
+            }
+            next = usize::from(s.to) + 1;
+        }
+        if next == KEYS {
+            Ok(())
+        } else {
+            Err(Invalid(format!("keys from {next} on are missing")))
+        }
+    }
+
+    /// Returns the slice of a key.
+    #[must_use]
+    pub fn find(&self, key: Key) -> Option<&Slice> {
+        let i = self.slices.partition_point(|s| s.to < key);
+        self.slices.get(i)
+    }
+
+    /// Returns the slices that a backend server holds.
+    pub fn held_by<'a>(&'a self, holder: &'a Holder) -> impl Iterator<Item = &'a Slice> {
+        let mine = move |s: &&Slice| s.holder.as_ref() == Some(holder);
+        self.slices.iter().filter(mine)
+    }
+
+    /// Returns all holders and targets.
+    #[must_use]
+    pub fn holders(&self) -> HashSet<&Holder> {
+        let all = self.slices.iter();
+        all.flat_map(|s| s.holder.iter().chain(s.target.iter()))
+            .collect()
+    }
+
+    /// Makes `key` the first of its slice.
+    fn cut(&mut self, key: Key) {
+        let i = self.slices.partition_point(|s| s.to < key);
+        let Some(s) = self.slices.get_mut(i) else {
+            return;
+        };
+        if s.from == key {
+            return;
+        }
+        let mut tail = s.clone();
+        tail.from = key;
+        s.to = key - 1;
+        self.slices.insert(i + 1, tail);
+    }
+
+    /// Calls `change` for each slice of a range, which is cut out first.
+    fn each(&mut self, from: Key, to: Key, mut change: impl FnMut(&mut Slice, &mut u64)) {
+        self.cut(from);
+        if let Some(after) = to.checked_add(1) {
+            self.cut(after);
+        }
+        let token = &mut self.next_token;
+        let inside = self.slices.iter_mut();
+        for s in inside.filter(|s| from <= s.from && s.to <= to) {
+            change(s, token);
+        }
+        self.join();
+    }
+
+    /// Joins neighbours that can be told apart no longer.
+    fn join(&mut self) {
+        self.slices.dedup_by(|b, a| {
+            let same = a.token == b.token
+                && a.holder == b.holder
+                && a.target == b.target
+                && a.handover.is_empty()
+                && b.handover.is_empty();
+            if same {
+                a.to = b.to;
+            }
+            same
+        });
+    }
+
+    /// Gives the parts of a range that nobody holds to a backend server.
+    pub fn assign(&mut self, from: Key, to: Key, holder: &Holder) {
+        let token = self.next_token;
+        let mut used = false;
+        self.each(from, to, |s, _| {
+            if s.holder.is_none() {
+                s.holder = Some(holder.clone());
+                s.target = None;
+                s.token = token;
+                used = true;
+            }
+        });
+        if used {
+            self.next_token += 1;
+        }
+    }
+
+    /// Plans a move of the parts of a range that `source` holds.
+    pub fn plan(&mut self, from: Key, to: Key, source: &Holder, target: &Holder) {
+        self.each(from, to, |s, _| {
+            if s.holder.as_ref() == Some(source) {
+                s.target = (source != target).then(|| target.clone());
+            }
+        });
+    }
+
+    /// Withdraws the planned moves to a backend server.
+    pub fn cancel(&mut self, target: &Holder) {
+        for s in &mut self.slices {
+            if s.target.as_ref() == Some(target) {
+                s.target = None;
+            }
+        }
+        self.join();
+    }
+
+    /// Records that `holder` has released a range, with the proof of its release.
+    ///
+    /// What has a target goes to it, the rest has no holder afterwards.
+    pub fn release(&mut self, from: Key, to: Key, holder: &Holder, handover: &str) {
+        let token = self.next_token;
+        let mut used = false;
+        self.each(from, to, |s, _| {
+            if s.holder.as_ref() != Some(holder) {
+                return;
+            }
+            s.holder = s.target.take();
+            handover.clone_into(&mut s.handover);
+            if s.holder.is_some() {
+                s.token = token;
+                used = true;
+            }
+        });
+        if used {
+            self.next_token += 1;
+        }
+    }
+
+    /// Takes all that a backend server holds away, without a proof of release.
+    ///
+    /// The caller makes sure that its permission has ended.
+    pub fn expire(&mut self, holder: &Holder) {
+        self.release(0, Key::MAX, holder, "");
+        self.cancel(holder);
+    }
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -5,9 +5,13 @@
 pub mod clock;
 pub mod document;
 pub mod error;
+pub mod heat;
 pub mod ids;
+pub mod keyspace;
 pub mod members;
 pub mod record;
+pub mod routes;
 pub mod settings;
+pub mod site;
 pub mod sketch;
 pub mod timing;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -10,4 +10,5 @@
 pub mod peer_server;
 pub mod peers;
 pub mod platform;
+pub mod sidecar;
 pub mod wake;
--- /dev/null
+++ b/src/transport/sidecar/peers.rs
@@ -0,0 +1,350 @@
+//! Connections from other nodes, whose calls the backend server beside this node runs.
+//!
+//! A call runs apart from the connection on which it came. Its outcome is kept until it has been
+//! sent, and for requests that may not be repeated a while longer, because the connection may be
+//! lost before the outcome arrives.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::{SinkExt, StreamExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::{task, time};
+use tokio_util::codec::Framed;
+
+use crate::protocol::mesh::{
+    About, Call, Cause, Failure, Frame, HeatOf, Hello, Items, Load, Outcome, Seq, StoreRequest,
+    StoreResponse,
+};
+use crate::state::routes::Repeat;
+use crate::transport::sidecar::links;
+
+/// Time for which calls of a node that lost its connection go on.
+const ORPHAN_TIME: Duration = Duration::from_millis(1500);
+
+/// Outcomes that are kept after they were sent, for each node.
+const KEPT_OUTCOMES: usize = 128;
+
+/// Pause after an accept that failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Call that runs.
+pub struct Job {
+    /// Future of the outcome.
+    pub outcome: Pin<Box<dyn Future<Output = Outcome>>>,
+    /// Set when the backend server may have begun to run it.
+    pub started: Rc<Cell<bool>>,
+    /// Whether it may run more than once.
+    pub repeat: Repeat,
+}
+
+impl std::fmt::Debug for Job {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Job")
+            .field("started", &self.started)
+            .field("repeat", &self.repeat)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Running call, seen from the side that may cancel it.
+#[derive(Debug)]
+pub struct Running {
+    task: task::AbortHandle,
+    started: Rc<Cell<bool>>,
+    repeat: Repeat,
+}
+
+impl Running {
+    /// Starts a job; `done` gets its outcome unless it is cancelled before.
+    #[must_use]
+    pub fn spawn(job: Job, done: impl FnOnce(Outcome) + 'static) -> Self {
+        let Job {
+            outcome,
+            started,
+            repeat,
+        } = job;
+        let task = task::spawn_local(async move { done(outcome.await) });
+        Self {
+            task: task.abort_handle(),
+            started,
+            repeat,
+        }
+    }
+
+    /// Cancels the call, unless it may not be repeated and has begun; returns whether it did.
+    #[must_use = "tells whether the call was cancelled"]
+    pub fn cancel(&self) -> bool {
+        let may = self.repeat == Repeat::Idempotent || !self.started.get();
+        if may {
+            self.task.abort();
+        }
+        may
+    }
+}
+
+/// What a node does for other nodes.
+pub trait Service {
+    /// Starts a call.
+    fn run(&self, call: Call) -> Job;
+
+    /// Returns the backend server beside the node.
+    fn about(&self) -> About;
+
+    /// Returns the present load.
+    fn load(&self) -> Load;
+
+    /// Returns the store's items that changed after a revision.
+    fn items(&self, after: u64) -> Items;
+
+    /// Returns the configuration in force.
+    fn config(&self) -> Items;
+
+    /// Takes a report of the rates of keys.
+    fn heat(&self, heat: HeatOf);
+
+    /// Makes a call to the store in the place of another node.
+    fn relay(&self, request: StoreRequest) -> Pin<Box<dyn Future<Output = Option<StoreResponse>>>>;
+}
+
+#[derive(Debug, Default)]
+struct Remote {
+    incarnation: u64,
+    epoch: u64,
+    out: Option<mpsc::UnboundedSender<Frame>>,
+    running: HashMap<Seq, Running>,
+    kept: VecDeque<(Seq, Outcome)>,
+    /// Highest call whose outcome is kept no longer.
+    forgotten: Seq,
+}
+
+impl Remote {
+    fn send(&self, frame: Frame) -> bool {
+        self.out.as_ref().is_some_and(|out| out.send(frame).is_ok())
+    }
+
+    fn finish(&mut self, seq: Seq, repeat: Repeat, outcome: Outcome) {
+        self.running.remove(&seq);
+        let sent = self.send(Frame::Reply(seq, Box::new(outcome.clone())));
+        if !sent || repeat == Repeat::Once {
+            self.kept.push_back((seq, outcome));
+            if self.kept.len() > KEPT_OUTCOMES
+                && let Some((oldest, _)) = self.kept.pop_front()
+            {
+                self.forgotten = self.forgotten.max(oldest);
+            }
+        }
+    }
+
+    /// Answers the question after a call of an earlier connection.
+    fn resume(&self, seq: Seq) {
+        if self.running.contains_key(&seq) {
+            return;
+        }
+        let kept = self.kept.iter().find(|k| k.0 == seq);
+        let outcome = match kept {
+            Some((_, outcome)) => outcome.clone(),
+            None if seq <= self.forgotten => Outcome::Unknown(Failure::after(Cause::LinkLost)),
+            // One that may not be repeated would be running or kept if it had ever arrived.
+            None => Outcome::NotRun(Failure::before(Cause::LinkLost, 0)),
+        };
+        self.send(Frame::Reply(seq, Box::new(outcome)));
+    }
+}
+
+/// All nodes that are connected to this one.
+pub struct Peers {
+    service: Rc<dyn Service>,
+    hello: Hello,
+    remotes: RefCell<HashMap<String, Rc<RefCell<Remote>>>>,
+}
+
+impl std::fmt::Debug for Peers {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Peers")
+            .field("hello", &self.hello)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Peers {
+    /// Creates a registry without connections.
+    #[must_use]
+    pub fn new(service: Rc<dyn Service>, hello: Hello) -> Rc<Self> {
+        Rc::new(Self {
+            service,
+            hello,
+            remotes: RefCell::new(HashMap::new()),
+        })
+    }
+
+    /// Accepts nodes until the task is dropped.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((io, _)) => {
+                    let peers = Rc::clone(&self);
+                    task::spawn_local(async move {
+                        if let Err(e) = peers.serve(io).await {
+                            tracing::debug!(event = 231, error = %e, "a node's connection ended");
+                        }
+                    });
+                }
+                Err(e) => {
+                    tracing::warn!(event = 232, error = %e, "can't accept a node");
+                    time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Tells all connected nodes.
+    pub fn publish(&self, frame: &Frame) {
+        for remote in self.remotes.borrow().values() {
+            remote.borrow().send(frame.clone());
+        }
+    }
+
+    /// Returns the number of calls that run for other nodes.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        let remotes = self.remotes.borrow();
+        remotes.values().map(|r| r.borrow().running.len()).sum()
+    }
+
+    fn enter(
+        &self,
+        hello: &Hello,
+        out: mpsc::UnboundedSender<Frame>,
+    ) -> (Rc<RefCell<Remote>>, u64) {
+        let mut remotes = self.remotes.borrow_mut();
+        let remote = Rc::clone(remotes.entry(hello.node.clone()).or_default());
+        let mut r = remote.borrow_mut();
+        if r.incarnation != hello.incarnation {
+            // The node was restarted: nobody waits for these any more.
+            r.running.retain(|_, running| !running.cancel());
+            let epoch = r.epoch;
+            *r = Remote {
+                incarnation: hello.incarnation,
+                epoch,
+                ..Remote::default()
+            };
+        }
+        r.epoch += 1;
+        r.out = Some(out);
+        let epoch = r.epoch;
+        drop(r);
+        (remote, epoch)
+    }
+
+    async fn serve(self: Rc<Self>, io: TcpStream) -> std::io::Result<()> {
+        io.set_nodelay(true)?;
+        let mut io = Framed::new(io, links::codec());
+        let first = io.next().await;
+        let first = first.ok_or(std::io::ErrorKind::UnexpectedEof)??;
+        let Frame::Hello(hello) = links::decode(&first)? else {
+            return Err(std::io::Error::other("expected hello"));
+        };
+        io.send(links::encode(&Frame::Hello(self.hello.clone()))?)
+            .await?;
+        let (mut write, mut read) = io.split();
+        let (out, mut frames) = mpsc::unbounded_channel();
+        // The receiver lives until the end of this function.
+        let _sent = out.send(Frame::About(self.service.about()));
+        let _sent = out.send(Frame::Load(self.service.load()));
+        let (remote, epoch) = self.enter(&hello, out);
+        let done = async {
+            loop {
+                tokio::select! {
+                    biased;
+                    bytes = read.next() => {
+                        let bytes = bytes.ok_or(std::io::ErrorKind::UnexpectedEof)??;
+                        let current = remote.borrow().epoch == epoch;
+                        if !current {
+                            return Ok(());
+                        }
+                        self.receive(&remote, links::decode(&bytes)?);
+                    }
+                    frame = frames.recv() => {
+                        let Some(mut frame) = frame else { return Ok(()) };
+                        loop {
+                            write.feed(links::encode(&frame)?).await?;
+                            match frames.try_recv() {
+                                Ok(next) => frame = next,
+                                Err(_) => break,
+                            }
+                        }
+                        write.flush().await?;
+                    }
+                }
+            }
+        }
+        .await;
+        if remote.borrow().epoch == epoch {
+            remote.borrow_mut().out = None;
+            task::spawn_local(orphan(remote, epoch));
+        }
+        done
+    }
+
+    fn receive(&self, remote: &Rc<RefCell<Remote>>, frame: Frame) {
+        match frame {
+            Frame::Call(seq, call) => {
+                let job = self.service.run(*call);
+                let (owner, repeat) = (Rc::clone(remote), job.repeat);
+                let running = Running::spawn(job, move |outcome| {
+                    owner.borrow_mut().finish(seq, repeat, outcome);
+                });
+                remote.borrow_mut().running.insert(seq, running);
+            }
+            Frame::Cancel(seq) => {
+                let mut r = remote.borrow_mut();
+                if r.running.get(&seq).is_some_and(Running::cancel) {
+                    r.running.remove(&seq);
+                }
+            }
+            Frame::Resume(calls) => {
+                for seq in calls {
+                    remote.borrow().resume(seq);
+                }
+            }
+            Frame::Ping => {
+                remote.borrow().send(Frame::Pong);
+            }
+            Frame::Want(after) => {
+                let items = self.service.items(after);
+                remote.borrow().send(Frame::Items(Box::new(items)));
+            }
+            Frame::WantConfig => {
+                let items = self.service.config();
+                remote.borrow().send(Frame::Items(Box::new(items)));
+            }
+            Frame::Heat(heat) => self.service.heat(*heat),
+            Frame::Relay(seq, request) => {
+                let answer = self.service.relay(*request);
+                let remote = Rc::clone(remote);
+                task::spawn_local(async move {
+                    let response = answer.await;
+                    remote.borrow().send(Frame::Relayed(seq, response));
+                });
+            }
+            other => {
+                tracing::warn!(event = 233, frame = ?other, "a node sent a frame in the wrong direction");
+            }
+        }
+    }
+}
+
+/// Ends what nobody will ask for, if the node does not come back.
+async fn orphan(remote: Rc<RefCell<Remote>>, epoch: u64) {
+    time::sleep(ORPHAN_TIME).await;
+    let mut r = remote.borrow_mut();
+    if r.epoch == epoch {
+        r.running.retain(|_, running| !running.cancel());
+    }
+}
--- /dev/null
+++ b/src/transport/sidecar/store.rs
@@ -0,0 +1,235 @@
+//! Calls to the platform's store.
+//!
+//! One client for all modules of a sidecar. A call that the store refuses, or that gets no answer,
+//! is made once more through another node if there is one, because the store sometimes turns single
+//! hosts away. Whether a call without an answer may be repeated is the calling module's decision:
+//! commits carry conditions, so a repeated one can't take effect twice.
+
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time;
+
+use crate::protocol::edge::{Adapter, StoreCall, StoreReply, Unreadable};
+use crate::protocol::http;
+use crate::protocol::mesh::{StoreRequest, StoreResponse};
+use crate::state::clock::Instant;
+use crate::transport::sidecar::socket::{ReadError, Socket};
+
+/// Longest time to open a connection to the store.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// Longest wait for an answer; the store answers within milliseconds, and within half a second
+/// when it is slow.
+const ANSWER_LIMIT: Duration = Duration::from_millis(900);
+
+/// Largest answer, in bytes.
+const MAX_ANSWER: usize = 8 << 20;
+
+/// Idle connections that are kept.
+const MOST_IDLE: usize = 2;
+
+/// Age up to which an idle connection is used.
+const OLDEST_IDLE: Duration = Duration::from_secs(5);
+
+/// Error of a call to the store.
+#[derive(Debug)]
+pub enum Error {
+    /// Nothing was done.
+    Refused,
+    /// No answer; the call may have been carried out, or may be later.
+    NoAnswer(io::ErrorKind),
+    /// The answer can't be read; the call may have been carried out.
+    Unreadable(Unreadable),
+}
+
+impl Error {
+    /// Returns whether the call certainly had no effect.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Refused)
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Refused => f.write_str("refused by the store"),
+            Self::NoAnswer(kind) => write!(f, "no answer from the store: {kind}"),
+            Self::Unreadable(e) => write!(f, "unreadable answer of the store: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Future of a relayed call.
+pub type Relayed = Pin<Box<dyn Future<Output = Option<StoreResponse>>>>;
+
+/// Function that makes a call through another node.
+pub type Relay = Box<dyn Fn(StoreRequest) -> Relayed>;
+
+/// Client of the store.
+pub struct Store {
+    adapter: Rc<dyn Adapter>,
+    address: Cell<SocketAddr>,
+    idle: RefCell<Vec<(Socket, Instant)>>,
+    relay: RefCell<Option<Relay>>,
+    trouble: Cell<Option<Instant>>,
+    connected: Cell<bool>,
+    /// Calls made directly.
+    pub calls: Cell<u64>,
+}
+
+impl fmt::Debug for Store {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Store")
+            .field("address", &self.address.get())
+            .field("trouble", &self.trouble.get())
+            .finish_non_exhaustive()
+    }
+}
+
+impl Store {
+    /// Creates a client without connections.
+    #[must_use]
+    pub fn new(adapter: Rc<dyn Adapter>, address: SocketAddr) -> Self {
+        Self {
+            adapter,
+            address: Cell::new(address),
+            idle: RefCell::new(Vec::new()),
+            relay: RefCell::new(None),
+            trouble: Cell::new(None),
+            connected: Cell::new(true),
+            calls: Cell::new(0),
+        }
+    }
+
+    /// Sets the address.
+    pub fn set_address(&self, address: SocketAddr) {
+        if self.address.replace(address) != address {
+            self.idle.borrow_mut().clear();
+        }
+    }
+
+    /// Sets the way through other nodes.
+    pub fn set_relay(&self, relay: Relay) {
+        *self.relay.borrow_mut() = Some(relay);
+    }
+
+    /// Returns the time of the last call that the store did not answer itself.
+    #[must_use]
+    pub fn trouble(&self) -> Option<Instant> {
+        self.trouble.get()
+    }
+
+    /// Makes a call.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is known about a call without an answer.
+    pub async fn call(&self, call: &StoreCall) -> Result<StoreReply, Error> {
+        let request = self.adapter.store_request(call);
+        let (limit, waits) = match call {
+            StoreCall::Watch { wait, .. } => (*wait + ANSWER_LIMIT, true),
+            _ => (ANSWER_LIMIT, false),
+        };
+        let direct = match self.direct(&request, limit).await {
+            Ok(response) => self.decode(call, &response),
+            Err(e) => Err(Error::NoAnswer(e)),
+        };
+        self.note(&direct);
+        if direct.is_ok() || waits {
+            return direct;
+        }
+        let relayed = self.relay.borrow().as_ref().map(|relay| relay(request));
+        let Some(relayed) = relayed else {
+            return direct;
+        };
+        match relayed.await {
+            Some(response) => self.decode(call, &response),
+            None => direct,
+        }
+    }
+
+    fn note(&self, direct: &Result<StoreReply, Error>) {
+        match direct {
+            Ok(_) => {
+                if !self.connected.replace(true) {
+                    tracing::info!(event = 311, "the store answers again");
+                }
+            }
+            Err(e) => {
+                self.trouble.set(Some(Instant::now()));
+                if self.connected.replace(false) {
+                    tracing::warn!(event = 312, error = %e, "the store does not answer");
+                }
+            }
+        }
+    }
+
+    fn decode(&self, call: &StoreCall, response: &StoreResponse) -> Result<StoreReply, Error> {
+        match self.adapter.store_reply(call, response) {
+            Ok(StoreReply::Refused) => Err(Error::Refused),
+            Ok(reply) => Ok(reply),
+            Err(e) => Err(Error::Unreadable(e)),
+        }
+    }
+
+    /// Makes a call over a connection of this node.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer.
+    pub async fn direct(
+        &self,
+        request: &StoreRequest,
+        limit: Duration,
+    ) -> Result<StoreResponse, io::ErrorKind> {
+        self.calls.set(self.calls.get() + 1);
+        let exchange = self.exchange(request);
+        let answered = time::timeout(limit, exchange).await;
+        answered.map_err(|_| io::ErrorKind::TimedOut)?
+    }
+
+    async fn exchange(&self, request: &StoreRequest) -> Result<StoreResponse, io::ErrorKind> {
+        let mut headers = vec![http::Header::new("Host", self.address.get().to_string())];
+        if !request.body.is_empty() {
+            headers.push(http::Header::new("Content-Type", "application/json"));
+        }
+        let bytes = http::write_request(&request.method, &request.target, &headers, &request.body);
+        let mut socket = match self.idle() {
+            Some(socket) => socket,
+            None => Socket::connect(self.address.get(), CONNECT_LIMIT)
+                .await
+                .map_err(|e| e.kind())?,
+        };
+        socket.write(&bytes).await.map_err(|e| e.kind())?;
+        let (head, body) = match socket.response(&request.method, MAX_ANSWER).await {
+            Ok(answer) => answer,
+            Err(ReadError::Io(e)) => return Err(e.kind()),
+            Err(ReadError::Malformed(_)) => return Err(io::ErrorKind::InvalidData),
+        };
+        let mut idle = self.idle.borrow_mut();
+        if head.keep_open && idle.len() < MOST_IDLE {
+            idle.push((socket, Instant::now()));
+        }
+        let status = head.status;
+        Ok(StoreResponse { status, body })
+    }
+
+    fn idle(&self) -> Option<Socket> {
+        let mut idle = self.idle.borrow_mut();
+        let usable = |(socket, since): (Socket, Instant)| {
+            let fresh = Instant::now().since(since) < OLDEST_IDLE && socket.is_idle();
+            fresh.then_some(socket)
+        };
+        std::iter::from_fn(|| idle.pop()).find_map(usable)
+    }
+}
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -57,6 +57,7 @@
     let mut sources = Vec::new();
     files(Path::new("src"), &mut sources);
     files(Path::new("standins/src"), &mut sources);
+    files(Path::new("platform/src"), &mut sources);
     let mut found: BTreeMap<_, BTreeSet<_>> = BTreeMap::new();
     for path in sources {
         let text = fs::read_to_string(&path).unwrap();
