--- a/src/coordination/sidecar/admission.rs
+++ b/src/coordination/sidecar/admission.rs
@@ -1,9 +1,10 @@
 //! Queue in front of one backend server: who starts, who waits, who is refused.
 //!
-//! The queue is ordered by rank and then by latency objective, so that the work that a running
-//! request waits for goes first and nobody is served late because of somebody who has more time.
-//! A request that can't meet its objective any more waits behind those that can; one that can't
-//! even end before its caller gives up is refused when it arrives, not after it has waited.
+//! The queue is ordered by rank and then by the time of the latency objective. The rank is the
+//! route's priority and, among equals, the shorter objective, so that the short calls that running
+//! requests wait for are not stuck behind long requests. Within a rank, a request that can't meet
+//! its objective any more waits behind those that can; one that can't even end before its caller
+//! gives up is refused when it arrives, not after it has waited.
 //!
 //! Nothing here does input or output: time is passed in, so a test can replay a day's load.
 
@@ -15,9 +16,12 @@
 /// Weight of the newest request in the mean run times; about 30 requests count.
 const SMOOTHING: f64 = 0.03;
 
-/// Requests that may wait without a chance to meet their objective, per slot.
+/// Requests of one rank that may wait without a chance to meet their objective, per slot.
 const LATE_PER_SLOT: f64 = 0.5;
 
+/// Factor on the expected wait of such a request, since others will go before it.
+const LATE_WAIT: f64 = 1.5;
+
 /// Share of the expected run time that must be left for a request to be started; run times vary.
 const START_SHARE: f64 = 0.6;
 
@@ -27,8 +31,25 @@
 /// Requests after which the mean run time is worth telling.
 const ENOUGH: u32 = 20;
 
-/// Rank of requests that a running request waits for.
-pub const CALLED: u8 = 0;
+/// Place of a request in the order of service; lower goes first.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Rank(u32);
+
+impl Rank {
+    /// Returns the rank of a route with a priority and a latency objective.
+    #[must_use]
+    pub fn new(priority: u8, objective: Duration) -> Self {
+        let ms = u32::try_from(objective.as_millis()).unwrap_or(u32::MAX);
+        Self((u32::from(priority) << 16) | ms.min(0xffff))
+    }
+
+    /// Returns the priority.
+    #[must_use]
+    pub fn priority(self) -> u32 {
+        self.0 >> 16
+    }
+}
 
 /// Identifier of a request in the queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -37,8 +58,8 @@
 /// Request that asks to be run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Ticket {
-    /// Rank; 0 goes first.
-    pub rank: u8,
+    /// Rank.
+    pub rank: Rank,
     /// Kind of request, for its expected run time.
     pub kind: u32,
     /// Latency objective.
@@ -69,8 +90,8 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
+    rank: Rank,
     late: bool,
-    rank: u8,
     aim: Instant,
     id: TicketId,
 }
@@ -82,7 +103,7 @@
     running: usize,
     waiting: BTreeMap<Place, Ticket>,
     places: HashMap<TicketId, Place>,
-    late: usize,
+    late: HashMap<Rank, usize>,
     mean: Option<f64>,
     kinds: HashMap<u32, f64>,
     ended: u32,
@@ -98,7 +119,7 @@
             running: 0,
             waiting: BTreeMap::new(),
             places: HashMap::new(),
-            late: 0,
+            late: HashMap::new(),
             mean: None,
             kinds: HashMap::new(),
             ended: 0,
@@ -166,24 +187,25 @@
             aim: ticket.aim,
             id: TicketId(self.next),
         };
-        let wait = self.wait_behind(self.waiting.range(..place).count());
-        let called = ticket.rank == CALLED;
-        if !called && now + wait + cost > ticket.aim {
+        if now + self.wait_behind(self.ahead(place)) + cost > ticket.aim {
             place.late = true;
-            let wait = self.wait_behind(self.waiting.len());
-            let full = self.late as f64 >= LATE_PER_SLOT * self.slots as f64;
-            if full || now + wait.mul_f64(1.5) + cost > ticket.limit {
+            let wait = self.wait_behind(self.ahead(place));
+            let late = self.late.get(&ticket.rank).copied().unwrap_or(0);
+            let full = late as f64 >= LATE_PER_SLOT * self.slots as f64;
+            if full || now + wait.mul_f64(LATE_WAIT) + cost > ticket.limit {
                 return Verdict::Refuse(wait);
             }
-        } else if called && now + wait + cost > ticket.limit {
-            return Verdict::Refuse(wait);
         }
         self.insert(place, ticket);
         Verdict::Wait(place.id)
     }
 
+    fn ahead(&self, place: Place) -> usize {
+        self.waiting.range(..place).count()
+    }
+
     fn insert(&mut self, place: Place, ticket: Ticket) {
-        self.late += usize::from(place.late);
+        *self.late.entry(place.rank).or_default() += usize::from(place.late);
         self.waiting.insert(place, ticket);
         self.places.insert(place.id, place);
     }
@@ -191,7 +213,9 @@
     fn remove(&mut self, place: Place) -> Option<Ticket> {
         self.places.remove(&place.id);
         let ticket = self.waiting.remove(&place)?;
-        self.late -= usize::from(place.late);
+        if let Some(late) = self.late.get_mut(&place.rank) {
+            *late -= usize::from(place.late);
+        }
         Some(ticket)
     }
 
@@ -230,8 +254,8 @@
                 turn.expired.push(place.id);
                 continue;
             }
-            let missed = !place.late && ticket.rank != CALLED && now + cost > ticket.aim;
-            if missed && self.waiting.keys().any(|p| !p.late) {
+            let missed = !place.late && now + cost > ticket.aim;
+            if missed && self.waiting.keys().any(|p| p.rank == place.rank && !p.late) {
                 self.insert(
                     Place {
                         late: true,
@@ -259,11 +283,4 @@
         }
         gone.into_iter().map(|p| p.id).collect()
     }
-
-    /// Takes all waiting requests out.
-    pub fn clear(&mut self) -> Vec<TicketId> {
-        self.waiting.clear();
-        self.late = 0;
-        self.places.drain().map(|(id, _)| id).collect()
-    }
 }
--- a/src/coordination/sidecar/entry.rs
+++ b/src/coordination/sidecar/entry.rs
@@ -6,13 +6,11 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
-use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time;
 
-use crate::coordination::sidecar::admission::CALLED;
 use crate::coordination::sidecar::budget::{self, Budget};
 use crate::coordination::sidecar::choose::{self, Candidate};
 use crate::coordination::sidecar::configuration::Configuration;
@@ -39,6 +37,12 @@
 /// Part of its time for which a request waits for a key without a holder.
 const PARKED_SHARE: f64 = 0.55;
 
+/// Part of the objective for which it waits if others have just waited in vain.
+const BLOCKED_SHARE: f64 = 0.12;
+
+/// Time after a wait in vain in which others wait less.
+const BLOCKED_TIME: Duration = Duration::from_millis(600);
+
 /// Pause before the holder of a key is tried again after it could not be reached.
 const SAME_PAUSE: Duration = Duration::from_millis(120);
 
@@ -54,6 +58,9 @@
 /// Longest Retry-After, in seconds.
 const LONGEST_RETRY: f64 = 2.0;
 
+/// Part of the longest stated time below which a caller is taken to come again.
+const AGAIN_SHARE: f64 = 0.7;
+
 /// Time that is assumed for callers that don't state any, beside the route's timeout.
 const USUAL_PATIENCE: Duration = Duration::from_secs(30);
 
@@ -108,7 +115,6 @@
     node: String,
     domain: String,
     service: String,
-    host: IpAddr,
     adapter: Rc<dyn Adapter>,
     configuration: Rc<Configuration>,
     roster: Rc<Roster>,
@@ -120,6 +126,8 @@
     splits: RefCell<HashMap<RouteId, Vec<f64>>>,
     /// Longest time that callers of a route have stated; less means that they come again.
     patience: RefCell<HashMap<RouteId, Duration>>,
+    /// Tokens of ranges whose holders did not take requests when last tried.
+    blocked: RefCell<HashMap<(RouteId, u64), Instant>>,
     stage: Cell<Stage>,
     open: Cell<usize>,
 }
@@ -133,8 +141,6 @@
     pub domain: String,
     /// Service of the host.
     pub service: String,
-    /// Address of the host.
-    pub host: IpAddr,
     /// Translation of headers.
     pub adapter: Rc<dyn Adapter>,
     /// Configuration.
@@ -159,7 +165,6 @@
             node: parts.node,
             domain: parts.domain,
             service: parts.service,
-            host: parts.host,
             adapter: parts.adapter,
             configuration: parts.configuration,
             roster: parts.roster,
@@ -169,6 +174,7 @@
             metrics: parts.metrics,
             splits: RefCell::new(HashMap::new()),
             patience: RefCell::new(HashMap::new()),
+            blocked: RefCell::new(HashMap::new()),
             stage: Cell::new(Stage::Open),
             open: Cell::new(0),
         })
@@ -272,15 +278,17 @@
             head,
             body,
             arrived,
-            from,
         } = request;
         let patience = terms.patience.unwrap_or(USUAL_PATIENCE);
         let mut longest = self.patience.borrow_mut();
         let longest = longest.entry(route.id).or_insert(patience);
         *longest = patience.max(*longest);
-        // A caller that comes again has less time left than it had at first.
-        let spent = longest.saturating_sub(patience).min(route.objective);
-        let called = from.is_some_and(|ip| ip == self.host);
+        // A caller that comes again has much less time left than callers have at first.
+        let again = patience < longest.mul_f64(AGAIN_SHARE);
+        let spent = longest.saturating_sub(patience);
+        let spent = spent
+            .min(route.objective)
+            .mul_f64(f64::from(u8::from(again)));
         let mut headers = http::end_to_end(&head.headers);
         self.adapter.strip(&mut headers);
         let key = terms.key.filter(|_| keyed);
@@ -290,11 +298,8 @@
             origin: self.service.clone(),
             route: route.id,
             repeat: route.repeat,
-            rank: if called {
-                CALLED
-            } else {
-                route.priority.saturating_add(1)
-            },
+            priority: route.priority,
+            objective_ms: u32::try_from(route.objective.as_millis()).unwrap_or(u32::MAX),
             key,
             left_ms: 0,
             aim_ms: 0,
@@ -436,7 +441,11 @@
 
     /// Waits for a node beside the holder of a key that may take the request now.
     async fn owner(&self, passage: &Passage, key: Key, last: Cause) -> Option<Target> {
-        let time = passage.limit.since(passage.arrived).mul_f64(PARKED_SHARE);
+        let time = if self.is_blocked(passage, key) {
+            passage.route.objective.mul_f64(BLOCKED_SHARE)
+        } else {
+            passage.limit.since(passage.arrived).mul_f64(PARKED_SHARE)
+        };
         let end = passage.arrived + time;
         // Another try at the same place is of use at once only if it was the attempt that failed.
         let at_once = [Cause::NoNode, Cause::Broken, Cause::Garbled, Cause::Shed];
@@ -464,6 +473,38 @@
         }
     }
 
+    /// Returns what identifies the range of a key under its present holder.
+    fn stretch(&self, passage: &Passage, key: Key) -> (RouteId, u64) {
+        let table = self.tables.get(&passage.service);
+        let slice = table.as_ref().and_then(|t| t.keys.find(key));
+        (passage.route.id, slice.map_or(0, |s| s.token))
+    }
+
+    /// Returns whether requests to the range of a key have just failed for want of a holder.
+    fn is_blocked(&self, passage: &Passage, key: Key) -> bool {
+        let blocked = self.blocked.borrow();
+        let since = blocked.get(&self.stretch(passage, key));
+        since.is_some_and(|at| Instant::now().since(*at) < BLOCKED_TIME)
+    }
+
+    /// Notes whether the range of a key has a holder that takes requests.
+    fn note_holder(&self, passage: &Passage, outcome: &Outcome) {
+        let Some(key) = passage.key else { return };
+        let stretch = self.stretch(passage, key);
+        let mut blocked = self.blocked.borrow_mut();
+        match outcome {
+            Outcome::NotRun(f) if !matches!(f.cause, Cause::Full | Cause::Expired) => {
+                let now = Instant::now();
+                blocked.retain(|_, at| now.since(*at) < BLOCKED_TIME);
+                blocked.insert(stretch, now);
+            }
+            Outcome::Answered(_) => {
+                blocked.remove(&stretch);
+            }
+            Outcome::NotRun(_) | Outcome::Unknown(_) => {}
+        }
+    }
+
     /// Returns the node beside the holder of a key.
     fn holder(&self, service: &str, key: Key, last: Cause) -> Option<String> {
         let table = self.tables.get(service)?;
@@ -541,6 +582,7 @@
     }
 
     fn finish(&self, passage: &Passage, trail: &Trail, outcome: Outcome) -> Response {
+        self.note_holder(passage, &outcome);
         let id = &passage.call.id;
         let took = Instant::now().since(passage.arrived);
         let (name, cause) = match &outcome {
@@ -565,8 +607,8 @@
             // After an earlier attempt, a refusal does not mean that the request has not run.
             Outcome::NotRun(_) | Outcome::Unknown(_) => Response::empty(502),
         };
-        tracing::info!(event = 575, id, route = %passage.route.name, rank = passage.call.rank, service = %passage.service, key = passage.key, node = %trail.node, offers = trail.offers, arrivals = trail.arrivals, status = response.status, cause, took_ms = took.as_millis(), "answered a request");
-        let class = format!("{}", passage.call.rank);
+        tracing::info!(event = 575, id, route = %passage.route.name, priority = passage.call.priority, service = %passage.service, key = passage.key, node = %trail.node, offers = trail.offers, arrivals = trail.arrivals, status = response.status, cause, took_ms = took.as_millis(), "answered a request");
+        let class = passage.call.priority.to_string();
         let labels = [passage.service.as_str(), class.as_str(), name];
         self.metrics
             .latency
--- a/src/coordination/sidecar/gate.rs
+++ b/src/coordination/sidecar/gate.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time;
 
-use crate::coordination::sidecar::admission::{Queue, Ticket, TicketId, Turn, Verdict};
+use crate::coordination::sidecar::admission::{Queue, Rank, Ticket, TicketId, Turn, Verdict};
 use crate::coordination::sidecar::holdings::Holdings;
 use crate::protocol::edge::{self, Adapter};
 use crate::protocol::http;
@@ -37,6 +37,9 @@
 /// than one heartbeat.
 const PERMISSION_WAIT: Duration = Duration::from_millis(1100);
 
+/// Silence of a backend server after which no heartbeat is awaited.
+const SILENCE: Duration = Duration::from_millis(1500);
+
 /// Pause after which a request without permission may be sent again.
 const PERMISSION_PAUSE_MS: u32 = 300;
 
@@ -50,6 +53,9 @@
 /// Part of the bound on draining within which new requests may still be started.
 const DRAIN_SHARE: f64 = 0.6;
 
+/// Tells whether the backend server is about to get a key.
+type Expected = Box<dyn Fn(Key) -> bool>;
+
 /// Backend server beside this node, as its heartbeats describe it.
 #[derive(Debug, Clone)]
 pub struct Backend {
@@ -81,7 +87,6 @@
 }
 
 /// Gate of the node.
-#[derive(Debug)]
 pub struct Gate {
     adapter: Rc<dyn Adapter>,
     pool: Pool,
@@ -93,6 +98,7 @@
     pub holdings: RefCell<Holdings>,
     /// Told when [`Gate::holdings`] has changed.
     pub granted: Notify,
+    expected: RefCell<Expected>,
     failing: Cell<f64>,
     failed_at: Cell<Instant>,
     heat: RefCell<Heat>,
@@ -100,6 +106,15 @@
     changed: Rc<Notify>,
 }
 
+impl std::fmt::Debug for Gate {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Gate")
+            .field("backend", &self.backend)
+            .field("queue", &self.queue)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Place among the running requests, given back when dropped.
 struct Place {
     gate: Rc<Gate>,
@@ -161,6 +176,7 @@
             waiters: RefCell::new(HashMap::new()),
             holdings: RefCell::new(Holdings::default()),
             granted: Notify::new(),
+            expected: RefCell::new(Box::new(|_| false)),
             failing: Cell::new(0.0),
             failed_at: Cell::new(now),
             heat: RefCell::new(Heat::new(now)),
@@ -343,6 +359,18 @@
         }
     }
 
+    /// Returns whether the backend server is to get a key with its next heartbeat.
+    fn is_expected(&self, key: Key) -> bool {
+        let heard = self.backend.borrow().as_ref().map(|b| b.heard);
+        let silent = heard.is_none_or(|at| Instant::now().since(at) > SILENCE);
+        !silent && (self.expected.borrow())(key)
+    }
+
+    /// Sets what tells whether the backend server is about to get a key.
+    pub fn set_expected(&self, expected: Expected) {
+        *self.expected.borrow_mut() = expected;
+    }
+
     async fn permitted(&self, key: Key, kind: u32, limit: Instant) -> bool {
         let cost = self.queue.borrow().expected(kind);
         let end = (limit - cost).min(Instant::now() + PERMISSION_WAIT);
@@ -352,7 +380,8 @@
             if self.holdings.borrow().contains(key, now) {
                 return true;
             }
-            if now >= end || time::timeout(end.left(), granted).await.is_err() {
+            let hopeless = now >= end || !self.is_expected(key);
+            if hopeless || time::timeout(end.left(), granted).await.is_err() {
                 return false;
             }
         }
@@ -377,7 +406,10 @@
             self.heat.borrow_mut().count(key);
         }
         let ticket = Ticket {
-            rank: call.rank,
+            rank: Rank::new(
+                call.priority,
+                Duration::from_millis(call.objective_ms.into()),
+            ),
             kind: call.route.0,
             aim: arrived + Duration::from_millis(call.aim_ms.into()),
             limit,
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -229,7 +229,6 @@
             node: address,
             domain: site.domain.clone(),
             service: site.service.clone(),
-            host: site.backend.ip(),
             adapter: Rc::clone(adapter),
             configuration: Rc::clone(&configuration),
             roster: Rc::clone(&roster),
--- a/src/coordination/sidecar/owner.rs
+++ b/src/coordination/sidecar/owner.rs
@@ -60,6 +60,20 @@
         directory: Rc<Directory>,
         membership: Rc<Membership>,
     ) -> Rc<Self> {
+        let (table, own) = (Rc::clone(&tables), Rc::clone(&membership));
+        let (known, beside) = (Rc::clone(&directory), Rc::downgrade(&gate));
+        gate.set_expected(Box::new(move |key| {
+            let backend = beside.upgrade().and_then(|gate| gate.backend());
+            let Some(backend) = backend else { return false };
+            let authority = own.authority(known.newest(), Instant::now());
+            let table = table.get(&backend.service).filter(|_| authority.is_some());
+            let slice = table.as_ref().and_then(|t| t.keys.find(key));
+            let mine = |h: &Holder| *h == backend.holder;
+            slice.is_some_and(|s| match &s.target {
+                Some(target) => mine(target),
+                None => s.holder.as_ref().is_some_and(mine),
+            })
+        }));
         Rc::new(Self {
             node: node.to_owned(),
             longest,
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -75,8 +75,10 @@
     pub route: routes::RouteId,
     /// Whether it may run more than once.
     pub repeat: routes::Repeat,
-    /// Rank in the queue; 0 goes first.
-    pub rank: u8,
+    /// Priority of the route; 0 is the most urgent.
+    pub priority: u8,
+    /// Latency objective of the route, in milliseconds.
+    pub objective_ms: u32,
     /// Key, for services that are divided by key.
     pub key: Option<keyspace::Key>,
     /// Time left until the caller gives up or the route's timeout, in milliseconds.
--- a/src/transport/sidecar/caller.rs
+++ b/src/transport/sidecar/caller.rs
@@ -5,7 +5,6 @@
 
 use std::cell::RefCell;
 use std::future::Future;
-use std::net::IpAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -56,8 +55,6 @@
     pub body: Vec<u8>,
     /// Time at which the head was complete.
     pub arrived: Instant,
-    /// Address of the caller's host, if it is known.
-    pub from: Option<IpAddr>,
 }
 
 /// Response to a caller.
@@ -142,7 +139,6 @@
     partial: Option<(http::RequestHead, http::BodyReader, Instant)>,
     since: Instant,
     limits: routes::Limits,
-    from: Option<IpAddr>,
 }
 
 impl Reader {
@@ -167,7 +163,6 @@
                     head,
                     body: body.into_content(),
                     arrived,
-                    from: self.from,
                 }))
             }
             Err(e) => Some(Input::Refused(status_of(e))),
@@ -237,7 +232,6 @@
 
 async fn serve(io: TcpStream, handler: &dyn Handler) -> std::io::Result<()> {
     io.set_nodelay(true)?;
-    let from = io.peer_addr().ok().map(|a| a.ip());
     let (read, mut write) = io.into_split();
     let mut reader = Reader {
         io: read,
@@ -245,7 +239,6 @@
         partial: None,
         since: Instant::now(),
         limits: handler.limits().unwrap_or(FIRST_LIMITS),
-        from,
     };
     let mut running: FuturesOrdered<Last> = FuturesOrdered::new();
     let mut last = false;
