--- a/src/coordination/sidecar/admission.rs
+++ b/src/coordination/sidecar/admission.rs
@@ -17,10 +17,10 @@
 const SMOOTHING: f64 = 0.03;
 
 /// Requests of one rank that may wait without a chance to meet their objective, per slot.
-const LATE_PER_SLOT: f64 = 0.5;
+const LATE_PER_SLOT: f64 = 0.25;
 
 /// Factor on the expected wait of such a request, since others will go before it.
-const LATE_WAIT: f64 = 1.5;
+const LATE_WAIT: f64 = 2.0;
 
 /// Share of the expected run time that must be left for a request to be started; run times vary.
 const START_SHARE: f64 = 0.6;
--- a/src/coordination/sidecar/entry.rs
+++ b/src/coordination/sidecar/entry.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::sync::{Notify, oneshot};
 use tokio::time;
 
 use crate::coordination::sidecar::budget::{self, Budget};
@@ -129,7 +130,7 @@
     /// Tokens of ranges whose holders did not take requests when last tried.
     blocked: RefCell<HashMap<(RouteId, u64), Instant>>,
     stage: Cell<Stage>,
-    open: Cell<usize>,
+    ending: Rc<Notify>,
 }
 
 /// Parts of a node that an entry works with.
@@ -176,7 +177,7 @@
             patience: RefCell::new(HashMap::new()),
             blocked: RefCell::new(HashMap::new()),
             stage: Cell::new(Stage::Open),
-            open: Cell::new(0),
+            ending: Rc::new(Notify::new()),
         })
     }
 
@@ -188,20 +189,7 @@
     /// Goes on towards the node's end.
     pub fn set_stage(&self, stage: Stage) {
         self.stage.set(stage);
-    }
-
-    /// Returns the number of requests without an answer.
-    #[must_use]
-    pub fn unanswered(&self) -> usize {
-        self.open.get()
-    }
-
-    async fn respond(self: Rc<Self>, request: Request) -> Response {
-        self.open.set(self.open.get() + 1);
-        let open = Open(&self);
-        let response = self.process(request).await;
-        drop(open);
-        response
+        self.ending.notify_waiters();
     }
 
     async fn process(&self, request: Request) -> Response {
@@ -414,7 +402,7 @@
                 None => Outcome::NotRun(Failure::before(Cause::LinkLost, 0)),
             },
             Target::Here => {
-                let (tell, told) = tokio::sync::oneshot::channel();
+                let (tell, told) = oneshot::channel();
                 let running = Running::spawn(self.gate.run(call), move |outcome| {
                     // The receiver is gone if the caller has left.
                     let _told = tell.send(outcome);
@@ -632,15 +620,6 @@
     }
 }
 
-/// Counts a request as answered when dropped.
-struct Open<'a>(&'a Entry);
-
-impl Drop for Open<'_> {
-    fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-    }
-}
-
 /// Cancels a call when dropped.
 struct Cancel(Running);
 
@@ -657,7 +636,8 @@
 
 impl caller::Handler for Door {
     fn answer(&self, request: Request) -> Answer {
-        Box::pin(Rc::clone(&self.0).respond(request))
+        let entry = Rc::clone(&self.0);
+        Box::pin(async move { entry.process(request).await })
     }
 
     fn limits(&self) -> Option<Limits> {
@@ -668,7 +648,11 @@
         self.0.stage.get() >= Stage::Closing
     }
 
-    fn closes_idle(&self) -> bool {
+    fn is_ending(&self) -> bool {
         self.0.stage.get() >= Stage::Ending
     }
+
+    fn ending(&self) -> Rc<Notify> {
+        Rc::clone(&self.0.ending)
+    }
 }
--- a/src/coordination/sidecar/gate.rs
+++ b/src/coordination/sidecar/gate.rs
@@ -37,6 +37,9 @@
 /// than one heartbeat.
 const PERMISSION_WAIT: Duration = Duration::from_millis(1100);
 
+/// Part of the time that a request can spare for such a wait.
+const PERMISSION_SHARE: f64 = 0.7;
+
 /// Silence of a backend server after which no heartbeat is awaited.
 const SILENCE: Duration = Duration::from_millis(1500);
 
@@ -373,7 +376,9 @@
 
     async fn permitted(&self, key: Key, kind: u32, limit: Instant) -> bool {
         let cost = self.queue.borrow().expected(kind);
-        let end = (limit - cost).min(Instant::now() + PERMISSION_WAIT);
+        let now = Instant::now();
+        let time = limit.since(now + cost).mul_f64(PERMISSION_SHARE);
+        let end = now + time.min(PERMISSION_WAIT);
         loop {
             let granted = self.granted.notified();
             let now = Instant::now();
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -59,11 +59,24 @@
 /// Pause between two questions for newer state.
 const ASK_PAUSE: Duration = Duration::from_millis(20);
 
+/// Part of the grace time after which a stopping node closes idle connections of callers, who
+/// look for another node after two failed probes.
+const CLOSING_SHARE: f64 = 0.42;
+
 /// Part of the grace time in which a stopping node still takes work from other nodes.
-const OPEN_SHARE: f64 = 0.45;
+const OPEN_SHARE: f64 = 0.6;
 
 /// Part of the grace time after which a stopping node ends whatever is left.
-const END_SHARE: f64 = 0.93;
+const END_SHARE: f64 = 0.9;
+
+/// Interval at which a stopping node looks whether it has answered everything.
+const END_POLL: Duration = Duration::from_millis(20);
+
+/// Time for the last messages to other nodes.
+const FLUSH: Duration = Duration::from_millis(40);
+
+/// Longest wait for the removal of the node's entry.
+const LEAVE_LIMIT: Duration = Duration::from_millis(300);
 
 /// Longest wait of a relayed call for the store.
 const RELAY_LIMIT: Duration = Duration::from_millis(900);
@@ -114,6 +127,7 @@
     read_config: Rc<Notify>,
     read_directory: Rc<Notify>,
     stopping: Cell<bool>,
+    connections: Rc<Cell<usize>>,
     metrics: Metrics,
 }
 
@@ -254,6 +268,7 @@
             read_config: Rc::new(Notify::new()),
             read_directory: Rc::new(Notify::new()),
             stopping: Cell::new(false),
+            connections: Rc::new(Cell::new(0)),
             metrics: metrics.clone(),
         })
     }
@@ -288,10 +303,9 @@
             let roster = Rc::clone(&relay);
             Box::pin(async move { roster.relay(request).await })
         }));
-        task::spawn_local(caller::accept(
-            callers,
-            Rc::new(Door(Rc::clone(&self.entry))),
-        ));
+        let door = Rc::new(Door(Rc::clone(&self.entry)));
+        let open = Rc::clone(&self.connections);
+        task::spawn_local(caller::accept(callers, door, open));
         task::spawn_local(Rc::clone(&self.peers).accept(peers));
         task::spawn_local(server::serve(ready, "ready", self.ready_handler(adapter)));
         task::spawn_local(server::serve(
@@ -480,26 +494,48 @@
         self.store.set_address(site.store);
     }
 
-    /// Stops: no new callers, then no new work, then the end when all is answered.
+    /// Stops: no new callers, then no new work from other nodes, then the end when all is answered.
     pub async fn stop(&self) {
         self.stopping.set(true);
         self.entry.set_stage(Stage::Closing);
         let start = Instant::now();
         let grace = self.site.bounds.grace;
-        time::sleep(grace.mul_f64(OPEN_SHARE)).await;
+        time::sleep(grace.mul_f64(CLOSING_SHARE)).await;
         self.entry.set_stage(Stage::Ending);
+        let last_call = start + grace.mul_f64(OPEN_SHARE);
+        self.until(last_call, || self.connections.get() == 0).await;
+        // Callers elsewhere depend on this node until its successor runs, so it stops late.
         self.gate.stop();
         let end = start + grace.mul_f64(END_SHARE);
-        while Instant::now() < end {
-            let left = self.entry.unanswered() + self.peers.running() + self.gate.busy();
-            if left == 0 {
-                break;
-            }
-            time::sleep(Duration::from_millis(20)).await;
+        let busy = || self.connections.get() + self.peers.running() + self.gate.busy();
+        self.until(end, || busy() == 0).await;
+        if busy() > 0 {
+            tracing::warn!(
+                event = 117,
+                connections = self.connections.get(),
+                calls = self.peers.running(),
+                running = self.gate.busy(),
+                "work is left at the end of the grace time"
+            );
         }
+        // The last answers to other nodes are on their way.
+        time::sleep(FLUSH).await;
         let alone = self.gate.backend().is_none_or(|b| b.leaving.is_some());
-        if alone {
-            self.membership.leave().await;
+        if alone
+            && time::timeout(LEAVE_LIMIT, self.membership.leave())
+                .await
+                .is_err()
+        {
+            tracing::info!(
+                event = 118,
+                "the store did not answer in time; the node's entry is left to its lease"
+            );
+        }
+    }
+
+    async fn until(&self, end: Instant, done: impl Fn() -> bool) {
+        while !done() && Instant::now() < end {
+            time::sleep(END_POLL).await;
         }
     }
 }
--- a/src/transport/sidecar/caller.rs
+++ b/src/transport/sidecar/caller.rs
@@ -3,7 +3,7 @@
 //! Idempotent requests that a caller sends without waiting run side by side. A caller that closes
 //! its connection is noticed while its requests run; dropping their futures then cancels them.
 
-use std::cell::RefCell;
+use std::cell::Cell;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -14,6 +14,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::{task, time};
 
 use crate::protocol::http;
@@ -35,6 +36,9 @@
 /// First size of a read buffer, in bytes.
 const FIRST_BUFFER: usize = 1024;
 
+/// Wait without a limit of its own; the responses that are due end it.
+const NO_LIMIT: Duration = Duration::from_hours(1);
+
 /// Pause after an accept that failed, for example for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -94,28 +98,50 @@
     /// Returns whether responses should end their connections.
     fn is_closing(&self) -> bool;
 
-    /// Returns whether idle connections should be closed now.
-    fn closes_idle(&self) -> bool;
+    /// Returns whether idle connections should be closed, and no new ones accepted.
+    fn is_ending(&self) -> bool;
+
+    /// Told when [`Handler::is_ending`] changes.
+    fn ending(&self) -> Rc<Notify>;
 }
 
-/// Accepts callers until the task is dropped.
-pub async fn accept(listener: TcpListener, handler: Rc<dyn Handler>) {
-    let open = Rc::new(RefCell::new(0_usize));
-    loop {
-        match listener.accept().await {
+/// Counts a connection as closed when dropped.
+struct Open(Rc<Cell<usize>>);
+
+impl Open {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(Rc::clone(count))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Accepts callers until the node ends; `open` counts their connections.
+pub async fn accept(listener: TcpListener, handler: Rc<dyn Handler>, open: Rc<Cell<usize>>) {
+    let ending = handler.ending();
+    while !handler.is_ending() {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = ending.notified() => continue,
+        };
+        match accepted {
             Ok((io, _)) => {
                 let handler = Rc::clone(&handler);
-                let open = Rc::clone(&open);
+                let counted = Open::new(&open);
                 task::spawn_local(async move {
-                    *open.borrow_mut() += 1;
                     if let Err(e) = serve(io, &*handler).await {
                         tracing::debug!(event = 251, error = %e, "a caller's connection failed");
                     }
-                    *open.borrow_mut() -= 1;
+                    drop(counted);
                 });
             }
             Err(e) => {
-                tracing::warn!(event = 252, error = %e, open = *open.borrow(), "can't accept a caller");
+                tracing::warn!(event = 252, error = %e, open = open.get(), "can't accept a caller");
                 time::sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -179,7 +205,9 @@
                 ..limits
             };
         }
+        let ending = handler.ending();
         loop {
+            let ending = ending.notified();
             if accept && let Some(input) = self.parse() {
                 return input;
             }
@@ -189,7 +217,7 @@
             let clean = self.buffer.is_empty() && self.partial.is_none();
             let wait = match &self.partial {
                 Some((_, _, start)) => (*start + BODY_TIME).left(),
-                None if busy || !accept => Duration::MAX,
+                None if busy || !accept => NO_LIMIT,
                 None if clean => (self.since + self.limits.idle_time).left(),
                 None => (self.since + self.limits.head_time).left(),
             };
@@ -197,22 +225,24 @@
                 if self.buffer.capacity() > READ_AHEAD {
                     self.buffer = BytesMut::new();
                 }
-                if handler.closes_idle() {
+                if handler.is_ending() {
                     return Input::Idle;
                 }
             }
-            // A node that stops looks for idle connections this often.
-            let step = wait.min(Duration::from_millis(500));
             if self.buffer.capacity() == self.buffer.len() {
                 self.buffer.reserve(FIRST_BUFFER);
             }
-            match time::timeout(step, self.io.read_buf(&mut self.buffer)).await {
-                Ok(Ok(0) | Err(_)) => return Input::Closed,
-                Ok(Ok(_)) if clean => self.since = Instant::now(),
-                Ok(Ok(_)) => {}
-                Err(_) if wait > step => {}
-                Err(_) if clean => return Input::Idle,
-                Err(_) => return Input::Refused(408),
+            let read = tokio::select! {
+                read = self.io.read_buf(&mut self.buffer) => Some(read),
+                () = time::sleep(wait) => None,
+                () = ending => continue,
+            };
+            match read {
+                Some(Ok(0) | Err(_)) => return Input::Closed,
+                Some(Ok(_)) if clean => self.since = Instant::now(),
+                Some(Ok(_)) => {}
+                None if clean => return Input::Idle,
+                None => return Input::Refused(408),
             }
         }
     }
