--- a/src/coordination/sidecar/plan.rs
+++ b/src/coordination/sidecar/plan.rs
@@ -14,10 +14,7 @@
 const TOLERATED: f64 = 1.25;
 
 /// Load of a backend server, in utilization of its slots, below which balance doesn't matter.
-const IDLE: f64 = 0.55;
-
-/// Part of its fair share below which a backend server counts as a newcomer.
-const NEWCOMER: f64 = 0.3;
+const IDLE: f64 = 0.65;
 
 /// Standard deviations of a measured load by which it must exceed the share.
 const CERTAINTY: f64 = 2.0;
@@ -235,7 +232,9 @@
     };
     let member = &planner.members[source];
     let busy = planner.loads[source] / member.capacity.max(1e-9);
-    let newcomer = planner.loads[target] < NEWCOMER * planner.share(target);
+    let future = |s: &Slice| s.target.clone().or_else(|| s.holder.clone());
+    let receiver = Some(&planner.members[target].holder);
+    let newcomer = !table.slices.iter().any(|s| future(s).as_ref() == receiver);
     let noise = CERTAINTY * (planner.loads[source] / MEASURED_S).sqrt();
     let certain = planner.loads[source] - planner.share(source) > noise;
     let uneven = over(planner, source) >= TOLERATED && certain && busy >= IDLE;
