--- a/src/coordination/sidecar/choose.rs
+++ b/src/coordination/sidecar/choose.rs
@@ -5,9 +5,15 @@
 //! sent there since.
 
 use rand::Rng;
+use rand::seq::SliceRandom;
 
-/// Extra time for a candidate in another failure domain, in milliseconds; covers two crossings.
-const CROSSING_MS: f64 = 2.0;
+/// Extra time for a candidate in another failure domain, as a share of the latency objective;
+/// traffic between failure domains is paid for, and a bit of latency within the objective is not.
+const CROSSING: f64 = 0.05;
+
+/// Candidates that are compared, at most; half of them near ones if there are enough. Reports are
+/// up to some hundred milliseconds old, and nodes that all chose the best of many would meet there.
+const COMPARED: usize = 6;
 
 /// Weight of a nearly full backend server, which is slower than its mean run time says.
 const CROWDING: f64 = 0.5;
@@ -42,9 +48,10 @@
 }
 
 impl Candidate {
-    /// Returns the expected time until the answer, in milliseconds.
+    /// Returns the expected time until the answer, in milliseconds, with the extra time for one in
+    /// another failure domain.
     #[must_use]
-    pub fn expected_ms(&self) -> f64 {
+    pub fn expected_ms(&self, objective_ms: f64) -> f64 {
         let slots = f64::from(self.slots.max(1));
         let mut run = match self.service_ms {
             ms if ms > 0.0 => ms,
@@ -56,17 +63,45 @@
         let ahead = f64::from(self.busy);
         let full = (ahead / slots).min(1.0);
         let wait = (ahead + 1.0 - slots).max(0.0) * run / slots;
-        let crossing = if self.near { 0.0 } else { CROSSING_MS };
+        let crossing = if self.near {
+            0.0
+        } else {
+            CROSSING * objective_ms
+        };
         let once = run * (1.0 + CROWDING * full.powi(3)) + wait + crossing;
         let success = 1.0 - self.failing.min(WORST_SHARE);
         once / (success * success * success)
     }
 }
 
-/// Returns the index of the candidate with the shortest expected time.
-pub fn pick(candidates: &[Candidate], rng: &mut impl Rng) -> Option<usize> {
-    let estimate = |c: &Candidate| c.expected_ms() * (1.0 + SPREAD * rng.random::<f64>());
-    let estimates: Vec<f64> = candidates.iter().map(estimate).collect();
-    let indexed = estimates.iter().enumerate();
-    indexed.min_by(|a, b| a.1.total_cmp(b.1)).map(|(i, _)| i)
+/// Returns the index of the candidate with the shortest expected time, among a sample if there are
+/// many.
+pub fn pick(candidates: &[Candidate], objective_ms: f64, rng: &mut impl Rng) -> Option<usize> {
+    let sample = sample(candidates, rng);
+    let mut best: Option<(usize, f64)> = None;
+    for i in sample {
+        let spread = 1.0 + SPREAD * rng.random::<f64>();
+        let ms = candidates[i].expected_ms(objective_ms) * spread;
+        if best.is_none_or(|(_, least)| ms < least) {
+            best = Some((i, ms));
+        }
+    }
+    best.map(|(i, _)| i)
+}
+
+fn sample(candidates: &[Candidate], rng: &mut impl Rng) -> Vec<usize> {
+    let all: Vec<usize> = (0..candidates.len()).collect();
+    if all.len() <= COMPARED {
+        return all;
+    }
+    let (mut near, mut far): (Vec<_>, Vec<_>) = all.into_iter().partition(|&i| candidates[i].near);
+    near.shuffle(rng);
+    far.shuffle(rng);
+    let close = near
+        .len()
+        .min((COMPARED / 2).max(COMPARED.saturating_sub(far.len())));
+    near.truncate(close);
+    far.truncate(COMPARED - close);
+    near.extend(far);
+    near
 }
--- a/src/coordination/sidecar/entry.rs
+++ b/src/coordination/sidecar/entry.rs
@@ -518,7 +518,7 @@
         let end = Instant::now() + NODE_WAIT;
         loop {
             let news = self.roster.news.notified();
-            if let Some(target) = self.best(&passage.service, tried) {
+            if let Some(target) = self.best(passage, tried) {
                 return Some(target);
             }
             if !tried.is_empty() || time::timeout(end.left(), news).await.is_err() {
@@ -527,7 +527,9 @@
         }
     }
 
-    fn best(&self, service: &str, tried: &HashSet<String>) -> Option<Target> {
+    fn best(&self, passage: &Passage, tried: &HashSet<String>) -> Option<Target> {
+        let service = passage.service.as_str();
+        let objective_ms = passage.route.objective.as_secs_f64() * 1000.0;
         let mut targets = Vec::new();
         let mut candidates = Vec::new();
         let usable = |l: &Load| l.health == Health::Ready && !l.stopping && l.slots > 0;
@@ -547,7 +549,7 @@
                 targets.push(Target::There(link));
             }
         }
-        let i = choose::pick(&candidates, &mut rand::rng())?;
+        let i = choose::pick(&candidates, objective_ms, &mut rand::rng())?;
         Some(targets.swap_remove(i))
     }
 
--- a/src/coordination/sidecar/membership.rs
+++ b/src/coordination/sidecar/membership.rs
@@ -23,7 +23,7 @@
 pub const LEASE: Duration = Duration::from_secs(5);
 
 /// Interval of renewals.
-const RENEWAL: Duration = Duration::from_secs(1);
+const RENEWAL: Duration = Duration::from_millis(1400);
 
 /// Safety margin at the end of a lease, for the clocks' drift.
 const MARGIN: Duration = Duration::from_millis(150);
@@ -98,18 +98,12 @@
         };
         let until = sent + ttl;
         let key = Self::key(&self.entry.address);
-        let value = serde_json::to_vec(&self.entry).unwrap_or_default();
+        let value = serde_json::to_vec(&self.entry).expect("an entry has only numbers and text");
+        // Most nodes have no entry yet, so the first try is made without reading.
+        let mut expected = 0;
         loop {
-            let call = StoreCall::Range {
-                prefix: key.clone(),
-                after: None,
-            };
-            let StoreReply::Page { items, .. } = self.store.call(&call).await? else {
-                return Err(store::Error::Refused);
-            };
-            let present = items.iter().find(|i| i.key == key);
             let call = StoreCall::Commit(Commit {
-                expect: vec![(key.clone(), present.map_or(0, |i| i.revision))],
+                expect: vec![(key.clone(), expected)],
                 put: vec![(key.clone(), value.clone(), Some(id))],
                 delete: Vec::new(),
             });
@@ -126,12 +120,24 @@
                     );
                     return Ok(());
                 }
-                StoreReply::Conflict => {}
+                StoreReply::Conflict => expected = self.entry_revision(&key).await?,
                 _ => return Err(store::Error::Refused),
             }
         }
     }
 
+    async fn entry_revision(&self, key: &str) -> Result<u64, store::Error> {
+        let call = StoreCall::Range {
+            prefix: key.to_owned(),
+            after: None,
+        };
+        let StoreReply::Page { items, .. } = self.store.call(&call).await? else {
+            return Err(store::Error::Refused);
+        };
+        let present = items.iter().find(|i| i.key == key);
+        Ok(present.map_or(0, |i| i.revision))
+    }
+
     /// Renews the lease until it has ended.
     async fn renew(&self) {
         while let Some(lease) = self.lease.get() {
--- a/src/coordination/sidecar/plan.rs
+++ b/src/coordination/sidecar/plan.rs
@@ -5,7 +5,7 @@
 //! its share gives the excess away, the busiest key excepted if it alone is too much. Every move
 //! leaves its keys unserved for about a heartbeat, so small differences stay.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use crate::state::keyspace;
 use crate::state::keyspace::{KEYS, Key, Keyspace, Slice};
@@ -25,11 +25,17 @@
 /// Share of the load that is spread evenly over all keys, so that cold keys count too.
 const EVEN_SHARE: f64 = 0.15;
 
+/// Part of the wanted load that a move must carry.
+const LEAST_MOVE: f64 = 0.2;
+
 /// Most slices in a table; a heartbeat's answer has room for about 100 of one holder.
-const MAX_SLICES: usize = 160;
+const MAX_SLICES: usize = 400;
+
+/// Fewest moves that may be under way at the same time.
+const MOVES: usize = 2;
 
-/// Most moves that may be under way at the same time.
-const MAX_MOVES: usize = 2;
+/// Members for each further move that may be under way.
+const MEMBERS_PER_MOVE: usize = 4;
 
 /// Backend server that may hold keys.
 #[derive(Debug, Clone, PartialEq)]
@@ -214,44 +220,47 @@
             planner.deal(s, Some(i), &mut pieces);
         }
     }
-    if planner.changes.is_empty() && moving < MAX_MOVES && pieces > 1 {
-        balance(&mut planner, table);
+    if planner.changes.is_empty() && pieces > MOVES {
+        let most = MOVES.max(members.len() / MEMBERS_PER_MOVE);
+        let mut sources = HashSet::new();
+        for _ in moving..most {
+            match balance(&mut planner, table, &sources) {
+                Some(source) => sources.insert(source),
+                None => break,
+            };
+        }
     }
     planner.changes
 }
 
-/// Moves excess load from the backend server that carries the most over its share.
-fn balance(planner: &mut Planner<'_>, table: &Keyspace) {
+/// Moves excess load from the backend server that carries the most over its share, and returns it.
+fn balance(planner: &mut Planner<'_>, table: &Keyspace, done: &HashSet<usize>) -> Option<usize> {
     let over = |p: &Planner<'_>, i: usize| p.loads[i] / p.share(i).max(1e-9);
-    let all = 0..planner.members.len();
-    let Some(source) = all.max_by(|&a, &b| over(planner, a).total_cmp(&over(planner, b))) else {
-        return;
-    };
-    let Some(target) = planner.roomiest(Some(source)) else {
-        return;
-    };
+    let open = (0..planner.members.len()).filter(|i| !done.contains(i));
+    let source = open.max_by(|&a, &b| over(planner, a).total_cmp(&over(planner, b)))?;
+    let target = planner.roomiest(Some(source))?;
     let member = &planner.members[source];
     let busy = planner.loads[source] / member.capacity.max(1e-9);
     let future = |s: &Slice| s.target.clone().or_else(|| s.holder.clone());
     let receiver = Some(&planner.members[target].holder);
-    let newcomer = !table.slices.iter().any(|s| future(s).as_ref() == receiver);
+    let newcomer = !table.slices.iter().any(|s| future(s).as_ref() == receiver)
+        && planner.loads[target] == 0.0;
     let noise = CERTAINTY * (planner.loads[source] / MEASURED_S).sqrt();
-    let certain = planner.loads[source] - planner.share(source) > noise;
-    let uneven = over(planner, source) >= TOLERATED && certain && busy >= IDLE;
+    let excess = planner.loads[source] - planner.share(source);
+    let uneven = over(planner, source) >= TOLERATED && excess > noise && busy >= IDLE;
     if !uneven && !newcomer {
-        return;
+        return None;
     }
-    let excess = planner.loads[source] - planner.share(source);
-    let room = planner.share(target) - planner.loads[target];
-    let wanted = excess.min(room);
+    let wanted = excess.min(planner.share(target) - planner.loads[target]);
     if wanted <= 0.0 {
-        return;
+        return None;
     }
     let held = table.held_by(&member.holder).filter(|s| s.target.is_none());
     let slices: Vec<_> = held.collect();
-    if let Some((from, to, load)) = planner.excess(&slices, wanted)
-        && load > 0.2 * wanted
-    {
-        planner.give(from, to, Some(source), target);
+    let (from, to, load) = planner.excess(&slices, wanted)?;
+    if load <= LEAST_MOVE * wanted {
+        return None;
     }
+    planner.give(from, to, Some(source), target);
+    Some(source)
 }
--- a/src/transport/sidecar/links.rs
+++ b/src/transport/sidecar/links.rs
@@ -11,12 +11,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures::{SinkExt, StreamExt};
+use futures::StreamExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::{task, time};
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::{FramedRead, LengthDelimitedCodec};
 
 use crate::protocol::mesh::{
     About, Call, Cause, Failure, Frame, Hello, Items, Load, MAX_FRAME, Outcome, Seq, StoreRequest,
@@ -49,22 +50,68 @@
 /// Time for which an idempotent call waits for a new connection before it is tried elsewhere.
 const RESUME_TIME: Duration = Duration::from_millis(500);
 
-/// Creates the codec of both directions.
-#[must_use]
-pub fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME)
-        .new_codec()
-}
+/// First size of a connection's read buffer, in bytes; a node has two connections for each other
+/// node, most of which carry little.
+const FIRST_BUFFER: usize = 512;
+
+/// Size from which a write buffer is given back after use, in bytes.
+const LARGE_BUFFER: usize = 16 * 1024;
+
+/// Reading side of a connection.
+pub type Frames = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
 
-/// Encodes a frame.
+/// Splits a connection into a reader of frames and its writing side.
 ///
 /// # Errors
 ///
-/// Returns the error of the encoder.
-pub fn encode(frame: &Frame) -> std::io::Result<Bytes> {
-    let bytes = postcard::to_stdvec(frame);
-    bytes.map(Bytes::from).map_err(std::io::Error::other)
+/// Returns the error of the system call.
+pub fn split(io: TcpStream) -> std::io::Result<(Frames, Writer)> {
+    io.set_nodelay(true)?;
+    let (read, io) = io.into_split();
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME)
+        .new_codec();
+    let frames = FramedRead::with_capacity(read, codec, FIRST_BUFFER);
+    let buffer = Vec::new();
+    Ok((frames, Writer { io, buffer }))
+}
+
+/// Writing side of a connection; frames are collected until [`Writer::flush`].
+#[derive(Debug)]
+pub struct Writer {
+    io: OwnedWriteHalf,
+    buffer: Vec<u8>,
+}
+
+impl Writer {
+    /// Adds a frame.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the encoder.
+    pub fn add(&mut self, frame: &Frame) -> std::io::Result<()> {
+        let start = self.buffer.len();
+        self.buffer.extend_from_slice(&[0; 4]);
+        let buffer = std::mem::take(&mut self.buffer);
+        self.buffer = postcard::to_extend(frame, buffer).map_err(std::io::Error::other)?;
+        let length = u32::try_from(self.buffer.len() - start - 4).map_err(std::io::Error::other)?;
+        self.buffer[start..start + 4].copy_from_slice(&length.to_be_bytes());
+        Ok(())
+    }
+
+    /// Sends all frames.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system call.
+    pub async fn flush(&mut self) -> std::io::Result<()> {
+        self.io.write_all(&self.buffer).await?;
+        self.buffer.clear();
+        if self.buffer.capacity() > LARGE_BUFFER {
+            self.buffer = Vec::new();
+        }
+        Ok(())
+    }
 }
 
 /// Decodes a frame.
@@ -400,18 +447,16 @@
     link.end_all(Cause::LinkLost, |_| true);
 }
 
-type Connection = Framed<TcpStream, LengthDelimitedCodec>;
-
-async fn connect(link: &Link) -> std::io::Result<Connection> {
+async fn connect(link: &Link) -> std::io::Result<(Frames, Writer)> {
     let opened = async {
         let io = TcpStream::connect(link.address).await?;
-        io.set_nodelay(true)?;
-        let mut io = Framed::new(io, codec());
-        io.send(encode(&Frame::Hello(link.hello.clone()))?).await?;
-        let first = io.next().await;
+        let (mut read, mut write) = split(io)?;
+        write.add(&Frame::Hello(link.hello.clone()))?;
+        write.flush().await?;
+        let first = read.next().await;
         let first = first.ok_or(std::io::ErrorKind::UnexpectedEof)??;
         match decode(&first)? {
-            Frame::Hello(hello) => Ok((io, hello)),
+            Frame::Hello(hello) => Ok(((read, write), hello)),
             other => Err(std::io::Error::other(format!(
                 "expected hello, got {other:?}"
             ))),
@@ -428,8 +473,8 @@
     Ok(io)
 }
 
-async fn exchange(link: &Link, io: Connection) -> std::io::Result<()> {
-    let (mut write, mut read) = io.split();
+async fn exchange(link: &Link, io: (Frames, Writer)) -> std::io::Result<()> {
+    let (mut read, mut write) = io;
     let (out, mut frames) = mpsc::unbounded_channel();
     let pending: Vec<Seq> = link.pending.borrow().keys().copied().collect();
     if !pending.is_empty() {
@@ -453,7 +498,7 @@
                 let mut next = frame;
                 while let Some(frame) = next {
                     link.is_written(&frame);
-                    write.feed(encode(&frame)?).await?;
+                    write.add(&frame)?;
                     next = frames.try_recv().ok();
                 }
                 write.flush().await?;
--- a/src/transport/sidecar/peers.rs
+++ b/src/transport/sidecar/peers.rs
@@ -11,11 +11,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures::{SinkExt, StreamExt};
+use futures::StreamExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::{task, time};
-use tokio_util::codec::Framed;
 
 use crate::protocol::mesh::{
     About, Call, Cause, Failure, Frame, HeatOf, Hello, Items, Load, Outcome, Seq, StoreRequest,
@@ -243,16 +242,14 @@
     }
 
     async fn serve(self: Rc<Self>, io: TcpStream) -> std::io::Result<()> {
-        io.set_nodelay(true)?;
-        let mut io = Framed::new(io, links::codec());
-        let first = io.next().await;
+        let (mut read, mut write) = links::split(io)?;
+        let first = read.next().await;
         let first = first.ok_or(std::io::ErrorKind::UnexpectedEof)??;
         let Frame::Hello(hello) = links::decode(&first)? else {
             return Err(std::io::Error::other("expected hello"));
         };
-        io.send(links::encode(&Frame::Hello(self.hello.clone()))?)
-            .await?;
-        let (mut write, mut read) = io.split();
+        write.add(&Frame::Hello(self.hello.clone()))?;
+        write.flush().await?;
         let (out, mut frames) = mpsc::unbounded_channel();
         // The receiver lives until the end of this function.
         let _sent = out.send(Frame::About(self.service.about()));
@@ -273,7 +270,7 @@
                     frame = frames.recv() => {
                         let Some(mut frame) = frame else { return Ok(()) };
                         loop {
-                            write.feed(links::encode(&frame)?).await?;
+                            write.add(&frame)?;
                             match frames.try_recv() {
                                 Ok(next) => frame = next,
                                 Err(_) => break,
--- a/tests/sidecar/choose.rs
+++ b/tests/sidecar/choose.rs
@@ -17,7 +17,7 @@
 fn first(a: Candidate, b: Candidate) -> usize {
     let mut rng = StdRng::seed_from_u64(7);
     (0..1000)
-        .filter(|_| pick(&[a, b], &mut rng) == Some(0))
+        .filter(|_| pick(&[a, b], 400.0, &mut rng) == Some(0))
         .count()
 }
 
@@ -67,5 +67,35 @@
 /// Guards against a choice among nothing.
 #[test]
 fn none_of_none() {
-    assert_eq!(pick(&[], &mut StdRng::seed_from_u64(1)), None);
+    assert_eq!(pick(&[], 400.0, &mut StdRng::seed_from_u64(1)), None);
+}
+
+/// Pattern: many nodes choose among many backend servers by the same reports, which are as old as
+/// the time between two reports. Guards against all of them meeting at the best one.
+#[test]
+fn many_nodes_spread_over_many() {
+    let mut all = vec![IDLE; 28];
+    all[3].service_ms = 60.0;
+    let mut rng = StdRng::seed_from_u64(7);
+    let mut got = vec![0; all.len()];
+    for _ in 0..2800 {
+        got[pick(&all, 2000.0, &mut rng).unwrap()] += 1;
+    }
+    assert!(got.iter().all(|&n| (20..1000).contains(&n)), "{got:?}");
+}
+
+/// Guards against a backend server without room that is chosen for its nearness.
+#[test]
+fn nearness_does_not_outweigh_a_full_queue() {
+    let near = Candidate { busy: 40, ..IDLE };
+    assert_eq!(
+        first(
+            Candidate {
+                near: false,
+                ..IDLE
+            },
+            near
+        ),
+        1000
+    );
 }
