--- a/src/coordination/sidecar/entry.rs
+++ b/src/coordination/sidecar/entry.rs
@@ -24,7 +24,7 @@
 use crate::protocol::mesh::{self, Call, Cause, Failure, Health, Load, Outcome};
 use crate::state::clock::Instant;
 use crate::state::keyspace::Key;
-use crate::state::routes::{Limits, Repeat, Route, RouteId, RouteTable};
+use crate::state::routes::{Limits, Repeat, Route, RouteId, RouteTable, Version};
 use crate::transport::sidecar::caller::{self, Answer, Request, Response};
 use crate::transport::sidecar::links::Link;
 use crate::transport::sidecar::peers::Running;
@@ -77,18 +77,44 @@
 }
 
 /// Place to send a request to.
-enum Target {
+enum Place {
     Here,
     There(Rc<Link>),
 }
 
-impl Target {
+/// Place with the age of what it was chosen by.
+struct Target {
+    place: Place,
+    /// Revision of the ownership table, 0 if none was used.
+    table: u64,
+    /// Age of the load report, in milliseconds.
+    report_ms: u128,
+}
+
+impl Place {
     fn name(&self) -> &str {
         match self {
             Self::Here => "here",
             Self::There(link) => &link.node,
         }
     }
+
+    fn report_ms(&self) -> u128 {
+        let at = match self {
+            Self::Here => None,
+            Self::There(link) => link.report().map(|r| r.at),
+        };
+        at.map_or(0, |at| Instant::now().since(at).as_millis())
+    }
+
+    fn chosen(self, table: u64) -> Target {
+        let report_ms = self.report_ms();
+        Target {
+            place: self,
+            table,
+            report_ms,
+        }
+    }
 }
 
 /// What became of a request, for its log line.
@@ -97,11 +123,17 @@
     offers: usize,
     arrivals: u32,
     node: String,
+    /// Revision of the ownership table that named the last place, 0 if none did.
+    table: u64,
+    /// Age of the load report by which the last place was chosen, in milliseconds.
+    report_ms: u128,
 }
 
 /// Request on its way, with what decides about it.
 struct Passage {
     route: Rc<Route>,
+    /// Version of the configuration that the route is from.
+    version: Version,
     service: String,
     key: Option<Key>,
     arrived: Instant,
@@ -222,7 +254,8 @@
         };
         let service = self.part(&route);
         let keyed = routes.service(&service).is_some_and(|s| s.keyed);
-        let passage = self.passage(route, service, keyed, terms, request);
+        let found = (route, routes.version);
+        let passage = self.passage(found, service, keyed, terms, request);
         self.budget
             .borrow_mut()
             .request(&passage.service, passage.arrived);
@@ -256,7 +289,7 @@
 
     fn passage(
         &self,
-        route: Rc<Route>,
+        (route, version): (Rc<Route>, Version),
         service: String,
         keyed: bool,
         terms: &Terms,
@@ -300,6 +333,7 @@
             limit: arrived + route.timeout.min(patience),
             aim: arrived + route.objective.saturating_sub(spent),
             route,
+            version,
             service,
             key,
             arrived,
@@ -328,11 +362,12 @@
             };
             first = false;
             trail.offers += 1;
-            target.name().clone_into(&mut trail.node);
+            target.place.name().clone_into(&mut trail.node);
+            (trail.table, trail.report_ms) = (target.table, target.report_ms);
             if passage.key.is_none() {
-                tried.insert(target.name().to_owned());
+                tried.insert(target.place.name().to_owned());
             }
-            let outcome = self.send(passage, &target).await;
+            let outcome = self.send(passage, &target.place).await;
             let (failure, ran) = match &outcome {
                 Outcome::Answered(r) if r.status >= 500 => (Failure::after(Cause::Broken), true),
                 Outcome::Answered(_) => return outcome,
@@ -388,7 +423,7 @@
                 .repeat(&passage.service, nodes, now)
     }
 
-    async fn send(&self, passage: &Passage, target: &Target) -> Outcome {
+    async fn send(&self, passage: &Passage, place: &Place) -> Outcome {
         let now = Instant::now();
         let ms = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
         let call = Call {
@@ -396,12 +431,12 @@
             aim_ms: ms(passage.aim.since(now)),
             ..passage.call.clone()
         };
-        match target {
-            Target::There(link) => match link.call(call) {
+        match place {
+            Place::There(link) => match link.call(call) {
                 Some(call) => call.outcome().await,
                 None => Outcome::NotRun(Failure::before(Cause::LinkLost, 0)),
             },
-            Target::Here => {
+            Place::Here => {
                 let (tell, told) = oneshot::channel();
                 let running = Running::spawn(self.gate.run(call), move |outcome| {
                     // The receiver is gone if the caller has left.
@@ -446,8 +481,9 @@
             let news = self.roster.news.notified();
             let node = self.holder(&passage.service, key, last);
             wait = wait && node == before;
-            if !wait && let Some(target) = node.as_deref().and_then(|n| self.reach(n)) {
-                return Some(target);
+            if !wait && let Some(place) = node.as_deref().and_then(|n| self.reach(n)) {
+                let table = self.tables.get(&passage.service);
+                return Some(place.chosen(table.map_or(0, |t| t.revision)));
             }
             let left = end.left();
             if left.is_zero() {
@@ -505,12 +541,12 @@
         holder.map(|h| h.node.clone())
     }
 
-    fn reach(&self, node: &str) -> Option<Target> {
+    fn reach(&self, node: &str) -> Option<Place> {
         if node == self.node {
-            return Some(Target::Here);
+            return Some(Place::Here);
         }
         let link = self.roster.link(node).filter(|l| l.is_up())?;
-        Some(Target::There(link))
+        Some(Place::There(link))
     }
 
     /// Chooses among all backend servers of a service.
@@ -518,8 +554,8 @@
         let end = Instant::now() + NODE_WAIT;
         loop {
             let news = self.roster.news.notified();
-            if let Some(target) = self.best(passage, tried) {
-                return Some(target);
+            if let Some(place) = self.best(passage, tried) {
+                return Some(place.chosen(0));
             }
             if !tried.is_empty() || time::timeout(end.left(), news).await.is_err() {
                 return None;
@@ -527,30 +563,30 @@
         }
     }
 
-    fn best(&self, passage: &Passage, tried: &HashSet<String>) -> Option<Target> {
+    fn best(&self, passage: &Passage, tried: &HashSet<String>) -> Option<Place> {
         let service = passage.service.as_str();
         let objective_ms = passage.route.objective.as_secs_f64() * 1000.0;
-        let mut targets = Vec::new();
+        let mut places = Vec::new();
         let mut candidates = Vec::new();
         let usable = |l: &Load| l.health == Health::Ready && !l.stopping && l.slots > 0;
         let own = self.gate.load();
         if self.gate.about().service == service
             && usable(&own)
-            && !tried.contains(Target::Here.name())
+            && !tried.contains(Place::Here.name())
         {
             candidates.push(candidate(&own, 0, true));
-            targets.push(Target::Here);
+            places.push(Place::Here);
         }
         for (link, report) in self.roster.of_service(service) {
             let load = report.load;
             if usable(&load) && !tried.contains(&link.node) {
                 let near = *link.domain.borrow() == self.domain;
                 candidates.push(candidate(&load, link.since_report(), near));
-                targets.push(Target::There(link));
+                places.push(Place::There(link));
             }
         }
         let i = choose::pick(&candidates, objective_ms, &mut rand::rng())?;
-        Some(targets.swap_remove(i))
+        Some(places.swap_remove(i))
     }
 
     fn refuse(id: &str, service: &str, failure: Failure) -> Response {
@@ -597,7 +633,7 @@
             // After an earlier attempt, a refusal does not mean that the request has not run.
             Outcome::NotRun(_) | Outcome::Unknown(_) => Response::empty(502),
         };
-        tracing::info!(event = 575, id, route = %passage.route.name, priority = passage.call.priority, service = %passage.service, key = passage.key, node = %trail.node, offers = trail.offers, arrivals = trail.arrivals, status = response.status, cause, took_ms = took.as_millis(), "answered a request");
+        tracing::info!(event = 575, id, route = %passage.route.name, priority = passage.call.priority, service = %passage.service, key = passage.key, node = %trail.node, offers = trail.offers, arrivals = trail.arrivals, table = trail.table, report_ms = trail.report_ms, config = passage.version.0, status = response.status, cause, took_ms = took.as_millis(), "answered a request");
         let class = passage.call.priority.to_string();
         let labels = [passage.service.as_str(), class.as_str(), name];
         self.metrics
--- a/src/coordination/sidecar/gate.rs
+++ b/src/coordination/sidecar/gate.rs
@@ -392,8 +392,8 @@
         }
     }
 
-    fn refuse(call: &Call, cause: Cause, wait_ms: u32, waited: Duration) -> Outcome {
-        tracing::info!(event = 561, id = %call.id, cause = cause.name(), wait_ms, waited_ms = waited.as_millis(), left_ms = call.left_ms, "the gate did not run a request");
+    fn refuse(&self, call: &Call, cause: Cause, wait_ms: u32, waited: Duration) -> Outcome {
+        tracing::info!(event = 561, id = %call.id, cause = cause.name(), wait_ms, waited_ms = waited.as_millis(), left_ms = call.left_ms, running = self.queue.borrow().running(), queued = self.queue.borrow().waiting(), service_ms = self.service_ms(), "the gate did not run a request");
         Outcome::NotRun(Failure::before(cause, wait_ms))
     }
 
@@ -401,12 +401,12 @@
         let limit = arrived + Duration::from_millis(call.left_ms.into());
         let waited = || Instant::now().since(arrived);
         if let Err(cause) = self.open(&call.service) {
-            return Self::refuse(&call, cause, 0, waited());
+            return self.refuse(&call, cause, 0, waited());
         }
         if let Some(key) = call.key {
             let keyed = self.backend.borrow().as_ref().is_some_and(|b| b.keyed);
             if keyed && !self.permitted(key, call.route.0, limit).await {
-                return Self::refuse(&call, Cause::NotHolder, PERMISSION_PAUSE_MS, waited());
+                return self.refuse(&call, Cause::NotHolder, PERMISSION_PAUSE_MS, waited());
             }
             self.heat.borrow_mut().count(key);
         }
@@ -423,17 +423,17 @@
             Ok(place) => place,
             Err((cause, wait)) => {
                 let wait = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
-                return Self::refuse(&call, cause, wait, waited());
+                return self.refuse(&call, cause, wait, waited());
             }
         };
         let backend = match self.open(&call.service) {
             Ok(backend) => backend,
-            Err(cause) => return Self::refuse(&call, cause, 0, waited()),
+            Err(cause) => return self.refuse(&call, cause, 0, waited()),
         };
         if let Some(key) = call.key.filter(|_| backend.keyed)
             && !self.holdings.borrow().contains(key, Instant::now())
         {
-            return Self::refuse(&call, Cause::NotHolder, PERMISSION_PAUSE_MS, waited());
+            return self.refuse(&call, Cause::NotHolder, PERMISSION_PAUSE_MS, waited());
         }
         started.set(true);
         let begun = Instant::now();
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -146,6 +146,7 @@
         Load {
             config: self.configuration.version(),
             items: self.directory.newest(),
+            store_up: self.store.is_up(),
             ..self.gate.load()
         }
     }
@@ -417,6 +418,7 @@
                 || load.health != last.health
                 || load.stopping != last.stopping
                 || load.config != last.config
+                || load.store_up != last.store_up
                 || load.items != last.items;
             if moved || Instant::now().since(at) >= QUIET_REPORT {
                 self.peers.publish(&Frame::Load(load));
--- a/src/coordination/sidecar/roster.rs
+++ b/src/coordination/sidecar/roster.rs
@@ -63,12 +63,13 @@
         *self.take_items.borrow_mut() = take;
     }
 
-    /// Returns the number of connected nodes with a lower address.
+    /// Returns the number of connected nodes with a lower address that the store answers.
     #[must_use]
     pub fn rank(&self) -> usize {
         let peers = self.peers.borrow();
-        let up = peers.values().filter(|p| p.link.is_up());
-        up.filter(|p| p.link.node < self.hello.node).count()
+        let lower = peers.values().filter(|p| p.link.node < self.hello.node);
+        let served = |p: &&Peer| p.link.report().is_some_and(|r| r.load.store_up);
+        lower.filter(served).count()
     }
 
     /// Takes the entry of a node over.
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -262,6 +262,8 @@
     pub warmup_ms: u32,
     /// Whether the node is about to stop.
     pub stopping: bool,
+    /// Whether the store answered the node's last call.
+    pub store_up: bool,
     /// Version of the configuration in force.
     pub config: routes::Version,
     /// Revision of the newest item of the store that the node knows.
--- a/src/transport/sidecar/store.rs
+++ b/src/transport/sidecar/store.rs
@@ -129,6 +129,12 @@
         self.trouble.get()
     }
 
+    /// Returns whether the last call was answered by the store itself.
+    #[must_use]
+    pub fn is_up(&self) -> bool {
+        self.connected.get()
+    }
+
     /// Makes a call.
     ///
     /// # Errors
