--- a/src/coordination/sidecar/entry.rs
+++ b/src/coordination/sidecar/entry.rs
@@ -370,7 +370,10 @@
             let outcome = self.send(passage, &target.place).await;
             let (failure, ran) = match &outcome {
                 Outcome::Answered(r) if r.status >= 500 => (Failure::after(Cause::Broken), true),
-                Outcome::Answered(_) => return outcome,
+                Outcome::Answered(_) => {
+                    trail.arrivals += 1;
+                    return outcome;
+                }
                 Outcome::NotRun(f) => (*f, false),
                 Outcome::Unknown(f) => (*f, true),
             };
--- a/src/transport/sidecar/backend.rs
+++ b/src/transport/sidecar/backend.rs
@@ -135,7 +135,7 @@
         }
     }
 
-    /// Sends a request and reads its response.
+    /// Sends a request, once, and reads its response.
     ///
     /// `limit` is the time at which the response is no longer of use.
     ///
@@ -148,24 +148,11 @@
         request: &Request<'_>,
         limit: Instant,
     ) -> Result<Response, Failed> {
-        if let Some(mut socket) = self.take(request.repeat) {
-            match self.exchange(&mut socket, request, limit).await {
-                // The backend server closed the idle connection as the request was on its way.
-                Err(Failed::Unknown(Cause::Broken)) if request.repeat == Repeat::Idempotent => {}
-                done => return self.settle(done, socket),
-            }
-        }
-        let mut socket = Self::open(address).await?;
-        let done = self.exchange(&mut socket, request, limit).await;
-        self.settle(done, socket)
-    }
-
-    fn settle(
-        &self,
-        done: Result<(Response, Option<edge::Marks>), Failed>,
-        socket: Socket,
-    ) -> Result<Response, Failed> {
-        let (response, reusable) = done?;
+        let mut socket = match self.take(request.repeat) {
+            Some(socket) => socket,
+            None => Self::open(address).await?,
+        };
+        let (response, reusable) = self.exchange(&mut socket, request, limit).await?;
         if let Some(marks) = reusable {
             self.keep(socket, marks.idle);
         }
--- a/tests/sidecar/backend.rs
+++ b/tests/sidecar/backend.rs
@@ -141,6 +141,18 @@
     assert!(all_good(&got), "{got:?}");
 }
 
+/// Guards against a repeat that the budget for repeats doesn't know of: a connection that breaks
+/// under a request may have delivered it.
+#[test]
+fn broken_connection_is_not_tried_again_here() {
+    let got = play(
+        &[&[GOOD, ""], &[GOOD]],
+        &[Repeat::Idempotent, Repeat::Idempotent],
+    );
+    assert!(all_good(&got[..1]), "{got:?}");
+    assert_eq!(got[1], Err(Failed::Unknown(Cause::Broken)));
+}
+
 /// Guards against a refused connection that is reported as an unknown outcome.
 #[test]
 fn refused_connection_is_not_sent() {
