--- a/src/coordination/sidecar/beats.rs
+++ b/src/coordination/sidecar/beats.rs
@@ -10,8 +10,9 @@
 
 use tokio::task;
 
+use crate::coordination::sidecar::beside::Backend;
 use crate::coordination::sidecar::configuration::Configuration;
-use crate::coordination::sidecar::gate::{Backend, Gate};
+use crate::coordination::sidecar::gate::Gate;
 use crate::coordination::sidecar::owner::Owner;
 use crate::protocol::edge::{Adapter, Heartbeat, Notice, Phase};
 use crate::protocol::http;
--- /dev/null
+++ b/src/coordination/sidecar/beside.rs
@@ -0,0 +1,29 @@
+//! Backend server beside a node.
+
+use std::net::SocketAddr;
+
+use crate::state::clock::Instant;
+use crate::state::keyspace::Holder;
+
+/// Backend server beside this node, as its heartbeats describe it.
+#[derive(Debug, Clone)]
+pub struct Backend {
+    /// Identity as a holder of keys.
+    pub holder: Holder,
+    /// Counter of its last heartbeat.
+    pub sequence: u64,
+    /// Service.
+    pub service: String,
+    /// Address.
+    pub address: SocketAddr,
+    /// Requests that it runs at the same time.
+    pub slots: u16,
+    /// Time at which it said that it leaves.
+    pub leaving: Option<Instant>,
+    /// Whether its keys are owned one by one.
+    pub keyed: bool,
+    /// End of its slow time after the start.
+    pub warm_at: Instant,
+    /// Arrival of its last heartbeat.
+    pub heard: Instant,
+}
--- /dev/null
+++ b/src/coordination/sidecar/duties.rs
@@ -0,0 +1,80 @@
+//! What a node does for other nodes.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::coordination::sidecar::configuration::Configuration;
+use crate::coordination::sidecar::directory::Directory;
+use crate::coordination::sidecar::gate::Gate;
+use crate::coordination::sidecar::planner::Planner;
+use crate::protocol::mesh::{About, Call, HeatOf, Items, Load, StoreRequest, StoreResponse};
+use crate::transport::sidecar::peers::{Job, Service};
+use crate::transport::sidecar::store::Store;
+
+/// Longest wait of a relayed call for the store.
+const RELAY_LIMIT: Duration = Duration::from_millis(900);
+
+/// What a node does for others.
+#[derive(Debug)]
+pub struct Duties {
+    /// Gate.
+    pub gate: Rc<Gate>,
+    /// Planner.
+    pub planner: Rc<Planner>,
+    /// Store.
+    pub store: Rc<Store>,
+    /// Configuration.
+    pub configuration: Rc<Configuration>,
+    /// Items of the store.
+    pub directory: Rc<Directory>,
+}
+
+impl Duties {
+    /// Returns the present load.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        Load {
+            config: self.configuration.version(),
+            items: self.directory.newest(),
+            store_up: self.store.is_up(),
+            ..self.gate.load()
+        }
+    }
+}
+
+impl Service for Duties {
+    fn run(&self, call: Call) -> Job {
+        self.gate.run(call)
+    }
+
+    fn about(&self) -> About {
+        self.gate.about()
+    }
+
+    fn load(&self) -> Load {
+        Self::load(self)
+    }
+
+    fn items(&self, after: u64) -> Items {
+        self.directory.after(after)
+    }
+
+    fn config(&self) -> Items {
+        self.configuration.item()
+    }
+
+    fn heat(&self, heat: HeatOf) {
+        self.planner.heat(heat);
+    }
+
+    fn relay(&self, request: StoreRequest) -> Pin<Box<dyn Future<Output = Option<StoreResponse>>>> {
+        let store = Rc::clone(&self.store);
+        Box::pin(async move {
+            let answered = store.direct(&request, RELAY_LIMIT).await;
+            // A refusal of this node's call is no answer to the other node's question.
+            answered.ok().filter(|r| r.status != 503 && r.status != 429)
+        })
+    }
+}
--- a/src/coordination/sidecar/entry.rs
+++ b/src/coordination/sidecar/entry.rs
@@ -1,6 +1,6 @@
 //! Requests of callers on this host: where each goes, and what its caller is told.
 //!
-//! A request passes through `answer`: its terms and route are read, a backend server is chosen, and
+//! A request passes through `process`: its terms and route are read, a backend server is chosen, and
 //! the request is sent on until it has an answer, may not be sent again, or can't be served in
 //! time. A refusal is given as soon as that is known.
 
@@ -13,20 +13,19 @@
 use tokio::time;
 
 use crate::coordination::sidecar::budget::{self, Budget};
-use crate::coordination::sidecar::choose::{self, Candidate};
 use crate::coordination::sidecar::configuration::Configuration;
 use crate::coordination::sidecar::gate::Gate;
+use crate::coordination::sidecar::passage::{Passage, Trail};
 use crate::coordination::sidecar::roster::Roster;
 use crate::coordination::sidecar::tables::Tables;
+use crate::coordination::sidecar::targets::{Place, Targets};
 use crate::metrics::Metrics;
 use crate::protocol::edge::{Adapter, Terms};
 use crate::protocol::http;
-use crate::protocol::mesh::{self, Call, Cause, Failure, Health, Load, Outcome};
+use crate::protocol::mesh::{self, Call, Cause, Failure, Outcome};
 use crate::state::clock::Instant;
-use crate::state::keyspace::Key;
 use crate::state::routes::{Limits, Repeat, Route, RouteId, RouteTable, Version};
 use crate::transport::sidecar::caller::{self, Answer, Request, Response};
-use crate::transport::sidecar::links::Link;
 use crate::transport::sidecar::peers::Running;
 
 /// Gates that a request is offered to before it is refused.
@@ -35,21 +34,6 @@
 /// Time after a request's limit at which its final answer is due.
 const OVERTIME: Duration = Duration::from_millis(20);
 
-/// Part of its time for which a request waits for a key without a holder.
-const PARKED_SHARE: f64 = 0.55;
-
-/// Part of the objective for which it waits if others have just waited in vain.
-const BLOCKED_SHARE: f64 = 0.12;
-
-/// Time after a wait in vain in which others wait less.
-const BLOCKED_TIME: Duration = Duration::from_millis(600);
-
-/// Pause before the holder of a key is tried again after it could not be reached.
-const SAME_PAUSE: Duration = Duration::from_millis(120);
-
-/// Longest wait for a first node of a service.
-const NODE_WAIT: Duration = Duration::from_millis(150);
-
 /// Pause after which a request without a node or holder may be sent again.
 const NOBODY_PAUSE_MS: u32 = 400;
 
@@ -76,82 +60,14 @@
     Ending,
 }
 
-/// Place to send a request to.
-enum Place {
-    Here,
-    There(Rc<Link>),
-}
-
-/// Place with the age of what it was chosen by.
-struct Target {
-    place: Place,
-    /// Revision of the ownership table, 0 if none was used.
-    table: u64,
-    /// Age of the load report, in milliseconds.
-    report_ms: u128,
-}
-
-impl Place {
-    fn name(&self) -> &str {
-        match self {
-            Self::Here => "here",
-            Self::There(link) => &link.node,
-        }
-    }
-
-    fn report_ms(&self) -> u128 {
-        let at = match self {
-            Self::Here => None,
-            Self::There(link) => link.report().map(|r| r.at),
-        };
-        at.map_or(0, |at| Instant::now().since(at).as_millis())
-    }
-
-    fn chosen(self, table: u64) -> Target {
-        let report_ms = self.report_ms();
-        Target {
-            place: self,
-            table,
-            report_ms,
-        }
-    }
-}
-
-/// What became of a request, for its log line.
-#[derive(Debug, Default)]
-struct Trail {
-    offers: usize,
-    arrivals: u32,
-    node: String,
-    /// Revision of the ownership table that named the last place, 0 if none did.
-    table: u64,
-    /// Age of the load report by which the last place was chosen, in milliseconds.
-    report_ms: u128,
-}
-
-/// Request on its way, with what decides about it.
-struct Passage {
-    route: Rc<Route>,
-    /// Version of the configuration that the route is from.
-    version: Version,
-    service: String,
-    key: Option<Key>,
-    arrived: Instant,
-    limit: Instant,
-    aim: Instant,
-    call: Call,
-}
-
 /// Entry of a node.
 #[derive(Debug)]
 pub struct Entry {
-    node: String,
-    domain: String,
     service: String,
     adapter: Rc<dyn Adapter>,
     configuration: Rc<Configuration>,
     roster: Rc<Roster>,
-    tables: Rc<Tables>,
+    targets: Targets,
     gate: Rc<Gate>,
     budget: RefCell<Budget>,
     metrics: Metrics,
@@ -159,8 +75,6 @@
     splits: RefCell<HashMap<RouteId, Vec<f64>>>,
     /// Longest time that callers of a route have stated; less means that they come again.
     patience: RefCell<HashMap<RouteId, Duration>>,
-    /// Tokens of ranges whose holders did not take requests when last tried.
-    blocked: RefCell<HashMap<(RouteId, u64), Instant>>,
     stage: Cell<Stage>,
     ending: Rc<Notify>,
 }
@@ -195,19 +109,22 @@
     #[must_use]
     pub fn new(parts: Parts) -> Rc<Self> {
         Rc::new(Self {
-            node: parts.node,
-            domain: parts.domain,
+            targets: Targets::new(
+                &parts.node,
+                &parts.domain,
+                Rc::clone(&parts.roster),
+                parts.tables,
+                Rc::clone(&parts.gate),
+            ),
             service: parts.service,
             adapter: parts.adapter,
             configuration: parts.configuration,
             roster: parts.roster,
-            tables: parts.tables,
             gate: parts.gate,
             budget: RefCell::new(parts.budget),
             metrics: parts.metrics,
             splits: RefCell::new(HashMap::new()),
             patience: RefCell::new(HashMap::new()),
-            blocked: RefCell::new(HashMap::new()),
             stage: Cell::new(Stage::Open),
             ending: Rc::new(Notify::new()),
         })
@@ -349,7 +266,7 @@
         // Failure that a backend server has answered itself; the caller gets it in the end.
         let mut answered = None;
         loop {
-            let Some(target) = self.target(passage, &tried, last.cause).await else {
+            let Some(target) = self.targets.target(passage, &tried, last.cause).await else {
                 if let Some(answer) = answered {
                     return answer;
                 }
@@ -378,6 +295,7 @@
                 Outcome::Unknown(f) => (*f, true),
             };
             trail.arrivals += u32::from(failure.arrived);
+            trail.ran |= ran;
             if !self.again(passage, trail, failure, ran) {
                 return outcome;
             }
@@ -453,145 +371,6 @@
         }
     }
 
-    async fn target(
-        &self,
-        passage: &Passage,
-        tried: &HashSet<String>,
-        last: Cause,
-    ) -> Option<Target> {
-        match passage.key {
-            Some(key) => self.owner(passage, key, last).await,
-            None => self.any(passage, tried).await,
-        }
-    }
-
-    /// Waits for a node beside the holder of a key that may take the request now.
-    async fn owner(&self, passage: &Passage, key: Key, last: Cause) -> Option<Target> {
-        let time = if self.is_blocked(passage, key) {
-            passage.route.objective.mul_f64(BLOCKED_SHARE)
-        } else {
-            passage.limit.since(passage.arrived).mul_f64(PARKED_SHARE)
-        };
-        let end = passage.arrived + time;
-        // Another try at the same place is of use at once only if it was the attempt that failed.
-        let at_once = [Cause::NoNode, Cause::Broken, Cause::Garbled, Cause::Shed];
-        let mut wait = !at_once.contains(&last);
-        let before = wait
-            .then(|| self.holder(&passage.service, key, last))
-            .flatten();
-        loop {
-            let changed = self.tables.changed.notified();
-            let news = self.roster.news.notified();
-            let node = self.holder(&passage.service, key, last);
-            wait = wait && node == before;
-            if !wait && let Some(place) = node.as_deref().and_then(|n| self.reach(n)) {
-                let table = self.tables.get(&passage.service);
-                return Some(place.chosen(table.map_or(0, |t| t.revision)));
-            }
-            let left = end.left();
-            if left.is_zero() {
-                return None;
-            }
-            tokio::select! {
-                () = changed => {}
-                () = news, if !wait => {}
-                () = time::sleep(left.min(SAME_PAUSE)) => wait = false,
-            }
-        }
-    }
-
-    /// Returns what identifies the range of a key under its present holder.
-    fn stretch(&self, passage: &Passage, key: Key) -> (RouteId, u64) {
-        let table = self.tables.get(&passage.service);
-        let slice = table.as_ref().and_then(|t| t.keys.find(key));
-        (passage.route.id, slice.map_or(0, |s| s.token))
-    }
-
-    /// Returns whether requests to the range of a key have just failed for want of a holder.
-    fn is_blocked(&self, passage: &Passage, key: Key) -> bool {
-        let blocked = self.blocked.borrow();
-        let since = blocked.get(&self.stretch(passage, key));
-        since.is_some_and(|at| Instant::now().since(*at) < BLOCKED_TIME)
-    }
-
-    /// Notes whether the range of a key has a holder that takes requests.
-    fn note_holder(&self, passage: &Passage, outcome: &Outcome) {
-        let Some(key) = passage.key else { return };
-        let stretch = self.stretch(passage, key);
-        let mut blocked = self.blocked.borrow_mut();
-        match outcome {
-            Outcome::NotRun(f) if !matches!(f.cause, Cause::Full | Cause::Expired) => {
-                let now = Instant::now();
-                blocked.retain(|_, at| now.since(*at) < BLOCKED_TIME);
-                blocked.insert(stretch, now);
-            }
-            Outcome::Answered(_) => {
-                blocked.remove(&stretch);
-            }
-            Outcome::NotRun(_) | Outcome::Unknown(_) => {}
-        }
-    }
-
-    /// Returns the node beside the holder of a key.
-    fn holder(&self, service: &str, key: Key, last: Cause) -> Option<String> {
-        let table = self.tables.get(service)?;
-        let slice = table.keys.find(key)?;
-        // A holder that has let go of the key is followed by its target.
-        let holder = match &slice.target {
-            Some(target) if last == Cause::NotHolder => Some(target),
-            _ => slice.holder.as_ref(),
-        };
-        holder.map(|h| h.node.clone())
-    }
-
-    fn reach(&self, node: &str) -> Option<Place> {
-        if node == self.node {
-            return Some(Place::Here);
-        }
-        let link = self.roster.link(node).filter(|l| l.is_up())?;
-        Some(Place::There(link))
-    }
-
-    /// Chooses among all backend servers of a service.
-    async fn any(&self, passage: &Passage, tried: &HashSet<String>) -> Option<Target> {
-        let end = Instant::now() + NODE_WAIT;
-        loop {
-            let news = self.roster.news.notified();
-            if let Some(place) = self.best(passage, tried) {
-                return Some(place.chosen(0));
-            }
-            if !tried.is_empty() || time::timeout(end.left(), news).await.is_err() {
-                return None;
-            }
-        }
-    }
-
-    fn best(&self, passage: &Passage, tried: &HashSet<String>) -> Option<Place> {
-        let service = passage.service.as_str();
-        let objective_ms = passage.route.objective.as_secs_f64() * 1000.0;
-        let mut places = Vec::new();
-        let mut candidates = Vec::new();
-        let usable = |l: &Load| l.health == Health::Ready && !l.stopping && l.slots > 0;
-        let own = self.gate.load();
-        if self.gate.about().service == service
-            && usable(&own)
-            && !tried.contains(Place::Here.name())
-        {
-            candidates.push(candidate(&own, 0, true));
-            places.push(Place::Here);
-        }
-        for (link, report) in self.roster.of_service(service) {
-            let load = report.load;
-            if usable(&load) && !tried.contains(&link.node) {
-                let near = *link.domain.borrow() == self.domain;
-                candidates.push(candidate(&load, link.since_report(), near));
-                places.push(Place::There(link));
-            }
-        }
-        let i = choose::pick(&candidates, objective_ms, &mut rand::rng())?;
-        Some(places.swap_remove(i))
-    }
-
     fn refuse(id: &str, service: &str, failure: Failure) -> Response {
         let spread = 0.8 + 0.4 * rand::random::<f64>();
         let wait = f64::from(failure.wait_ms) / 1000.0 * spread;
@@ -611,7 +390,7 @@
     }
 
     fn finish(&self, passage: &Passage, trail: &Trail, outcome: Outcome) -> Response {
-        self.note_holder(passage, &outcome);
+        self.targets.note_holder(passage, &outcome);
         let id = &passage.call.id;
         let took = Instant::now().since(passage.arrived);
         let (name, cause) = match &outcome {
@@ -629,11 +408,9 @@
                 headers,
                 body,
             },
-            Outcome::NotRun(f) if trail.arrivals == 0 || passage.route.repeat == Repeat::Once => {
-                Self::refuse(id, &passage.service, f)
-            }
+            Outcome::NotRun(f) if !trail.ran => Self::refuse(id, &passage.service, f),
             Outcome::Unknown(f) if f.cause == Cause::Timeout => Response::empty(504),
-            // After an earlier attempt, a refusal does not mean that the request has not run.
+            // After an attempt that may have run, a refusal does not mean that the request has not run.
             Outcome::NotRun(_) | Outcome::Unknown(_) => Response::empty(502),
         };
         tracing::info!(event = 575, id, route = %passage.route.name, priority = passage.call.priority, service = %passage.service, key = passage.key, node = %trail.node, offers = trail.offers, arrivals = trail.arrivals, table = trail.table, report_ms = trail.report_ms, config = passage.version.0, status = response.status, cause, took_ms = took.as_millis(), "answered a request");
@@ -649,18 +426,6 @@
     }
 }
 
-fn candidate(load: &Load, since: i32, near: bool) -> Candidate {
-    let busy = i32::from(load.running) + i32::from(load.queued) + since;
-    Candidate {
-        slots: load.slots,
-        busy: u16::try_from(busy.max(0)).unwrap_or(u16::MAX),
-        service_ms: load.service_ms.into(),
-        failing: load.failing,
-        warming: load.warmup_ms > 0,
-        near,
-    }
-}
-
 /// Cancels a call when dropped.
 struct Cancel(Running);
 
--- a/src/coordination/sidecar/gate.rs
+++ b/src/coordination/sidecar/gate.rs
@@ -5,7 +5,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,13 +12,14 @@
 use tokio::time;
 
 use crate::coordination::sidecar::admission::{Queue, Rank, Ticket, TicketId, Turn, Verdict};
+use crate::coordination::sidecar::beside::Backend;
 use crate::coordination::sidecar::holdings::Holdings;
 use crate::protocol::edge::{self, Adapter};
 use crate::protocol::http;
 use crate::protocol::mesh::{About, Call, Cause, Failure, Health, Load, Outcome, Response};
 use crate::state::clock::Instant;
 use crate::state::heat::{Heat, HeatReport};
-use crate::state::keyspace::{Holder, Key};
+use crate::state::keyspace::Key;
 use crate::transport::sidecar::backend::{self, Failed, Pool};
 use crate::transport::sidecar::peers::Job;
 
@@ -59,29 +59,6 @@
 /// Tells whether the backend server is about to get a key.
 type Expected = Box<dyn Fn(Key) -> bool>;
 
-/// Backend server beside this node, as its heartbeats describe it.
-#[derive(Debug, Clone)]
-pub struct Backend {
-    /// Identity as a holder of keys.
-    pub holder: Holder,
-    /// Counter of its last heartbeat.
-    pub sequence: u64,
-    /// Service.
-    pub service: String,
-    /// Address.
-    pub address: SocketAddr,
-    /// Requests that it runs at the same time.
-    pub slots: u16,
-    /// Time at which it said that it leaves.
-    pub leaving: Option<Instant>,
-    /// Whether its keys are owned one by one.
-    pub keyed: bool,
-    /// End of its slow time after the start.
-    pub warm_at: Instant,
-    /// Arrival of its last heartbeat.
-    pub heard: Instant,
-}
-
 /// Word to a waiting request.
 #[derive(Debug)]
 enum Go {
--- a/src/coordination/sidecar/mod.rs
+++ b/src/coordination/sidecar/mod.rs
@@ -1,16 +1,18 @@
 //! Sidecar: the one process beside a backend server on the users' platform.
 //!
-//! `entry` takes callers' requests and `gate` runs them on the backend server beside it; between
+//! `entry` takes callers' requests, `targets` knows where they may go, and `gate` runs them on the backend server beside it; between
 //! two nodes they meet through `transport::sidecar`. `membership` and `configuration` follow the
 //! platform's store, `directory` passes on what was seen there, `owner` and `planner` keep the ownership of keys there. `node` puts the parts
 //! together. `admission`, `choose`, `budget`, `holdings` and `plan` decide without input or output.
 
 pub mod admission;
 pub mod beats;
+pub mod beside;
 pub mod budget;
 pub mod choose;
 pub mod configuration;
 pub mod directory;
+pub mod duties;
 pub mod entry;
 pub mod follow;
 pub mod gate;
@@ -18,7 +20,9 @@
 pub mod membership;
 pub mod node;
 pub mod owner;
+pub mod passage;
 pub mod plan;
 pub mod planner;
 pub mod roster;
 pub mod tables;
+pub mod targets;
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -4,7 +4,6 @@
 use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,6 +14,7 @@
 use crate::coordination::sidecar::budget::{self, Budget};
 use crate::coordination::sidecar::configuration::Configuration;
 use crate::coordination::sidecar::directory::{ConfigFollower, Directory};
+use crate::coordination::sidecar::duties::Duties;
 use crate::coordination::sidecar::entry::{Door, Entry, Parts, Stage};
 use crate::coordination::sidecar::follow;
 use crate::coordination::sidecar::gate::Gate;
@@ -25,15 +25,13 @@
 use crate::coordination::sidecar::tables::{self, Tables};
 use crate::metrics::Metrics;
 use crate::protocol::edge::Adapter;
-use crate::protocol::mesh::{
-    About, Call, Frame, HeatOf, Hello, Items, Load, StoreRequest, StoreResponse,
-};
+use crate::protocol::mesh::{About, Frame, Hello, Load};
 use crate::protocol::ownership::NodeEntry;
 use crate::state::clock::Instant;
 use crate::state::site::Site;
 use crate::transport::sidecar::caller;
 use crate::transport::sidecar::links::{self, Link};
-use crate::transport::sidecar::peers::{Job, Peers, Service};
+use crate::transport::sidecar::peers::{Peers, Service};
 use crate::transport::sidecar::server;
 use crate::transport::sidecar::socket;
 use crate::transport::sidecar::store::Store;
@@ -78,9 +76,6 @@
 /// Longest wait for the removal of the node's entry.
 const LEAVE_LIMIT: Duration = Duration::from_millis(300);
 
-/// Longest wait of a relayed call for the store.
-const RELAY_LIMIT: Duration = Duration::from_millis(900);
-
 /// Error at the start of a sidecar.
 #[derive(Debug)]
 pub struct StartError {
@@ -131,62 +126,6 @@
     metrics: Metrics,
 }
 
-/// What a node does for others.
-#[derive(Debug)]
-struct Duties {
-    gate: Rc<Gate>,
-    planner: Rc<Planner>,
-    store: Rc<Store>,
-    configuration: Rc<Configuration>,
-    directory: Rc<Directory>,
-}
-
-impl Duties {
-    fn load(&self) -> Load {
-        Load {
-            config: self.configuration.version(),
-            items: self.directory.newest(),
-            store_up: self.store.is_up(),
-            ..self.gate.load()
-        }
-    }
-}
-
-impl Service for Duties {
-    fn run(&self, call: Call) -> Job {
-        self.gate.run(call)
-    }
-
-    fn about(&self) -> About {
-        self.gate.about()
-    }
-
-    fn load(&self) -> Load {
-        Self::load(self)
-    }
-
-    fn items(&self, after: u64) -> Items {
-        self.directory.after(after)
-    }
-
-    fn config(&self) -> Items {
-        self.configuration.item()
-    }
-
-    fn heat(&self, heat: HeatOf) {
-        self.planner.heat(heat);
-    }
-
-    fn relay(&self, request: StoreRequest) -> Pin<Box<dyn Future<Output = Option<StoreResponse>>>> {
-        let store = Rc::clone(&self.store);
-        Box::pin(async move {
-            let answered = store.direct(&request, RELAY_LIMIT).await;
-            // A refusal of this node's call is no answer to the other node's question.
-            answered.ok().filter(|r| r.status != 503 && r.status != 429)
-        })
-    }
-}
-
 impl Node {
     /// Creates the parts of a sidecar.
     #[must_use]
--- a/src/coordination/sidecar/owner.rs
+++ b/src/coordination/sidecar/owner.rs
@@ -8,8 +8,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::coordination::sidecar::beside::Backend;
 use crate::coordination::sidecar::directory::Directory;
-use crate::coordination::sidecar::gate::{Backend, Gate};
+use crate::coordination::sidecar::gate::Gate;
 use crate::coordination::sidecar::membership::Membership;
 use crate::coordination::sidecar::tables::Tables;
 use crate::protocol::edge::{Grant, Grants, Heartbeat, Hold, Released};
--- a/src/transport/sidecar/links.rs
+++ b/src/transport/sidecar/links.rs
@@ -12,19 +12,17 @@
 use std::time::Duration;
 
 use futures::StreamExt;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::{task, time};
-use tokio_util::codec::{FramedRead, LengthDelimitedCodec};
 
 use crate::protocol::mesh::{
-    About, Call, Cause, Failure, Frame, Hello, Items, Load, MAX_FRAME, Outcome, Seq, StoreRequest,
+    About, Call, Cause, Failure, Frame, Hello, Items, Load, Outcome, Seq, StoreRequest,
     StoreResponse,
 };
 use crate::state::clock::Instant;
 use crate::state::routes::Repeat;
+use crate::transport::sidecar::frames::{self, Frames, Writer};
 
 /// Longest time to open a connection.
 const CONNECT_LIMIT: Duration = Duration::from_millis(600);
@@ -50,79 +48,6 @@
 /// Time for which an idempotent call waits for a new connection before it is tried elsewhere.
 const RESUME_TIME: Duration = Duration::from_millis(500);
 
-/// First size of a connection's read buffer, in bytes; a node has two connections for each other
-/// node, most of which carry little.
-const FIRST_BUFFER: usize = 512;
-
-/// Size from which a write buffer is given back after use, in bytes.
-const LARGE_BUFFER: usize = 16 * 1024;
-
-/// Reading side of a connection.
-pub type Frames = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
-
-/// Splits a connection into a reader of frames and its writing side.
-///
-/// # Errors
-///
-/// Returns the error of the system call.
-pub fn split(io: TcpStream) -> std::io::Result<(Frames, Writer)> {
-    io.set_nodelay(true)?;
-    let (read, io) = io.into_split();
-    let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME)
-        .new_codec();
-    let frames = FramedRead::with_capacity(read, codec, FIRST_BUFFER);
-    let buffer = Vec::new();
-    Ok((frames, Writer { io, buffer }))
-}
-
-/// Writing side of a connection; frames are collected until [`Writer::flush`].
-#[derive(Debug)]
-pub struct Writer {
-    io: OwnedWriteHalf,
-    buffer: Vec<u8>,
-}
-
-impl Writer {
-    /// Adds a frame.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of the encoder.
-    pub fn add(&mut self, frame: &Frame) -> std::io::Result<()> {
-        let start = self.buffer.len();
-        self.buffer.extend_from_slice(&[0; 4]);
-        let buffer = std::mem::take(&mut self.buffer);
-        self.buffer = postcard::to_extend(frame, buffer).map_err(std::io::Error::other)?;
-        let length = u32::try_from(self.buffer.len() - start - 4).map_err(std::io::Error::other)?;
-        self.buffer[start..start + 4].copy_from_slice(&length.to_be_bytes());
-        Ok(())
-    }
-
-    /// Sends all frames.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of the system call.
-    pub async fn flush(&mut self) -> std::io::Result<()> {
-        self.io.write_all(&self.buffer).await?;
-        self.buffer.clear();
-        if self.buffer.capacity() > LARGE_BUFFER {
-            self.buffer = Vec::new();
-        }
-        Ok(())
-    }
-}
-
-/// Decodes a frame.
-///
-/// # Errors
-///
-/// Returns the error of the decoder.
-pub fn decode(bytes: &[u8]) -> std::io::Result<Frame> {
-    postcard::from_bytes(bytes).map_err(std::io::Error::other)
-}
-
 #[derive(Debug)]
 struct Pending {
     reply: oneshot::Sender<Outcome>,
@@ -450,12 +375,12 @@
 async fn connect(link: &Link) -> std::io::Result<(Frames, Writer)> {
     let opened = async {
         let io = TcpStream::connect(link.address).await?;
-        let (mut read, mut write) = split(io)?;
+        let (mut read, mut write) = frames::split(io)?;
         write.add(&Frame::Hello(link.hello.clone()))?;
         write.flush().await?;
         let first = read.next().await;
         let first = first.ok_or(std::io::ErrorKind::UnexpectedEof)??;
-        match decode(&first)? {
+        match frames::decode(&first)? {
             Frame::Hello(hello) => Ok(((read, write), hello)),
             other => Err(std::io::Error::other(format!(
                 "expected hello, got {other:?}"
@@ -475,7 +400,7 @@
 
 async fn exchange(link: &Link, io: (Frames, Writer)) -> std::io::Result<()> {
     let (mut read, mut write) = io;
-    let (out, mut frames) = mpsc::unbounded_channel();
+    let (out, mut queued) = mpsc::unbounded_channel();
     let pending: Vec<Seq> = link.pending.borrow().keys().copied().collect();
     if !pending.is_empty() {
         // The receiver lives until the end of this function.
@@ -492,14 +417,14 @@
                 let bytes = bytes.ok_or(std::io::ErrorKind::UnexpectedEof)??;
                 link.heard.set(Instant::now());
                 link.pinged.set(None);
-                link.receive(decode(&bytes)?);
+                link.receive(frames::decode(&bytes)?);
             }
-            frame = frames.recv() => {
+            frame = queued.recv() => {
                 let mut next = frame;
                 while let Some(frame) = next {
                     link.is_written(&frame);
                     write.add(&frame)?;
-                    next = frames.try_recv().ok();
+                    next = queued.try_recv().ok();
                 }
                 write.flush().await?;
             }
--- a/src/transport/sidecar/mod.rs
+++ b/src/transport/sidecar/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod frames;
 pub mod links;
 pub mod peers;
 pub mod server;
--- a/src/transport/sidecar/peers.rs
+++ b/src/transport/sidecar/peers.rs
@@ -21,7 +21,7 @@
     StoreResponse,
 };
 use crate::state::routes::Repeat;
-use crate::transport::sidecar::links;
+use crate::transport::sidecar::frames;
 
 /// Time for which calls of a node that lost its connection go on.
 const ORPHAN_TIME: Duration = Duration::from_millis(1500);
@@ -242,15 +242,15 @@
     }
 
     async fn serve(self: Rc<Self>, io: TcpStream) -> std::io::Result<()> {
-        let (mut read, mut write) = links::split(io)?;
+        let (mut read, mut write) = frames::split(io)?;
         let first = read.next().await;
         let first = first.ok_or(std::io::ErrorKind::UnexpectedEof)??;
-        let Frame::Hello(hello) = links::decode(&first)? else {
+        let Frame::Hello(hello) = frames::decode(&first)? else {
             return Err(std::io::Error::other("expected hello"));
         };
         write.add(&Frame::Hello(self.hello.clone()))?;
         write.flush().await?;
-        let (out, mut frames) = mpsc::unbounded_channel();
+        let (out, mut queued) = mpsc::unbounded_channel();
         // The receiver lives until the end of this function.
         let _sent = out.send(Frame::About(self.service.about()));
         let _sent = out.send(Frame::Load(self.service.load()));
@@ -265,13 +265,13 @@
                         if !current {
                             return Ok(());
                         }
-                        self.receive(&remote, links::decode(&bytes)?);
+                        self.receive(&remote, frames::decode(&bytes)?);
                     }
-                    frame = frames.recv() => {
+                    frame = queued.recv() => {
                         let Some(mut frame) = frame else { return Ok(()) };
                         loop {
                             write.add(&frame)?;
-                            match frames.try_recv() {
+                            match queued.try_recv() {
                                 Ok(next) => frame = next,
                                 Err(_) => break,
                             }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,4 +7,3 @@
 pub mod http;
 pub mod journal;
 pub mod kv;
-pub mod site;
