--- a/src/coordination/sidecar/owner.rs
+++ b/src/coordination/sidecar/owner.rs
@@ -90,6 +90,13 @@
         })
     }
 
+    /// Returns whether no permission that this node or a process before it has given still runs.
+    #[must_use]
+    pub fn is_clear(&self) -> bool {
+        let longest = self.longest.min(HOLD);
+        all_ended(self.bound.get(), self.started, longest, Instant::now())
+    }
+
     /// Takes a heartbeat's ranges over and returns what to grant; `None` renews nothing.
     pub fn heartbeat(&self, beat: &Heartbeat, backend: &Backend) -> Option<Grants> {
         let now = Instant::now();
@@ -161,9 +168,7 @@
             return;
         }
         let current = self.gate.backend();
-        // A process before this one may have granted keys for the longest time.
-        let first = self.started + self.longest.min(HOLD).mul_f64(SLOW_CLOCK) + SETTLE;
-        let bound = self.bound.get().unwrap_or(first).max(first);
+        let ended = self.is_clear();
         for service in self.tables.services() {
             let Some(table) = self.tables.get(&service) else {
                 continue;
@@ -173,7 +178,7 @@
             for holder in mine {
                 let live = current.as_ref().filter(|b| b.holder == *holder);
                 let over = match (&current, live) {
-                    (_, Some(_)) | (None, None) => now > bound,
+                    (_, Some(_)) | (None, None) => ended,
                     // A later life on the same host: the earlier one has ended.
                     (Some(_), None) => true,
                 };
@@ -214,6 +219,19 @@
     }
 }
 
+/// Returns whether all permissions have ended: those that end by `bound`, and those of a process
+/// before the one that started at `started`, which may have given them for `longest`.
+#[must_use]
+pub fn all_ended(
+    bound: Option<Instant>,
+    started: Instant,
+    longest: Duration,
+    now: Instant,
+) -> bool {
+    let first = started + longest.mul_f64(SLOW_CLOCK) + SETTLE;
+    now > bound.unwrap_or(first).max(first)
+}
+
 /// Returns the ranges that a backend server is to hold.
 fn grants(keys: &Keyspace, holder: &Holder, holds: &[Hold]) -> Vec<Grant> {
     let has = |s: &Slice| {
--- a/src/transport/sidecar/caller.rs
+++ b/src/transport/sidecar/caller.rs
@@ -283,13 +283,14 @@
                 push(&mut running, handler, request);
             }
         }
-        let accept = !last && !alone && held.is_none() && running.len() < MOST_PIPELINED;
+        // A closing connection takes nothing behind what runs: callers send that again elsewhere.
+        let open = running.is_empty() || !handler.is_closing();
+        let accept = open && !last && !alone && held.is_none() && running.len() < MOST_PIPELINED;
         let busy = !running.is_empty();
         tokio::select! {
             biased;
             Some((response, close)) = running.next(), if busy => {
-                let final_one = running.is_empty() && held.is_none() && reader.buffer.is_empty()
-                    && reader.partial.is_none();
+                let final_one = running.is_empty() && held.is_none();
                 let close = close || (final_one && handler.is_closing());
                 let bytes = http::write_response(response.status, &response.headers, &response.body, close);
                 write.write_all(&bytes).await?;
--- a/tests/sidecar/caller.rs
+++ b/tests/sidecar/caller.rs
@@ -210,6 +210,33 @@
     });
 }
 
+/// Pattern: a caller that always has a request on its way. Guards against a closing connection that
+/// goes on taking requests until the process ends, and cuts the last one.
+#[test]
+fn closing_connection_takes_nothing_behind_what_runs() {
+    run(|world| async move {
+        let (mut read, mut write) = world.connect().await.into_split();
+        let sender = task::spawn_local(async move {
+            // Ends when the connection is closed.
+            while write.write_all(get(100).as_bytes()).await.is_ok() {
+                time::sleep(Duration::from_millis(40)).await;
+            }
+        });
+        time::sleep(Duration::from_millis(200)).await;
+        world.handler.closing.set(true);
+        let begun = world.handler.begun.get();
+        let mut text = Vec::new();
+        let ended = time::timeout(Duration::from_millis(600), read.read_to_end(&mut text)).await;
+        assert!(ended.is_ok(), "the connection stays open");
+        let text = String::from_utf8(text).unwrap();
+        // One may be read at the moment at which the node begins to stop.
+        assert!(world.handler.begun.get() <= begun + 1);
+        assert_eq!(bodies(&text).len(), world.handler.begun.get());
+        assert_eq!(text.matches("Connection: close").count(), 1);
+        sender.abort();
+    });
+}
+
 /// Guards against a process that ends while a response is on its way: the connection counts until
 /// its caller has read everything, and nothing further is accepted.
 #[test]
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -12,5 +12,6 @@
 mod http;
 mod keyspace;
 mod links;
+mod owner;
 mod plan;
 mod routes;
