--- a/src/coordination/sidecar/owner.rs
+++ b/src/coordination/sidecar/owner.rs
@@ -29,6 +29,9 @@
 /// Time after the end of a permission before it is taken as ended.
 const SETTLE: Duration = Duration::from_millis(100);
 
+/// Silence after which a backend server is taken as cut off from its node; above two heartbeats.
+const SILENT: Duration = Duration::from_secs(2);
+
 /// Most ranges in an answer to a heartbeat, which may take 4 KiB.
 const MOST_RANGES: usize = 90;
 
@@ -48,6 +51,11 @@
     withheld: RefCell<Vec<(Key, Key)>>,
     released: RefCell<Vec<Released>>,
     busy: Cell<bool>,
+    /// Set while ranges are being taken away; none is granted meanwhile.
+    expiring: Cell<bool>,
+    /// Table revision on which a change without an answer may still be made; nothing is granted by
+    /// it.
+    unsettled: RefCell<Option<(String, u64)>>,
 }
 
 impl Owner {
@@ -87,6 +95,8 @@
             withheld: RefCell::new(Vec::new()),
             released: RefCell::new(Vec::new()),
             busy: Cell::new(false),
+            expiring: Cell::new(false),
+            unsettled: RefCell::new(None),
         })
     }
 
@@ -105,6 +115,12 @@
             .extend(beat.released.iter().cloned());
         let table = self.tables.get(&backend.service)?;
         let authority = self.membership.authority(self.directory.newest(), now)?;
+        let unsettled = self.unsettled.borrow().clone();
+        let settled = is_settled(unsettled.as_ref(), &backend.service, table.revision);
+        if self.expiring.get() || !settled {
+            tracing::warn!(event = 455, backend = %backend.holder.backend, revision = table.revision, "nothing is granted while ranges are taken away");
+            return None;
+        }
         let grants = Grants {
             ranges: grants(&table.keys, &backend.holder, &beat.holds),
             time: HOLD.min(self.longest).min(authority).mul_f64(CLOCK_SHARE),
@@ -167,6 +183,7 @@
         {
             return;
         }
+        self.supersede().await;
         let current = self.gate.backend();
         let ended = self.is_clear();
         for service in self.tables.services() {
@@ -177,11 +194,13 @@
             let mine = holders.into_iter().filter(|h| h.node == self.node);
             for holder in mine {
                 let live = current.as_ref().filter(|b| b.holder == *holder);
-                let over = match (&current, live) {
-                    (_, Some(_)) | (None, None) => ended,
-                    // A later life on the same host: the earlier one has ended.
-                    (Some(_), None) => true,
+                let stage = match (&current, live) {
+                    (_, Some(_)) => Life::Current,
+                    (Some(_), None) => Life::Earlier,
+                    (None, None) => Life::Unknown,
                 };
+                let silence = live.map_or(Duration::MAX, |b| now.since(b.heard));
+                let over = takes_away(stage, ended, silence);
                 if over {
                     let next = current
                         .as_ref()
@@ -192,8 +211,46 @@
         }
     }
 
+    /// Writes a table again on which a change without an answer may still be made, so that its
+    /// condition can hold no longer.
+    async fn supersede(&self) {
+        let Some((service, revision)) = self.unsettled.borrow().clone() else {
+            return;
+        };
+        if self
+            .tables
+            .get(&service)
+            .is_none_or(|t| t.revision != revision)
+        {
+            *self.unsettled.borrow_mut() = None;
+            return;
+        }
+        self.busy.set(true);
+        let done = self
+            .tables
+            .update(&service, &[], |keys| Some(keys.clone()))
+            .await;
+        self.busy.set(false);
+        match done {
+            // The same content may be seen without a new revision; it is written again then.
+            Ok(_) => {
+                let moved = self
+                    .tables
+                    .get(&service)
+                    .is_some_and(|t| t.revision != revision);
+                if moved {
+                    *self.unsettled.borrow_mut() = None;
+                }
+            }
+            Err(e) => {
+                tracing::warn!(event = 456, service, revision, error = %e, "a change without an answer is not superseded yet");
+            }
+        }
+    }
+
     async fn expire(&self, service: &str, holder: &Holder, next: Option<&Holder>) {
         self.busy.set(true);
+        self.expiring.set(true);
         let done = self
             .tables
             .update(service, &[], |keys| {
@@ -208,6 +265,14 @@
             })
             .await;
         self.busy.set(false);
+        self.expiring.set(false);
+        *self.unsettled.borrow_mut() = match &done {
+            Err(e) if !e.is_refused() => {
+                let table = self.tables.get(service);
+                table.map(|t| (service.to_owned(), t.revision))
+            }
+            _ => None,
+        };
         match done {
             Ok(changed) => {
                 tracing::info!(event = 453, backend = %holder.backend, born = holder.born, changed, "a backend server's permission has ended");
@@ -219,6 +284,34 @@
     }
 }
 
+/// Life of a holder beside this node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Life {
+    /// The one that sends heartbeats.
+    Current,
+    /// One before it, which has ended.
+    Earlier,
+    /// No heartbeat has been seen since this node's start.
+    Unknown,
+}
+
+/// Returns whether a holder's ranges are taken away. One that still sends heartbeats keeps them,
+/// also after an outage in which nothing could be granted: its next heartbeat renews them.
+#[must_use]
+pub fn takes_away(life: Life, ended: bool, silence: Duration) -> bool {
+    match life {
+        Life::Earlier => true,
+        Life::Unknown => ended,
+        Life::Current => ended && silence > SILENT,
+    }
+}
+
+/// Returns whether a table of a service can't be changed any more by a call without an answer.
+#[must_use]
+pub fn is_settled(unsettled: Option<&(String, u64)>, service: &str, revision: u64) -> bool {
+    unsettled.is_none_or(|(name, at)| name != service || *at != revision)
+}
+
 /// Returns whether all permissions have ended: those that end by `bound`, and those of a process
 /// before the one that started at `started`, which may have given them for `longest`.
 #[must_use]
