--- a/src/coordination/sidecar/beats.rs
+++ b/src/coordination/sidecar/beats.rs
@@ -77,8 +77,8 @@
             return (200, self.adapter.grants(None));
         }
         let owner = Rc::clone(&self.owner);
-        let grants = self.owner.heartbeat(&beat, &backend);
-        task::spawn_local(async move { owner.settle(&beat, &backend).await });
+        let (grants, free) = self.owner.heartbeat(&beat, &backend);
+        task::spawn_local(async move { owner.settle(free, &backend).await });
         (200, self.adapter.grants(grants.as_ref()))
     }
 
--- a/src/coordination/sidecar/owner.rs
+++ b/src/coordination/sidecar/owner.rs
@@ -47,8 +47,7 @@
     started: Instant,
     /// Time at which all permissions given so far have ended.
     bound: Cell<Option<Instant>>,
-    /// Ranges that the last answer left out although they were granted before.
-    withheld: RefCell<Vec<(Key, Key)>>,
+    withheld: RefCell<Withheld>,
     released: RefCell<Vec<Released>>,
     busy: Cell<bool>,
     /// Set while ranges are being taken away; none is granted meanwhile.
@@ -92,7 +91,7 @@
             membership,
             started: Instant::now(),
             bound: Cell::new(None),
-            withheld: RefCell::new(Vec::new()),
+            withheld: RefCell::default(),
             released: RefCell::new(Vec::new()),
             busy: Cell::new(false),
             expiring: Cell::new(false),
@@ -107,12 +106,22 @@
         all_ended(self.bound.get(), self.started, longest, Instant::now())
     }
 
-    /// Takes a heartbeat's ranges over and returns what to grant; `None` renews nothing.
-    pub fn heartbeat(&self, beat: &Heartbeat, backend: &Backend) -> Option<Grants> {
-        let now = Instant::now();
+    /// Takes a heartbeat's ranges over. Returns what to grant, `None` renewing nothing, and the
+    /// ranges that the backend server has let go of.
+    pub fn heartbeat(&self, beat: &Heartbeat, backend: &Backend) -> (Option<Grants>, Free) {
         self.released
             .borrow_mut()
             .extend(beat.released.iter().cloned());
+        let answer = self.answer(beat, backend);
+        let (grants, next) = answer.unzip();
+        let mut withheld = self.withheld.borrow_mut();
+        let free = withheld.turn(&backend.holder, &beat.holds, next);
+        (grants, free)
+    }
+
+    /// Returns what to grant and the ranges that are left out because they are on the move.
+    fn answer(&self, beat: &Heartbeat, backend: &Backend) -> Option<(Grants, Vec<(Key, Key)>)> {
+        let now = Instant::now();
         let table = self.tables.get(&backend.service)?;
         let authority = self.membership.authority(self.directory.newest(), now)?;
         let unsettled = self.unsettled.borrow().clone();
@@ -129,23 +138,16 @@
         self.bound.set(self.bound.get().max(Some(end)));
         let mine = table.keys.held_by(&backend.holder);
         let moving = mine.filter(|s| s.target.is_some());
-        *self.withheld.borrow_mut() = moving.map(|s| (s.from, s.to)).collect();
+        let moving = moving.map(|s| (s.from, s.to)).collect();
         let mut holdings = self.gate.holdings.borrow_mut();
         holdings.grant(&grants, now);
         drop(holdings);
         self.gate.granted.notify_waiters();
-        Some(grants)
+        Some((grants, moving))
     }
 
     /// Records in the table what the backend server has let go of.
-    pub async fn settle(&self, beat: &Heartbeat, backend: &Backend) {
-        // What the answer before this heartbeat left out, and the heartbeat holds no longer.
-        let withheld = self.withheld.borrow().clone();
-        let held = |from: Key, to: Key| beat.holds.iter().any(|h| h.from <= to && from <= h.to);
-        let free: Vec<_> = withheld
-            .into_iter()
-            .filter(|&(from, to)| !held(from, to))
-            .collect();
+    pub async fn settle(&self, free: Free, backend: &Backend) {
         if free.is_empty() || self.busy.replace(true) {
             return;
         }
@@ -284,6 +286,35 @@
     }
 }
 
+/// Ranges that a backend server has let go of.
+pub type Free = Vec<(Key, Key)>;
+
+/// Ranges that the last answer to a heartbeat left out because they are on the move.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Withheld {
+    holder: Option<Holder>,
+    ranges: Vec<(Key, Key)>,
+}
+
+impl Withheld {
+    /// Returns the ranges that a heartbeat holds no longer after the answer before it left them out,
+    /// and remembers `next`, which its own answer leaves out; `None` if the answer renews nothing.
+    ///
+    /// What its own answer is the first to leave out isn't free yet, even if it isn't held: an answer
+    /// before may still be on its way and grant it.
+    pub fn turn(&mut self, holder: &Holder, holds: &[Hold], next: Option<Vec<(Key, Key)>>) -> Free {
+        let held = |from: Key, to: Key| holds.iter().any(|h| h.from <= to && from <= h.to);
+        let same = self.holder.as_ref() == Some(holder);
+        let ranges = self.ranges.iter().copied().filter(|_| same);
+        let free = ranges.filter(|&(from, to)| !held(from, to)).collect();
+        if let Some(next) = next {
+            self.holder = Some(holder.clone());
+            self.ranges = next;
+        }
+        free
+    }
+}
+
 /// Life of a holder beside this node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Life {
--- a/tests/sidecar/owner.rs
+++ b/tests/sidecar/owner.rs
@@ -2,8 +2,12 @@
 
 use std::time::Duration;
 
-use filbertflow::coordination::sidecar::owner::{Life, all_ended, is_settled, takes_away};
+use filbertflow::coordination::sidecar::owner::{
+    Life, Withheld, all_ended, is_settled, takes_away,
+};
+use filbertflow::protocol::edge::Hold;
 use filbertflow::state::clock::Instant;
+use filbertflow::state::keyspace::Holder;
 
 const HOLD: Duration = Duration::from_secs(3);
 
@@ -68,3 +72,56 @@
     assert!(is_settled(Some(&pending), "office", 7));
     assert!(is_settled(None, "walks", 7));
 }
+
+fn life(born: u64) -> Holder {
+    Holder {
+        node: "10.0.0.1:7000".to_owned(),
+        backend: "walks-1".to_owned(),
+        born,
+    }
+}
+
+fn hold(from: u16, to: u16) -> Hold {
+    let token = 3;
+    Hold { from, to, token }
+}
+
+/// Guards against a range that is passed on while the answer that granted it is on its way: the
+/// heartbeat that is the first to be answered without it doesn't hold it yet.
+#[test]
+fn range_is_free_only_after_an_answer_without_it() {
+    let mut withheld = Withheld::default();
+    let moving = vec![(10, 19)];
+    assert!(withheld.turn(&life(1), &[], Some(Vec::new())).is_empty());
+    assert!(
+        withheld
+            .turn(&life(1), &[], Some(moving.clone()))
+            .is_empty()
+    );
+    let busy = [hold(0, 30)];
+    assert!(
+        withheld
+            .turn(&life(1), &busy, Some(moving.clone()))
+            .is_empty()
+    );
+    assert_eq!(withheld.turn(&life(1), &[], Some(Vec::new())), moving);
+    assert!(withheld.turn(&life(1), &[], Some(Vec::new())).is_empty());
+}
+
+/// Guards against a release that is forgotten because its heartbeat can't be answered with grants.
+#[test]
+fn release_outlasts_an_answer_without_grants() {
+    let mut withheld = Withheld::default();
+    let moving = vec![(10, 19)];
+    withheld.turn(&life(1), &[hold(10, 19)], Some(moving.clone()));
+    assert!(withheld.turn(&life(1), &[hold(10, 19)], None).is_empty());
+    assert_eq!(withheld.turn(&life(1), &[], None), moving);
+}
+
+/// Guards against an earlier life's answer that is taken for one to the next life.
+#[test]
+fn another_life_has_been_left_out_of_nothing() {
+    let mut withheld = Withheld::default();
+    withheld.turn(&life(1), &[], Some(vec![(10, 19)]));
+    assert!(withheld.turn(&life(2), &[], Some(Vec::new())).is_empty());
+}
