--- a/src/coordination/sidecar/beats.rs
+++ b/src/coordination/sidecar/beats.rs
@@ -44,7 +44,7 @@
     /// Answers a call of the backend server.
     pub fn answer(&self, head: &http::RequestHead, body: &[u8]) -> Reply {
         match self.adapter.notice(head, body) {
-            Ok(Notice::Heartbeat(beat)) => self.heartbeat(beat),
+            Ok(Notice::Heartbeat(beat)) => self.heartbeat(&beat),
             Ok(Notice::Leave { backend, born }) => self.leave(&backend, born),
             Err(e) => {
                 tracing::warn!(event = 371, target = %head.target, error = %e, "a heartbeat can't be read and is ignored");
@@ -65,19 +65,19 @@
         (200, self.adapter.grants(None))
     }
 
-    fn heartbeat(&self, beat: Heartbeat) -> Reply {
-        let refused = self.refusal(&beat);
+    fn heartbeat(&self, beat: &Heartbeat) -> Reply {
+        let refused = self.refusal(beat);
         if let Some((status, reason)) = refused {
             tracing::warn!(event = 373, backend = %beat.backend, born = beat.born, sequence = beat.sequence, reason, "a heartbeat changes nothing");
             return (status, self.adapter.grants(None));
         }
-        let backend = self.describe(&beat);
+        let backend = self.describe(beat);
         self.gate.set_backend(backend.clone());
         if !backend.keyed {
             return (200, self.adapter.grants(None));
         }
         let owner = Rc::clone(&self.owner);
-        let (grants, free) = self.owner.heartbeat(&beat, &backend);
+        let (grants, free) = self.owner.heartbeat(beat, &backend);
         task::spawn_local(async move { owner.settle(free, &backend).await });
         (200, self.adapter.grants(grants.as_ref()))
     }
--- a/src/coordination/sidecar/directory.rs
+++ b/src/coordination/sidecar/directory.rs
@@ -15,6 +15,7 @@
 use crate::protocol::edge::{Event, Item};
 use crate::protocol::mesh::{Items, StoredItem};
 use crate::protocol::ownership::NodeEntry;
+use crate::transport::sidecar::store::Store;
 
 /// Removals that are remembered; a node further behind gets all items.
 const REMOVALS: usize = 64;
@@ -25,6 +26,7 @@
 /// Items below the product's prefix, and the newest configuration.
 #[derive(Debug)]
 pub struct Directory {
+    store: Rc<Store>,
     roster: Rc<Roster>,
     tables: Rc<Tables>,
     configuration: Rc<Configuration>,
@@ -39,11 +41,13 @@
     /// Creates an empty directory.
     #[must_use]
     pub fn new(
+        store: Rc<Store>,
         roster: Rc<Roster>,
         tables: Rc<Tables>,
         configuration: Rc<Configuration>,
     ) -> Rc<Self> {
         Rc::new(Self {
+            store,
             roster,
             tables,
             configuration,
@@ -63,7 +67,7 @@
     /// Returns whether this node is among those that watch the store.
     #[must_use]
     pub fn is_watcher(&self) -> bool {
-        self.roster.rank() < WATCHERS
+        self.roster.rank(self.store.is_up()) < WATCHERS
     }
 
     /// Returns what changed after a revision.
--- a/src/coordination/sidecar/follow.rs
+++ b/src/coordination/sidecar/follow.rs
@@ -6,12 +6,10 @@
 use tokio::sync::Notify;
 use tokio::time;
 
+use crate::coordination::sidecar::pace::Pace;
 use crate::protocol::edge::{Event, Item, StoreCall, StoreReply};
 use crate::transport::sidecar::store::{self, Store};
 
-/// Pause after a failed call; a random part is added.
-const PAUSE: Duration = Duration::from_millis(150);
-
 /// Longest wait of a watch. One that a connection has forgotten ends soon after it. A random part
 /// is taken off, so that those of several nodes don't end together.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
@@ -19,11 +17,6 @@
 /// Interval at which a node that does not watch looks whether it has to.
 const ROLE_POLL: Duration = Duration::from_millis(300);
 
-/// Sleeps for about the pause after a failed call.
-pub async fn pause() {
-    time::sleep(PAUSE.mul_f64(1.0 + rand::random::<f64>())).await;
-}
-
 /// Receiver of what lies below a prefix of the store.
 pub trait Follower {
     /// Takes all items over, which were read at revision `as_of` or later.
@@ -46,15 +39,26 @@
     follower: Rc<dyn Follower>,
     again: Rc<Notify>,
 ) {
+    let mut pace = Pace::default();
+    let mut known = false;
     loop {
         let (items, mut as_of) = match read(&store, &prefix).await {
             Ok(read) => read,
             Err(e) => {
                 tracing::warn!(event = 337, prefix, error = %e, "can't read from the store");
-                pause().await;
+                pace.pause(&store).await;
+                // Another node may read in its place by now, and passes on what has changed.
+                while known && !follower.watches() {
+                    tokio::select! {
+                        () = time::sleep(ROLE_POLL) => {}
+                        () = again.notified() => break,
+                    }
+                }
                 continue;
             }
         };
+        pace.reset();
+        known = true;
         tracing::info!(
             event = 338,
             prefix,
@@ -97,9 +101,10 @@
                 }
                 Err(e) => {
                     tracing::info!(event = 326, prefix, as_of, error = %e, "a watch ended early");
-                    pause().await;
-                    // Changes may have been missed while other nodes were served.
-                    break;
+                    pace.pause(&store).await;
+                    if follower.watches() {
+                        break;
+                    }
                 }
             }
         }
--- a/src/coordination/sidecar/membership.rs
+++ b/src/coordination/sidecar/membership.rs
@@ -11,7 +11,7 @@
 
 use tokio::time;
 
-use crate::coordination::sidecar::follow;
+use crate::coordination::sidecar::pace::Pace;
 use crate::coordination::sidecar::tables;
 use crate::protocol::edge::{Commit, LeaseId, StoreCall, StoreReply};
 use crate::protocol::ownership::NodeEntry;
@@ -25,6 +25,10 @@
 /// Interval of renewals.
 const RENEWAL: Duration = Duration::from_millis(1400);
 
+/// Interval of renewals while the store does not answer, so that an entry that has ended meanwhile is
+/// back soon after the store.
+const RETRY: Duration = Duration::from_millis(450);
+
 /// Safety margin at the end of a lease, for the clocks' drift.
 const MARGIN: Duration = Duration::from_millis(150);
 
@@ -42,7 +46,6 @@
     store: Rc<Store>,
     entry: NodeEntry,
     lease: Cell<Option<Lease>>,
-    registered: Cell<bool>,
 }
 
 impl Membership {
@@ -53,7 +56,6 @@
             store,
             entry,
             lease: Cell::new(None),
-            registered: Cell::new(false),
         }
     }
 
@@ -63,12 +65,6 @@
         format!("{}{address}", tables::NODES)
     }
 
-    /// Returns whether the node has had an entry since its start.
-    #[must_use]
-    pub fn is_registered(&self) -> bool {
-        self.registered.get()
-    }
-
     /// Returns the time until which keys may be granted, if all items up to revision `known` are known.
     #[must_use]
     pub fn authority(&self, known: u64, now: Instant) -> Option<Duration> {
@@ -79,12 +75,16 @@
 
     /// Keeps the node registered until the task is dropped.
     pub async fn run(&self) {
+        let mut pace = Pace::default();
         loop {
             match self.register().await {
-                Ok(()) => self.renew().await,
+                Ok(()) => {
+                    pace.reset();
+                    self.renew().await;
+                }
                 Err(e) => {
                     tracing::warn!(event = 331, error = %e, "can't register with the store");
-                    follow::pause().await;
+                    pace.pause(&self.store).await;
                 }
             }
         }
@@ -111,7 +111,6 @@
                 StoreReply::Committed { revision } => {
                     let entered = revision;
                     self.lease.set(Some(Lease { id, until, entered }));
-                    self.registered.set(true);
                     tracing::info!(
                         event = 332,
                         lease = id.0,
@@ -140,8 +139,10 @@
 
     /// Renews the lease until it has ended.
     async fn renew(&self) {
+        let mut interval = RENEWAL;
         while let Some(lease) = self.lease.get() {
-            time::sleep(RENEWAL).await;
+            time::sleep(interval).await;
+            interval = RENEWAL;
             let sent = Instant::now();
             match self.store.call(&StoreCall::Renew(lease.id)).await {
                 Ok(StoreReply::Lease { ttl, .. }) => {
@@ -160,6 +161,7 @@
                     tracing::warn!(event = 334, reply = ?reply, "unexpected answer to a renewal");
                 }
                 Err(e) => {
+                    interval = RETRY;
                     let left_ms = lease.until.left().as_millis();
                     tracing::warn!(event = 335, lease = lease.id.0, left_ms, error = %e, "the node's lease was not renewed");
                 }
--- a/src/coordination/sidecar/mod.rs
+++ b/src/coordination/sidecar/mod.rs
@@ -20,6 +20,7 @@
 pub mod membership;
 pub mod node;
 pub mod owner;
+pub mod pace;
 pub mod passage;
 pub mod plan;
 pub mod planner;
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -137,11 +137,13 @@
             incarnation,
         };
         let changed = Rc::new(Notify::new());
-        let store = Rc::new(Store::new(Rc::clone(adapter), site.store));
+        let calls = metrics.store_calls.clone();
+        let store = Rc::new(Store::new(Rc::clone(adapter), site.store, calls));
         let configuration = Rc::new(Configuration::new(Rc::clone(adapter), Rc::clone(&changed)));
         let roster = Rc::new(Roster::new(hello.clone()));
         let tables = Rc::new(Tables::new(Rc::clone(&store)));
         let directory = Directory::new(
+            Rc::clone(&store),
             Rc::clone(&roster),
             Rc::clone(&tables),
             Rc::clone(&configuration),
--- a/src/coordination/sidecar/roster.rs
+++ b/src/coordination/sidecar/roster.rs
@@ -63,13 +63,18 @@
         *self.take_items.borrow_mut() = take;
     }
 
-    /// Returns the number of connected nodes with a lower address that the store answers.
+    /// Returns this node's place among the connected nodes, `answered` telling whether the store
+    /// answers it.
     #[must_use]
-    pub fn rank(&self) -> usize {
+    pub fn rank(&self, answered: bool) -> usize {
         let peers = self.peers.borrow();
-        let lower = peers.values().filter(|p| p.link.node < self.hello.node);
-        let served = |p: &&Peer| p.link.report().is_some_and(|r| r.load.store_up);
-        lower.filter(served).count()
+        let reports = peers
+            .values()
+            .filter_map(|p| Some((&p.link.node, p.link.report()?)));
+        let others: Vec<_> = reports
+            .map(|(node, r)| (node.as_str(), r.load.store_up))
+            .collect();
+        rank(&self.hello.node, answered, &others)
     }
 
     /// Takes the entry of a node over.
@@ -163,7 +168,8 @@
 
     /// Makes a call to the store through other nodes, until one has an answer.
     pub async fn relay(&self, request: StoreRequest) -> Option<StoreResponse> {
-        let up = self.links().into_iter().filter(|l| l.is_up());
+        let answered = |l: &Rc<Link>| l.report().is_some_and(|r| r.load.store_up);
+        let up = self.links().into_iter().filter(answered);
         let mut up: Vec<_> = up.collect();
         // Another start for each call, so that one node that is turned away isn't asked always.
         let turn = rand::random_range(0..up.len().max(1));
@@ -176,3 +182,12 @@
         None
     }
 }
+
+/// Returns how many other nodes come before `node` in the order in which nodes call the store for
+/// all: those that the store answers first, then by address. `others` holds the address of each
+/// other node and whether the store answers it.
+#[must_use]
+pub fn rank(node: &str, answered: bool, others: &[(&str, bool)]) -> usize {
+    let before = |&&(other, up): &&(&str, bool)| (!up, other) < (!answered, node);
+    others.iter().filter(before).count()
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -21,6 +21,8 @@
     pub traffic: IntCounterVec,
     /// Messages, answers and requests dropped or refused anywhere, by place and reason.
     pub dropped: IntCounterVec,
+    /// Calls to the platform's store, by kind and outcome.
+    pub store_calls: IntCounterVec,
 }
 
 impl Default for Metrics {
@@ -46,17 +48,24 @@
             &["direction"],
         )
         .expect("the metric's name and labels are valid");
+        let store_calls = IntCounterVec::new(
+            Opts::new("filbertflow_store_calls_total", "Calls to the store"),
+            &["kind", "outcome"],
+        )
+        .expect("the metric's name and labels are valid");
         let metrics = Self {
             registry: Registry::new(),
             requests,
             latency,
             traffic,
             dropped,
+            store_calls,
         };
         metrics.register(Box::new(metrics.requests.clone()));
         metrics.register(Box::new(metrics.latency.clone()));
         metrics.register(Box::new(metrics.traffic.clone()));
         metrics.register(Box::new(metrics.dropped.clone()));
+        metrics.register(Box::new(metrics.store_calls.clone()));
         metrics
     }
 }
--- a/src/protocol/edge.rs
+++ b/src/protocol/edge.rs
@@ -208,6 +208,20 @@
     Renew(LeaseId),
 }
 
+impl StoreCall {
+    /// Returns the kind's name in metrics.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Range { .. } => "range",
+            Self::Watch { .. } => "watch",
+            Self::Commit(_) => "commit",
+            Self::Grant { .. } => "grant",
+            Self::Renew(_) => "renew",
+        }
+    }
+}
+
 /// Change of items under conditions.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Commit {
--- a/src/transport/sidecar/store.rs
+++ b/src/transport/sidecar/store.rs
@@ -14,6 +14,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use prometheus::IntCounterVec;
+use tokio::sync::Notify;
 use tokio::time;
 
 use crate::protocol::edge::{Adapter, StoreCall, StoreReply, Unreadable};
@@ -83,8 +85,9 @@
     relay: RefCell<Option<Relay>>,
     trouble: Cell<Option<Instant>>,
     connected: Cell<bool>,
-    /// Calls made directly.
-    pub calls: Cell<u64>,
+    /// Told when the store answers again after calls without an answer.
+    pub answers: Notify,
+    calls: IntCounterVec,
 }
 
 impl fmt::Debug for Store {
@@ -97,9 +100,9 @@
 }
 
 impl Store {
-    /// Creates a client without connections.
+    /// Creates a client without connections; `calls` counts its calls by kind and outcome.
     #[must_use]
-    pub fn new(adapter: Rc<dyn Adapter>, address: SocketAddr) -> Self {
+    pub fn new(adapter: Rc<dyn Adapter>, address: SocketAddr, calls: IntCounterVec) -> Self {
         Self {
             adapter,
             address: Cell::new(address),
@@ -107,7 +110,8 @@
             relay: RefCell::new(None),
             trouble: Cell::new(None),
             connected: Cell::new(true),
-            calls: Cell::new(0),
+            answers: Notify::new(),
+            calls,
         }
     }
 
@@ -151,6 +155,13 @@
             Err(e) => Err(Error::NoAnswer(e)),
         };
         self.note(&direct);
+        let outcome = match &direct {
+            Ok(_) => "answered",
+            Err(Error::Refused) => "refused",
+            Err(Error::NoAnswer(_)) => "no_answer",
+            Err(Error::Unreadable(_)) => "unreadable",
+        };
+        self.count(call.name(), outcome);
         if direct.is_ok() || waits {
             return direct;
         }
@@ -164,11 +175,16 @@
         }
     }
 
+    fn count(&self, kind: &str, outcome: &str) {
+        self.calls.with_label_values(&[kind, outcome]).inc();
+    }
+
     fn note(&self, direct: &Result<StoreReply, Error>) {
         match direct {
             Ok(_) => {
                 if !self.connected.replace(true) {
                     tracing::info!(event = 311, "the store answers again");
+                    self.answers.notify_waiters();
                 }
             }
             Err(e) => {
@@ -198,7 +214,6 @@
         request: &StoreRequest,
         limit: Duration,
     ) -> Result<StoreResponse, io::ErrorKind> {
-        self.calls.set(self.calls.get() + 1);
         let exchange = self.exchange(request);
         let answered = time::timeout(limit, exchange).await;
         answered.map_err(|_| io::ErrorKind::TimedOut)?
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -13,5 +13,6 @@
 mod keyspace;
 mod links;
 mod owner;
+mod pace;
 mod plan;
 mod routes;
