--- a/src/coordination/sidecar/entry.rs
+++ b/src/coordination/sidecar/entry.rs
@@ -241,6 +241,7 @@
             key,
             left_ms: 0,
             aim_ms: 0,
+            sent_ms: 0,
             method: head.method,
             target: head.target,
             headers,
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -85,6 +85,8 @@
     pub left_ms: u32,
     /// Time left until the latency objective, in milliseconds; 0 if it has passed.
     pub aim_ms: u32,
+    /// Time at which it was sent, by the sender's own clock, in milliseconds.
+    pub sent_ms: u64,
     /// Method.
     pub method: String,
     /// Path and query.
--- a/src/transport/sidecar/links.rs
+++ b/src/transport/sidecar/links.rs
@@ -185,10 +185,12 @@
 
     /// Sends a call; `None` if there is no connection.
     #[must_use]
-    pub fn call(self: &Rc<Self>, call: Call) -> Option<InFlight> {
+    pub fn call(self: &Rc<Self>, mut call: Call) -> Option<InFlight> {
         if !self.is_up() {
             return None;
         }
+        let sent = Instant::now().since_boot().as_millis();
+        call.sent_ms = u64::try_from(sent).unwrap_or(u64::MAX);
         let seq = self.sequence();
         let (reply, outcome) = oneshot::channel();
         let pending = Pending {
@@ -300,11 +302,18 @@
         }
     }
 
-    fn is_written(&self, frame: &Frame) {
-        if let Frame::Call(seq, _) = frame
-            && let Some(p) = self.pending.borrow_mut().get_mut(seq)
-        {
-            p.written = true;
+    /// Marks a call as written; returns whether the frame is still wanted, which a call isn't whose
+    /// caller has left while it waited for the connection.
+    fn is_wanted(&self, frame: &Frame) -> bool {
+        let Frame::Call(seq, _) = frame else {
+            return true;
+        };
+        match self.pending.borrow_mut().get_mut(seq) {
+            Some(pending) => {
+                pending.written = true;
+                true
+            }
+            None => false,
         }
     }
 }
@@ -422,8 +431,9 @@
             frame = queued.recv() => {
                 let mut next = frame;
                 while let Some(frame) = next {
-                    link.is_written(&frame);
-                    write.add(&frame)?;
+                    if link.is_wanted(&frame) {
+                        write.add(&frame)?;
+                    }
                     next = queued.try_recv().ok();
                 }
                 write.flush().await?;
--- a/src/transport/sidecar/mod.rs
+++ b/src/transport/sidecar/mod.rs
@@ -5,6 +5,7 @@
 pub mod backend;
 pub mod caller;
 pub mod frames;
+pub mod lag;
 pub mod links;
 pub mod peers;
 pub mod server;
--- a/src/transport/sidecar/peers.rs
+++ b/src/transport/sidecar/peers.rs
@@ -20,8 +20,10 @@
     About, Call, Cause, Failure, Frame, HeatOf, Hello, Items, Load, Outcome, Seq, StoreRequest,
     StoreResponse,
 };
+use crate::state::clock::Instant;
 use crate::state::routes::Repeat;
 use crate::transport::sidecar::frames;
+use crate::transport::sidecar::lag::Lag;
 
 /// Time for which calls of a node that lost its connection go on.
 const ORPHAN_TIME: Duration = Duration::from_millis(1500);
@@ -120,6 +122,7 @@
     kept: VecDeque<(Seq, Outcome)>,
     /// Highest call whose outcome is kept no longer.
     forgotten: Seq,
+    lag: Lag,
 }
 
 impl Remote {
@@ -291,7 +294,17 @@
 
     fn receive(&self, remote: &Rc<RefCell<Remote>>, frame: Frame) {
         match frame {
-            Frame::Call(seq, call) => {
+            Frame::Call(seq, mut call) => {
+                let late = remote.borrow_mut().lag.of(call.sent_ms, Instant::now());
+                let late = u32::try_from(late.as_millis()).unwrap_or(u32::MAX);
+                if late >= call.left_ms {
+                    tracing::info!(event = 234, id = %call.id, late_ms = late, left_ms = call.left_ms, "a call arrived too late to be run");
+                    let outcome = Outcome::NotRun(Failure::before(Cause::Expired, 0));
+                    remote.borrow_mut().finish(seq, call.repeat, outcome);
+                    return;
+                }
+                call.left_ms -= late;
+                call.aim_ms = call.aim_ms.saturating_sub(late);
                 let job = self.service.run(*call);
                 let (owner, repeat) = (Rc::clone(remote), job.repeat);
                 let running = Running::spawn(job, move |outcome| {
--- a/tests/sidecar/links.rs
+++ b/tests/sidecar/links.rs
@@ -8,12 +8,14 @@
 use std::time::Duration;
 
 use filbertflow::protocol::mesh::{
-    About, Call, Cause, Failure, HeatOf, Hello, Items, Load, Outcome, Response, StoreRequest,
-    StoreResponse,
+    About, Call, Cause, Failure, Frame, HeatOf, Hello, Items, Load, Outcome, Response,
+    StoreRequest, StoreResponse,
 };
 use filbertflow::state::routes::{Repeat, RouteId};
+use filbertflow::transport::sidecar::frames;
 use filbertflow::transport::sidecar::links::Link;
 use filbertflow::transport::sidecar::peers::{Job, Peers, Service};
+use futures::StreamExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::{io, runtime, task, time};
@@ -96,6 +98,7 @@
         key: None,
         left_ms: took,
         aim_ms: 0,
+        sent_ms: 0,
         method: "GET".to_owned(),
         target: "/".to_owned(),
         headers: Vec::new(),
@@ -269,6 +272,47 @@
     });
 }
 
+/// Pattern: a full link delivers frames two seconds late. Guards against work that is begun after
+/// its caller has left.
+#[test]
+fn call_that_was_long_on_its_way_is_not_run() {
+    run(|world| async move {
+        let io = TcpStream::connect(world.node).await.unwrap();
+        let (mut read, mut write) = frames::split(io).unwrap();
+        write.add(&Frame::Hello(hello("c", 1))).unwrap();
+        for (seq, sent_ms) in [(1, 10_000), (2, 8_000)] {
+            let call = Call {
+                sent_ms,
+                ..call(Repeat::Once, 100)
+            };
+            write.add(&Frame::Call(seq, Box::new(call))).unwrap();
+        }
+        write.flush().await.unwrap();
+        let mut outcomes = Vec::new();
+        while outcomes.len() < 2 {
+            let bytes = read.next().await.unwrap().unwrap();
+            if let Frame::Reply(seq, outcome) = frames::decode(&bytes).unwrap() {
+                outcomes.push((seq, *outcome));
+            }
+        }
+        let late = Outcome::NotRun(Failure::before(Cause::Expired, 0));
+        assert_eq!(outcomes, [(2, late), (1, answered())]);
+        assert_eq!(world.service.begun.get(), 1);
+    });
+}
+
+/// Guards against calls that are written after their callers have left, when a connection has
+/// taken nothing for a while.
+#[test]
+fn call_dropped_before_it_is_written_is_not_sent() {
+    run(|world| async move {
+        // Nothing is written before this task waits.
+        drop(world.link.call(call(Repeat::Once, 10)).unwrap());
+        time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(world.service.begun.get(), 0);
+    });
+}
+
 /// Guards against a connection that was forgotten without a reset and is waited on for ever.
 #[test]
 fn silent_connection_is_given_up() {
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -12,6 +12,7 @@
 mod heat;
 mod http;
 mod keyspace;
+mod lag;
 mod links;
 mod owner;
 mod pace;
