--- a/src/coordination/sidecar/membership.rs
+++ b/src/coordination/sidecar/membership.rs
@@ -19,8 +19,8 @@
 use crate::transport::sidecar::store::{self, Store};
 
 /// Duration of a node's lease. A lost host's keys wait for it, and keys are held through an outage
-/// of the store that is shorter.
-pub const LEASE: Duration = Duration::from_secs(5);
+/// of the store that is shorter; docs/platform.md has the comparison with 5 s.
+pub const LEASE: Duration = Duration::from_secs(9);
 
 /// Interval of renewals.
 const RENEWAL: Duration = Duration::from_millis(1400);
