--- a/src/coordination/sidecar/gate.rs
+++ b/src/coordination/sidecar/gate.rs
@@ -13,6 +13,7 @@
 
 use crate::coordination::sidecar::admission::{Queue, Rank, Ticket, TicketId, Turn, Verdict};
 use crate::coordination::sidecar::beside::Backend;
+use crate::coordination::sidecar::failures::Failures;
 use crate::coordination::sidecar::holdings::Holdings;
 use crate::protocol::edge::{self, Adapter};
 use crate::protocol::http;
@@ -23,16 +24,6 @@
 use crate::transport::sidecar::backend::{self, Failed, Pool};
 use crate::transport::sidecar::peers::Job;
 
-/// Weight of the newest request in the share of failures.
-const FAILURE_WEIGHT: f64 = 0.06;
-
-/// Time in which the share of failures falls to about a third without requests, so that a backend
-/// server that has recovered is tried again.
-const FAILURE_FADE: Duration = Duration::from_secs(4);
-
-/// Share of failures after a refused connection.
-const UNREACHABLE: f64 = 0.9;
-
 /// Longest wait of a request for a permission that its backend server is about to get; a bit more
 /// than one heartbeat.
 const PERMISSION_WAIT: Duration = Duration::from_millis(1100);
@@ -79,8 +70,7 @@
     /// Told when [`Gate::holdings`] has changed.
     pub granted: Notify,
     expected: RefCell<Expected>,
-    failing: Cell<f64>,
-    failed_at: Cell<Instant>,
+    failures: RefCell<Failures>,
     heat: RefCell<Heat>,
     stopping: Cell<bool>,
     changed: Rc<Notify>,
@@ -157,8 +147,7 @@
             holdings: RefCell::new(Holdings::default()),
             granted: Notify::new(),
             expected: RefCell::new(Box::new(|_| false)),
-            failing: Cell::new(0.0),
-            failed_at: Cell::new(now),
+            failures: RefCell::new(Failures::new(now)),
             heat: RefCell::new(Heat::new(now)),
             stopping: Cell::new(false),
             changed,
@@ -180,7 +169,7 @@
             self.pool.clear();
             self.holdings.borrow_mut().clear();
             self.queue.borrow_mut().reset_times();
-            self.failing.set(0.0);
+            *self.failures.borrow_mut() = Failures::new(Instant::now());
         }
         let slots = backend.as_ref().map_or(0, |b| usize::from(b.slots));
         let mut queue = self.queue.borrow_mut();
@@ -222,15 +211,11 @@
     /// Returns the share of failures.
     #[must_use]
     pub fn failing(&self) -> f64 {
-        let age = Instant::now().since(self.failed_at.get()).as_secs_f64();
-        self.failing.get() * (-age / FAILURE_FADE.as_secs_f64()).exp()
+        self.failures.borrow().share(Instant::now())
     }
 
     fn count(&self, failed: bool) {
-        let sample = if failed { 1.0 } else { 0.0 };
-        let old = self.failing();
-        self.failing.set(old + FAILURE_WEIGHT * (sample - old));
-        self.failed_at.set(Instant::now());
+        self.failures.borrow_mut().count(failed, Instant::now());
     }
 
     /// Returns the state of the backend server for callers.
@@ -484,8 +469,7 @@
                 return Outcome::Answered(response);
             }
             Err(Failed::NotSent(cause)) => {
-                self.failing.set(UNREACHABLE);
-                self.failed_at.set(Instant::now());
+                self.failures.borrow_mut().unreachable(Instant::now());
                 Outcome::NotRun(Failure::before(cause, UNREACHABLE_PAUSE_MS))
             }
             Err(Failed::NotRun(cause)) => {
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -9,6 +9,7 @@
 mod caller;
 mod catchup;
 mod choose;
+mod failures;
 mod heat;
 mod http;
 mod keyspace;
