--- a/src/coordination/sidecar/mod.rs
+++ b/src/coordination/sidecar/mod.rs
@@ -26,6 +26,7 @@
 pub mod passage;
 pub mod plan;
 pub mod planner;
+pub mod reports;
 pub mod roster;
 pub mod tables;
 pub mod targets;
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -22,6 +22,7 @@
 use crate::coordination::sidecar::membership::Membership;
 use crate::coordination::sidecar::owner::Owner;
 use crate::coordination::sidecar::planner::{self, Planner};
+use crate::coordination::sidecar::reports;
 use crate::coordination::sidecar::roster::Roster;
 use crate::coordination::sidecar::tables::{self, Tables};
 use crate::metrics::Metrics;
@@ -37,18 +38,6 @@
 use crate::transport::sidecar::socket;
 use crate::transport::sidecar::store::Store;
 
-/// Shortest interval between two reports of the load.
-const REPORT: Duration = Duration::from_millis(100);
-
-/// Longest interval between two reports of the load.
-const QUIET_REPORT: Duration = Duration::from_secs(1);
-
-/// Change of the number of busy slots that is worth a report.
-const BUSY_STEP: i32 = 2;
-
-/// Nodes above which the interval between reports grows with their number.
-const SMALL_FLEET: usize = 20;
-
 /// Interval of the gate's and the owner's checks.
 const CHECK: Duration = Duration::from_millis(100);
 
@@ -111,6 +100,7 @@
     store: Rc<Store>,
     configuration: Rc<Configuration>,
     roster: Rc<Roster>,
+    tables: Rc<Tables>,
     directory: Rc<Directory>,
     duties: Rc<Duties>,
     gate: Rc<Gate>,
@@ -199,6 +189,7 @@
             store,
             configuration,
             roster,
+            tables,
             directory,
             gate,
             membership,
@@ -343,11 +334,10 @@
         let mut about = About::default();
         let mut at = Instant::now();
         loop {
-            let fleet = (self.roster.size() / SMALL_FLEET).max(1);
-            let interval = REPORT * u32::try_from(fleet).unwrap_or(1);
             tokio::select! {
-                () = time::sleep(interval) => {}
+                () = time::sleep(reports::interval(self.roster.size())) => {}
                 () = self.changed.notified() => {}
+                () = self.tables.changed.notified() => {}
             }
             let beside = self.gate.about();
             if beside != about {
@@ -355,14 +345,8 @@
                 about = beside;
             }
             let load = self.duties.load();
-            let busy = |l: &Load| i32::from(l.running) + i32::from(l.queued);
-            let moved = (busy(&load) - busy(&last)).abs() >= BUSY_STEP
-                || load.health != last.health
-                || load.stopping != last.stopping
-                || load.config != last.config
-                || load.store_up != last.store_up
-                || load.items != last.items;
-            if moved || Instant::now().since(at) >= QUIET_REPORT {
+            let age = Instant::now().since(at);
+            if reports::is_due(&load, &last, self.directory.is_watcher(), age) {
                 self.peers.publish(&Frame::Load(load));
                 last = load;
                 at = Instant::now();
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -19,4 +19,5 @@
 mod pace;
 mod packed;
 mod plan;
+mod reports;
 mod routes;
