--- a/src/coordination/sidecar/catchup.rs
+++ b/src/coordination/sidecar/catchup.rs
@@ -42,10 +42,19 @@
 pub struct Question {
     spread: Duration,
     due: Option<Instant>,
-    asked: Option<(String, Instant)>,
+    asked: Option<Asked>,
     vain: u32,
 }
 
+/// Question that is open.
+#[derive(Debug)]
+struct Asked {
+    node: String,
+    at: Instant,
+    /// What was known then.
+    known: u64,
+}
+
 impl Question {
     /// Creates a node that misses nothing; its first question waits for up to `spread`, while
     /// others learn the state and can answer too.
@@ -59,26 +68,37 @@
         }
     }
 
-    /// Returns what to do, `sources` being the connected nodes with newer state and `luck`, from 0
-    /// to 1, the draw among them.
-    pub fn step<'a>(&mut self, sources: &[Source<'a>], now: Instant, luck: f64) -> Step<'a> {
+    /// Returns what to do, `known` being the newest revision or version here, `sources` the connected
+    /// nodes with a newer one and `luck`, from 0 to 1, the draw among them.
+    pub fn step<'a>(
+        &mut self,
+        known: u64,
+        sources: &[Source<'a>],
+        now: Instant,
+        luck: f64,
+    ) -> Step<'a> {
         if sources.is_empty() {
             *self = Self::new(self.spread);
             return Step::Rest;
         }
+        if self.asked.as_ref().is_some_and(|a| a.known < known) {
+            // Answered; what the sources have now is newer still.
+            self.asked = None;
+            self.vain = 0;
+        }
         let due = *self.due.get_or_insert(now + self.spread.mul_f64(luck));
         if now < due {
             return Step::Rest;
         }
         let last = match &self.asked {
-            Some((node, at)) => {
+            Some(Asked { node, at, .. }) => {
                 let connected = sources.iter().any(|s| s.node == node);
                 let wait = FIRST_WAIT * (1 << self.vain.min(2));
                 if connected && now.since(*at) < wait.min(LONGEST_WAIT) {
                     return Step::Rest;
                 }
                 self.vain += 1;
-                self.asked.take().map(|a| a.0)
+                self.asked.take().map(|a| a.node)
             }
             None => None,
         };
@@ -93,7 +113,11 @@
         let place = luck * open.len() as f64;
         let drawn = (1..open.len()).filter(|&i| place >= i as f64).count();
         let source = open[drawn];
-        self.asked = Some((source.node.to_owned(), now));
+        self.asked = Some(Asked {
+            node: source.node.to_owned(),
+            at: now,
+            known,
+        });
         Step::Ask(source.node)
     }
 }
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -391,10 +391,17 @@
             };
             let (version, known) = (self.configuration.version(), self.directory.newest());
             let ahead = newer(&|load| load.config > version);
-            ask(&mut config, &ahead, &Frame::WantConfig, &self.read_config);
+            ask(
+                &mut config,
+                version.0,
+                &ahead,
+                &Frame::WantConfig,
+                &self.read_config,
+            );
             let ahead = newer(&|load| load.items > known);
             ask(
                 &mut items,
+                known,
                 &ahead,
                 &Frame::Want(known),
                 &self.read_directory,
@@ -465,14 +472,20 @@
 }
 
 /// Takes the next step of a question: asks one of the nodes that are ahead, or has the store read.
-fn ask(question: &mut Question, ahead: &[(Rc<Link>, bool)], frame: &Frame, read: &Notify) {
+fn ask(
+    question: &mut Question,
+    known: u64,
+    ahead: &[(Rc<Link>, bool)],
+    frame: &Frame,
+    read: &Notify,
+) {
     let source = |(link, near): &'_ (Rc<Link>, bool)| (link.node.clone(), *near);
     let names: Vec<_> = ahead.iter().map(source).collect();
     let sources = names
         .iter()
         .map(|(node, near)| Source { node, near: *near });
     let sources: Vec<_> = sources.collect();
-    match question.step(&sources, Instant::now(), rand::random()) {
+    match question.step(known, &sources, Instant::now(), rand::random()) {
         Step::Rest => {}
         Step::Ask(node) => {
             if let Some((link, _)) = ahead.iter().find(|(link, _)| link.node == node) {
--- a/tests/sidecar/catchup.rs
+++ b/tests/sidecar/catchup.rs
@@ -24,7 +24,7 @@
     let nodes: Vec<_> = names.iter().map(|n| (n.as_str(), false)).collect();
     let nodes = sources(&nodes);
     let mut question = Question::new(Duration::ZERO);
-    let steps = (0..30).map(|n| question.step(&nodes, start + ms(20 * n), 0.4));
+    let steps = (0..30).map(|n| question.step(7, &nodes, start + ms(20 * n), 0.4));
     let asked = steps.filter(|s| matches!(s, Step::Ask(_))).count();
     assert_eq!(asked, 1);
 }
@@ -37,7 +37,7 @@
     let mut asked = [0; 3];
     for n in 0..57 {
         let luck = f64::from(n) / 57.0;
-        match Question::new(Duration::ZERO).step(&nodes, start, luck) {
+        match Question::new(Duration::ZERO).step(7, &nodes, start, luck) {
             Step::Ask("a") => asked[0] += 1,
             Step::Ask("b") => asked[1] += 1,
             Step::Ask("c") => asked[2] += 1,
@@ -51,7 +51,7 @@
 #[test]
 fn near_nodes_are_asked_first() {
     let nodes = sources(&[("a", false), ("b", true), ("c", false)]);
-    let step = Question::new(Duration::ZERO).step(&nodes, Instant::now(), 0.9);
+    let step = Question::new(Duration::ZERO).step(7, &nodes, Instant::now(), 0.9);
     assert_eq!(step, Step::Ask("b"));
 }
 
@@ -61,9 +61,9 @@
     let start = Instant::now();
     let mut question = Question::new(Duration::ZERO);
     let both = sources(&[("a", false), ("b", false)]);
-    assert_eq!(question.step(&both, start, 0.0), Step::Ask("a"));
+    assert_eq!(question.step(7, &both, start, 0.0), Step::Ask("a"));
     let left = sources(&[("b", false)]);
-    assert_eq!(question.step(&left, start + ms(20), 0.0), Step::Ask("b"));
+    assert_eq!(question.step(7, &left, start + ms(20), 0.0), Step::Ask("b"));
 }
 
 /// Guards against a node that stays behind because none that it reaches answers.
@@ -72,7 +72,7 @@
     let start = Instant::now();
     let nodes = sources(&[("a", false), ("b", false)]);
     let mut question = Question::new(Duration::ZERO);
-    let steps = (0..150).map(|n| question.step(&nodes, start + ms(20 * n), 0.0));
+    let steps = (0..150).map(|n| question.step(7, &nodes, start + ms(20 * n), 0.0));
     let steps: Vec<_> = steps.filter(|s| *s != Step::Rest).collect();
     assert_eq!(steps[..3], [Step::Ask("a"), Step::Ask("b"), Step::Read]);
 }
@@ -83,9 +83,12 @@
     let start = Instant::now();
     let nodes = sources(&[("a", false)]);
     let mut question = Question::new(Duration::ZERO);
-    assert_eq!(question.step(&nodes, start, 0.0), Step::Ask("a"));
-    assert_eq!(question.step(&[], start + ms(50), 0.0), Step::Rest);
-    assert_eq!(question.step(&nodes, start + ms(100), 0.0), Step::Ask("a"));
+    assert_eq!(question.step(7, &nodes, start, 0.0), Step::Ask("a"));
+    assert_eq!(question.step(7, &[], start + ms(50), 0.0), Step::Rest);
+    assert_eq!(
+        question.step(7, &nodes, start + ms(100), 0.0),
+        Step::Ask("a")
+    );
 }
 
 /// Guards against a first question before others than the first node can answer.
@@ -94,7 +97,23 @@
     let start = Instant::now();
     let nodes = sources(&[("a", false)]);
     let mut question = Question::new(ms(100));
-    assert_eq!(question.step(&nodes, start, 0.5), Step::Rest);
-    assert_eq!(question.step(&nodes, start + ms(40), 0.0), Step::Rest);
-    assert_eq!(question.step(&nodes, start + ms(60), 0.0), Step::Ask("a"));
+    assert_eq!(question.step(7, &nodes, start, 0.5), Step::Rest);
+    assert_eq!(question.step(7, &nodes, start + ms(40), 0.0), Step::Rest);
+    assert_eq!(
+        question.step(7, &nodes, start + ms(60), 0.0),
+        Step::Ask("a")
+    );
+}
+
+/// Pattern: keys move several times a second. Guards against a node that has its answer but waits on
+/// as if it had not, because others report something newer again.
+#[test]
+fn answer_is_seen_while_more_changes() {
+    let start = Instant::now();
+    let nodes = sources(&[("a", false), ("b", false)]);
+    let mut question = Question::new(Duration::ZERO);
+    for n in 0..100 {
+        let step = question.step(7 + n, &nodes, start + ms(20 * n), 0.0);
+        assert_eq!(step, Step::Ask("a"), "after {n} answers");
+    }
 }
