--- a/src/coordination/sidecar/choose.rs
+++ b/src/coordination/sidecar/choose.rs
@@ -41,6 +41,8 @@
     pub service_ms: f64,
     /// Share of failed requests, 0 to 1.
     pub failing: f64,
+    /// Delay of calls on their way there, in milliseconds.
+    pub late_ms: f64,
     /// Whether it has just started.
     pub warming: bool,
     /// Whether it is in the failure domain of this node.
@@ -68,7 +70,7 @@
         } else {
             CROSSING * objective_ms
         };
-        let once = run * (1.0 + CROWDING * full.powi(3)) + wait + crossing;
+        let once = run * (1.0 + CROWDING * full.powi(3)) + wait + crossing + self.late_ms;
         let success = 1.0 - self.failing.min(WORST_SHARE);
         once / (success * success * success)
     }
--- a/src/coordination/sidecar/duties.rs
+++ b/src/coordination/sidecar/duties.rs
@@ -1,5 +1,6 @@
 //! What a node does for other nodes.
 
+use std::cell::RefCell;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -10,12 +11,26 @@
 use crate::coordination::sidecar::gate::Gate;
 use crate::coordination::sidecar::planner::Planner;
 use crate::protocol::mesh::{About, Call, HeatOf, Items, Load, StoreRequest, StoreResponse};
+use crate::state::clock::Instant;
+use crate::state::fading::Fading;
 use crate::transport::sidecar::peers::{Job, Service};
 use crate::transport::sidecar::store::Store;
 
 /// Longest wait of a relayed call for the store.
 const RELAY_LIMIT: Duration = Duration::from_millis(900);
 
+/// Weight of the newest call in the mean delay.
+const DELAY_WEIGHT: f64 = 0.1;
+
+/// Time in which the mean delay falls to about a third without calls.
+const DELAY_FADE: Duration = Duration::from_secs(1);
+
+/// Returns a mean of no delay.
+#[must_use]
+pub fn no_delay() -> Fading {
+    Fading::new(DELAY_WEIGHT, DELAY_FADE, Instant::now())
+}
+
 /// What a node does for others.
 #[derive(Debug)]
 pub struct Duties {
@@ -29,6 +44,8 @@
     pub configuration: Rc<Configuration>,
     /// Items of the store.
     pub directory: Rc<Directory>,
+    /// Mean delay of calls on their way to this node, in milliseconds.
+    pub late: RefCell<Fading>,
 }
 
 impl Duties {
@@ -39,6 +56,7 @@
             config: self.configuration.version(),
             items: self.directory.newest(),
             store_up: self.store.is_up(),
+            late_ms: self.late.borrow().get(Instant::now()),
             ..self.gate.load()
         }
     }
@@ -65,6 +83,11 @@
         self.configuration.item()
     }
 
+    fn delayed(&self, late: Duration) {
+        let ms = late.as_secs_f64() * 1000.0;
+        self.late.borrow_mut().add(ms, Instant::now());
+    }
+
     fn heat(&self, heat: HeatOf) {
         self.planner.heat(heat);
     }
--- a/src/coordination/sidecar/entry.rs
+++ b/src/coordination/sidecar/entry.rs
@@ -15,6 +15,7 @@
 use crate::coordination::sidecar::budget::{self, Budget};
 use crate::coordination::sidecar::configuration::Configuration;
 use crate::coordination::sidecar::gate::Gate;
+use crate::coordination::sidecar::offers::Offers;
 use crate::coordination::sidecar::passage::{Passage, Trail};
 use crate::coordination::sidecar::roster::Roster;
 use crate::coordination::sidecar::tables::Tables;
@@ -70,6 +71,7 @@
     targets: Targets,
     gate: Rc<Gate>,
     budget: RefCell<Budget>,
+    offers: RefCell<Offers>,
     metrics: Metrics,
     /// Unserved share of each part of a split route.
     splits: RefCell<HashMap<RouteId, Vec<f64>>>,
@@ -122,6 +124,7 @@
             roster: parts.roster,
             gate: parts.gate,
             budget: RefCell::new(parts.budget),
+            offers: RefCell::default(),
             metrics: parts.metrics,
             splits: RefCell::new(HashMap::new()),
             patience: RefCell::new(HashMap::new()),
@@ -286,6 +289,11 @@
                 tried.insert(target.place.name().to_owned());
             }
             let outcome = self.send(passage, &target.place).await;
+            if trail.offers > 1 && passage.key.is_none() {
+                let refused = matches!(&outcome, Outcome::NotRun(f) if f.cause == Cause::Full);
+                let mut offers = self.offers.borrow_mut();
+                offers.note(&passage.service, refused, Instant::now());
+            }
             let (failure, ran) = match &outcome {
                 Outcome::Answered(r) if r.status >= 500 => (Failure::after(Cause::Broken), true),
                 Outcome::Answered(_) => {
@@ -334,6 +342,10 @@
         if passage.key.is_some() && final_one {
             return false;
         }
+        if failure.cause == Cause::Full {
+            let offers = self.offers.borrow();
+            return offers.is_worth(&passage.service, rand::random(), now);
+        }
         if !failure.arrived {
             return true;
         }
--- a/src/coordination/sidecar/gate.rs
+++ b/src/coordination/sidecar/gate.rs
@@ -13,17 +13,27 @@
 
 use crate::coordination::sidecar::admission::{Queue, Rank, Ticket, TicketId, Turn, Verdict};
 use crate::coordination::sidecar::beside::Backend;
-use crate::coordination::sidecar::failures::Failures;
 use crate::coordination::sidecar::holdings::Holdings;
 use crate::protocol::edge::{self, Adapter};
 use crate::protocol::http;
 use crate::protocol::mesh::{About, Call, Cause, Failure, Health, Load, Outcome, Response};
 use crate::state::clock::Instant;
+use crate::state::fading::Fading;
 use crate::state::heat::{Heat, HeatReport};
 use crate::state::keyspace::Key;
 use crate::transport::sidecar::backend::{self, Failed, Pool};
 use crate::transport::sidecar::peers::Job;
 
+/// Weight of the newest request in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.06;
+
+/// Time in which the share of failures falls to about a third without requests, so that a backend
+/// server that has recovered is tried again.
+const FAILURE_FADE: Duration = Duration::from_secs(4);
+
+/// Share of failures after a refused connection.
+const UNREACHABLE: f64 = 0.9;
+
 /// Longest wait of a request for a permission that its backend server is about to get; a bit more
 /// than one heartbeat.
 const PERMISSION_WAIT: Duration = Duration::from_millis(1100);
@@ -70,7 +80,8 @@
     /// Told when [`Gate::holdings`] has changed.
     pub granted: Notify,
     expected: RefCell<Expected>,
-    failures: RefCell<Failures>,
+    /// Share of failed requests.
+    failures: RefCell<Fading>,
     heat: RefCell<Heat>,
     stopping: Cell<bool>,
     changed: Rc<Notify>,
@@ -147,7 +158,7 @@
             holdings: RefCell::new(Holdings::default()),
             granted: Notify::new(),
             expected: RefCell::new(Box::new(|_| false)),
-            failures: RefCell::new(Failures::new(now)),
+            failures: RefCell::new(Fading::new(FAILURE_WEIGHT, FAILURE_FADE, now)),
             heat: RefCell::new(Heat::new(now)),
             stopping: Cell::new(false),
             changed,
@@ -169,7 +180,7 @@
             self.pool.clear();
             self.holdings.borrow_mut().clear();
             self.queue.borrow_mut().reset_times();
-            *self.failures.borrow_mut() = Failures::new(Instant::now());
+            self.failures.borrow_mut().set(0.0, Instant::now());
         }
         let slots = backend.as_ref().map_or(0, |b| usize::from(b.slots));
         let mut queue = self.queue.borrow_mut();
@@ -211,11 +222,12 @@
     /// Returns the share of failures.
     #[must_use]
     pub fn failing(&self) -> f64 {
-        self.failures.borrow().share(Instant::now())
+        self.failures.borrow().get(Instant::now())
     }
 
     fn count(&self, failed: bool) {
-        self.failures.borrow_mut().count(failed, Instant::now());
+        let sample = f64::from(u8::from(failed));
+        self.failures.borrow_mut().add(sample, Instant::now());
     }
 
     /// Returns the state of the backend server for callers.
@@ -469,7 +481,7 @@
                 return Outcome::Answered(response);
             }
             Err(Failed::NotSent(cause)) => {
-                self.failures.borrow_mut().unreachable(Instant::now());
+                self.failures.borrow_mut().set(UNREACHABLE, Instant::now());
                 Outcome::NotRun(Failure::before(cause, UNREACHABLE_PAUSE_MS))
             }
             Err(Failed::NotRun(cause)) => {
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -1,6 +1,6 @@
 //! Life of a sidecar: its parts, its timers, and its end.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -15,7 +15,7 @@
 use crate::coordination::sidecar::catchup::{Question, Source, Step};
 use crate::coordination::sidecar::configuration::Configuration;
 use crate::coordination::sidecar::directory::{ConfigFollower, Directory};
-use crate::coordination::sidecar::duties::Duties;
+use crate::coordination::sidecar::duties::{self, Duties};
 use crate::coordination::sidecar::entry::{Door, Entry, Parts, Stage};
 use crate::coordination::sidecar::follow;
 use crate::coordination::sidecar::gate::Gate;
@@ -171,6 +171,7 @@
             store: Rc::clone(&store),
             configuration: Rc::clone(&configuration),
             directory: Rc::clone(&directory),
+            late: RefCell::new(duties::no_delay()),
         });
         let entry = Entry::new(Parts {
             node: address,
--- a/src/coordination/sidecar/targets.rs
+++ b/src/coordination/sidecar/targets.rs
@@ -243,7 +243,12 @@
             && usable(&own)
             && !tried.contains(Place::Here.name())
         {
-            candidates.push(candidate(&own, 0, true));
+            // Nothing is on its way to the backend server beside this node.
+            let here = Load {
+                late_ms: 0.0,
+                ..own
+            };
+            candidates.push(candidate(&here, 0, true));
             places.push(Place::Here);
         }
         for (link, report) in self.roster.of_service(service) {
@@ -266,6 +271,7 @@
         busy: u16::try_from(busy.max(0)).unwrap_or(u16::MAX),
         service_ms: load.service_ms.into(),
         failing: load.failing,
+        late_ms: load.late_ms,
         warming: load.warmup_ms > 0,
         near,
     }
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -262,6 +262,8 @@
     pub failing: f64,
     /// Time for which it is still slow after its start, in milliseconds.
     pub warmup_ms: u32,
+    /// Delay of calls on their way to the node, beyond the usual, in milliseconds.
+    pub late_ms: f64,
     /// Whether the node is about to stop.
     pub stopping: bool,
     /// Whether the store answered the node's last call.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -5,6 +5,7 @@
 pub mod clock;
 pub mod document;
 pub mod error;
+pub mod fading;
 pub mod heat;
 pub mod ids;
 pub mod keyspace;
--- a/src/transport/sidecar/peers.rs
+++ b/src/transport/sidecar/peers.rs
@@ -106,6 +106,9 @@
     /// Returns the configuration in force.
     fn config(&self) -> Items;
 
+    /// Notes the delay of a call on its way, beyond the usual.
+    fn delayed(&self, late: Duration);
+
     /// Takes a report of the rates of keys.
     fn heat(&self, heat: HeatOf);
 
@@ -296,6 +299,7 @@
         match frame {
             Frame::Call(seq, mut call) => {
                 let late = remote.borrow_mut().lag.of(call.sent_ms, Instant::now());
+                self.service.delayed(late);
                 let late = u32::try_from(late.as_millis()).unwrap_or(u32::MAX);
                 if late >= call.left_ms {
                     tracing::info!(event = 234, id = %call.id, late_ms = late, left_ms = call.left_ms, "a call arrived too late to be run");
--- a/tests/sidecar/choose.rs
+++ b/tests/sidecar/choose.rs
@@ -9,6 +9,7 @@
     busy: 0,
     service_ms: 100.0,
     failing: 0.0,
+    late_ms: 0.0,
     warming: false,
     near: true,
 };
@@ -39,6 +40,9 @@
     speed: IDLE, Candidate { service_ms: 130.0, ..IDLE };
     /// Pattern: a backend server that refuses half of its requests at once looks fast.
     soundness: Candidate { service_ms: 200.0, ..IDLE }, Candidate { failing: 0.5, ..IDLE };
+    /// Pattern: a host with a tenth of a core or a full link takes calls half a second late, and its
+    /// backend server, which gets few, looks idle. Guards against more of them.
+    delay: Candidate { busy: 25, ..IDLE }, Candidate { late_ms: 500.0, ..IDLE };
     /// Guards against a rush on a backend server that has just started.
     warmth: IDLE, Candidate { warming: true, ..IDLE };
 }
--- a/tests/sidecar/links.rs
+++ b/tests/sidecar/links.rs
@@ -71,6 +71,8 @@
         }
     }
 
+    fn delayed(&self, _late: Duration) {}
+
     fn heat(&self, _heat: HeatOf) {}
 
     fn relay(&self, request: StoreRequest) -> Pin<Box<dyn Future<Output = Option<StoreResponse>>>> {
