--- a/tests/sidecar/links.rs
+++ b/tests/sidecar/links.rs
@@ -11,9 +11,10 @@
     About, Call, Cause, Failure, Frame, HeatOf, Hello, Items, Load, Outcome, Response,
     StoreRequest, StoreResponse,
 };
+use filbertflow::state::clock::Instant;
 use filbertflow::state::routes::{Repeat, RouteId};
 use filbertflow::transport::sidecar::frames;
-use filbertflow::transport::sidecar::links::Link;
+use filbertflow::transport::sidecar::links::{self, Link};
 use filbertflow::transport::sidecar::peers::{Job, Peers, Service};
 use futures::StreamExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -346,6 +347,58 @@
     });
 }
 
+/// Guards against work for callers of a node's earlier process, which nobody waits for any more.
+#[test]
+fn restarted_caller_ends_its_earlier_calls() {
+    run(|world| async move {
+        let connect = async |incarnation| {
+            let io = TcpStream::connect(world.node).await.unwrap();
+            let (read, mut write) = frames::split(io).unwrap();
+            write.add(&Frame::Hello(hello("c", incarnation))).unwrap();
+            (read, write)
+        };
+        let (_read, mut write) = connect(1).await;
+        let wanted = call(Repeat::Idempotent, 300);
+        write.add(&Frame::Call(1, Box::new(wanted))).unwrap();
+        write.flush().await.unwrap();
+        time::sleep(Duration::from_millis(50)).await;
+        assert_eq!(world.service.begun.get(), 1);
+        let (_read, mut write) = connect(2).await;
+        write.flush().await.unwrap();
+        time::sleep(Duration::from_millis(400)).await;
+        assert_eq!(world.service.ended.get(), 0);
+    });
+}
+
+/// Guards against a connection that falls silent after it has been used, and is kept.
+#[test]
+fn connection_that_falls_silent_is_given_up() {
+    run(|_world| async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        task::spawn_local(async move {
+            let (io, _) = listener.accept().await.unwrap();
+            let (mut read, mut write) = frames::split(io).unwrap();
+            write.add(&Frame::Hello(hello("b", 1))).unwrap();
+            write.add(&Frame::Load(Load::default())).unwrap();
+            write.flush().await.unwrap();
+            while read.next().await.is_some() {}
+        });
+        let news = Rc::new(Notify::new());
+        let link = Link::start(address, "d", hello("a", 1), news, Rc::new(|_| ()));
+        while link.report().is_none() {
+            time::sleep(Duration::from_millis(5)).await;
+        }
+        let silent = Instant::now();
+        while link.is_up() {
+            time::sleep(links::TICK).await;
+            link.tick(Instant::now());
+            let silence = Instant::now().since(silent);
+            assert!(silence < Duration::from_secs(4), "{silence:?}");
+        }
+    });
+}
+
 /// Guards against calls to the store that can't be made through another node.
 #[test]
 fn store_call_is_relayed() {
