--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -453,7 +453,9 @@
         // The last answers to other nodes are on their way.
         time::sleep(FLUSH).await;
         let alone = self.gate.backend().is_none_or(|b| b.leaving.is_some());
+        // Once the entry is gone, others may take the keys that are still held here.
         if alone
+            && self.owner.is_clear()
             && time::timeout(LEAVE_LIMIT, self.membership.leave())
                 .await
                 .is_err()
