--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -23,6 +23,16 @@
     Server::http(addr).map(Arc::new).map_err(io::Error::other)
 }
 
+/// Serves on a listener.
+///
+/// # Errors
+///
+/// Returns the error of the system call.
+pub fn listen_on(listener: net::TcpListener) -> io::Result<Arc<Server>> {
+    let server = Server::from_listener(listener, None);
+    server.map(Arc::new).map_err(io::Error::other)
+}
+
 /// Calls a handler on a thread of its own for each request.
 pub fn serve_each<F>(server: &Server, handler: F)
 where
