--- a/harness/src/lib.rs
+++ b/harness/src/lib.rs
@@ -78,13 +78,19 @@
         Self { process, mesh }
     }
 
+    /// Returns a listener on a free address of a host of the network. It keeps the address from
+    /// everybody else until it is used.
+    pub fn listen(self, host: u8) -> TcpListener {
+        let ip = IpAddr::V4(Ipv4Addr::new(127, self.process, self.mesh, host));
+        TcpListener::bind((ip, 0)).expect("a loopback address has free ports")
+    }
+
     /// Returns a free address on a host of the network, a different one with each call. Until a
     /// process listens on it, the kernel may offer the same port again.
     pub fn free(self, host: u8) -> SocketAddr {
         static TAKEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
-        let ip = IpAddr::V4(Ipv4Addr::new(127, self.process, self.mesh, host));
         loop {
-            let listener = TcpListener::bind((ip, 0)).expect("a loopback address has free ports");
+            let listener = self.listen(host);
             let addr = listener
                 .local_addr()
                 .expect("a bound socket has an address");
@@ -96,15 +102,6 @@
     }
 }
 
-impl Network {
-    /// Returns a listener on a free address of a host of the network. It keeps the address from
-    /// everybody else until it is used.
-    pub fn listen(self, host: u8) -> TcpListener {
-        let ip = IpAddr::V4(Ipv4Addr::new(127, self.process, self.mesh, host));
-        TcpListener::bind((ip, 0)).expect("a loopback address has free ports")
-    }
-}
-
 /// Returns a free address on a loopback host of its own, so that neither another listener of this
 /// process nor an outgoing connection can take the port before it is used, or between two uses.
 pub fn free_addr() -> SocketAddr {
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -7,7 +7,7 @@
 use gumdrop::Options;
 use tokio::signal::unix;
 
-use crate::cmd::{exit, logging};
+use crate::cmd::{logging, shared};
 use crate::coordination::{admin, membership, node, router, service};
 use crate::protocol::source;
 use crate::state::settings;
@@ -55,12 +55,9 @@
 ///
 /// Returns an error with its exit code if the settings are invalid or an address can't be bound.
 pub fn run(args: &[String]) -> eyre::Result<()> {
-    let args = Args::parse_args_default(args)
-        .map_err(|e| exit::Failure::new(exit::Exit::BadInput, format!("{e}\n\n{USAGE}")))?;
-    if args.help {
-        println!("{USAGE}\n{}", Args::usage());
+    let Some(args) = shared::parse::<Args>(args, USAGE)? else {
         return Ok(());
-    }
+    };
     if args.version {
         println!("filbertflow-node {}", env!("CARGO_PKG_VERSION"));
         return Ok(());
@@ -78,10 +75,10 @@
 }
 
 fn load(file: Option<&str>) -> eyre::Result<settings::Settings> {
-    let bad = |message: String| exit::Failure::new(exit::Exit::BadInput, message);
-    let file = file.ok_or_else(|| bad(format!("--settings is required\n\n{USAGE}")))?;
-    let text = fs::read_to_string(file).map_err(|e| bad(format!("{file}: {e}")))?;
-    Ok(source::settings(file, &text).map_err(|e| bad(e.to_string()))?)
+    let file =
+        file.ok_or_else(|| shared::bad_input(format!("--settings is required\n\n{USAGE}")))?;
+    let text = fs::read_to_string(file).map_err(|e| shared::bad_input(format!("{file}: {e}")))?;
+    source::settings(file, &text).map_err(|e| shared::bad_input(e.to_string()))
 }
 
 async fn serve(settings: settings::Settings) -> eyre::Result<()> {
--- a/src/cmd/shared.rs
+++ b/src/cmd/shared.rs
@@ -1,4 +1,4 @@
-//! What the commands of `filbertflow-ctl` have in common: addresses, files, output.
+//! What the commands have in common: options, addresses, files, output.
 
 use std::io::Write;
 use std::{env, fs, future, io, net};
--- a/src/cmd/sidecar.rs
+++ b/src/cmd/sidecar.rs
@@ -8,7 +8,7 @@
 use tokio::signal::unix;
 use tokio::{runtime, task, time};
 
-use crate::cmd::{exit, logging};
+use crate::cmd::{logging, shared};
 use crate::coordination::sidecar::node::Node;
 use crate::metrics::Metrics;
 use crate::protocol::edge::Adapter;
@@ -64,28 +64,24 @@
 ///
 /// Returns an error with its exit code if the settings are invalid or an address can't be bound.
 pub fn run(args: &[String], adapter: Rc<dyn Adapter>, source: &Source) -> eyre::Result<()> {
-    let args = Args::parse_args_default(args)
-        .map_err(|e| exit::Failure::new(exit::Exit::BadInput, format!("{e}\n\n{USAGE}")))?;
-    if args.help {
-        println!("{USAGE}\n{}", Args::usage());
+    let Some(args) = shared::parse::<Args>(args, USAGE)? else {
         return Ok(());
-    }
+    };
     if args.version {
         println!("filbertflow-sidecar {}", env!("CARGO_PKG_VERSION"));
         return Ok(());
     }
-    let bad = |message: String| exit::Failure::new(exit::Exit::BadInput, message);
     let named = args
         .settings
         .clone()
         .or_else(|| std::env::var(source.variable).ok());
     let path = named.ok_or_else(|| {
-        bad(format!(
+        shared::bad_input(format!(
             "neither --settings nor {} names a settings file",
             source.variable
         ))
     })?;
-    let site = (source.load)(&path).map_err(bad)?;
+    let site = (source.load)(&path).map_err(shared::bad_input)?;
     if args.check {
         println!("{path}: valid");
         return Ok(());
--- a/src/coordination/sidecar/admission.rs
+++ b/src/coordination/sidecar/admission.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use crate::state::clock::Instant;
+use crate::state::clock::{self, Instant};
 
 /// Weight of the newest request in the mean run times; about 30 requests count.
 const SMOOTHING: f64 = 0.03;
@@ -49,7 +49,7 @@
     /// Returns the rank of a route with a priority and a latency objective.
     #[must_use]
     pub fn new(priority: u8, objective: Duration) -> Self {
-        let ms = u32::try_from(objective.as_millis()).unwrap_or(u32::MAX);
+        let ms = clock::millis(objective);
         Self((u32::from(priority) << 16) | ms.min(0xffff))
     }
 
--- a/src/coordination/sidecar/configuration.rs
+++ b/src/coordination/sidecar/configuration.rs
@@ -65,9 +65,7 @@
 
     /// Takes an item of the store over, if it is a newer configuration.
     pub fn put(&self, item: &Item) {
-        if item.key == self.adapter.config_key() {
-            self.replace(item, None);
-        }
+        self.replace(item, None);
     }
 
     /// Takes over what another node has sent, if it is a newer configuration.
@@ -88,6 +86,9 @@
     }
 
     fn replace(&self, item: &Item, packed: Option<Vec<u8>>) {
+        if item.key != self.adapter.config_key() {
+            return;
+        }
         match self.adapter.config(&item.value) {
             Ok(table) if table.version > self.version() => {
                 tracing::info!(
--- a/src/coordination/sidecar/entry.rs
+++ b/src/coordination/sidecar/entry.rs
@@ -24,7 +24,7 @@
 use crate::protocol::edge::{Adapter, Terms};
 use crate::protocol::http;
 use crate::protocol::mesh::{self, Call, Cause, Failure, Outcome};
-use crate::state::clock::Instant;
+use crate::state::clock::{self, Instant};
 use crate::state::routes::{Limits, Repeat, Route, RouteId, RouteTable, Version};
 use crate::transport::sidecar::caller::{self, Answer, Request, Response};
 use crate::transport::sidecar::peers::Running;
@@ -240,7 +240,7 @@
             route: route.id,
             repeat: route.repeat,
             priority: route.priority,
-            objective_ms: u32::try_from(route.objective.as_millis()).unwrap_or(u32::MAX),
+            objective_ms: clock::millis(route.objective),
             key,
             left_ms: 0,
             aim_ms: 0,
@@ -359,10 +359,9 @@
 
     async fn send(&self, passage: &Passage, place: &Place) -> Outcome {
         let now = Instant::now();
-        let ms = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
         let call = Call {
-            left_ms: ms(passage.limit.since(now)),
-            aim_ms: ms(passage.aim.since(now)),
+            left_ms: clock::millis(passage.limit.since(now)),
+            aim_ms: clock::millis(passage.aim.since(now)),
             ..passage.call.clone()
         };
         match place {
--- a/src/coordination/sidecar/gate.rs
+++ b/src/coordination/sidecar/gate.rs
@@ -17,7 +17,7 @@
 use crate::protocol::edge::{self, Adapter};
 use crate::protocol::http;
 use crate::protocol::mesh::{About, Call, Cause, Failure, Health, Load, Outcome, Response};
-use crate::state::clock::Instant;
+use crate::state::clock::{self, Instant};
 use crate::state::fading::Fading;
 use crate::state::heat::{Heat, HeatReport};
 use crate::state::keyspace::Key;
@@ -212,13 +212,6 @@
         queue.running() + queue.waiting()
     }
 
-    /// Returns the mean run time in milliseconds, 0 if it isn't known.
-    #[must_use]
-    pub fn service_ms(&self) -> f64 {
-        let mean = self.queue.borrow().mean();
-        mean.map_or(0.0, |d| d.as_secs_f64() * 1000.0)
-    }
-
     /// Returns the share of failures.
     #[must_use]
     pub fn failing(&self) -> f64 {
@@ -266,7 +259,7 @@
             queued: short(queue.waiting()),
             service_ms: queue.mean().map_or(0.0, |d| d.as_secs_f32() * 1000.0),
             failing: self.failing(),
-            warmup_ms: u32::try_from(warm.as_millis()).unwrap_or(u32::MAX),
+            warmup_ms: clock::millis(warm),
             stopping: self.stopping.get(),
             ..Load::default()
         }
@@ -367,7 +360,8 @@
     }
 
     fn refuse(&self, call: &Call, cause: Cause, wait_ms: u32, waited: Duration) -> Outcome {
-        tracing::info!(event = 561, id = %call.id, cause = cause.name(), wait_ms, waited_ms = waited.as_millis(), left_ms = call.left_ms, running = self.queue.borrow().running(), queued = self.queue.borrow().waiting(), service_ms = self.service_ms(), "the gate did not run a request");
+        let load = self.load();
+        tracing::info!(event = 561, id = %call.id, cause = cause.name(), wait_ms, waited_ms = waited.as_millis(), left_ms = call.left_ms, running = load.running, queued = load.queued, service_ms = load.service_ms, "the gate did not run a request");
         Outcome::NotRun(Failure::before(cause, wait_ms))
     }
 
@@ -396,8 +390,7 @@
         let mut place = match self.admit(ticket).await {
             Ok(place) => place,
             Err((cause, wait)) => {
-                let wait = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
-                return self.refuse(&call, cause, wait, waited());
+                return self.refuse(&call, cause, clock::millis(wait), waited());
             }
         };
         let backend = match self.open(&call.service) {
@@ -453,9 +446,8 @@
         backend: &Backend,
         limit: Instant,
     ) -> Result<Response, Failed> {
-        let left = limit.left();
         let order = edge::Order {
-            left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+            left_ms: clock::millis(limit.left()),
             backend: &backend.holder.backend,
             origin: &call.origin,
         };
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -380,33 +380,21 @@
                 () = time::sleep(CHECK) => {}
             }
             let links = self.roster.links();
-            let links = links.iter().filter_map(|l| Some((l, l.report()?.load)));
-            let links: Vec<_> = links.collect();
-            let newer = |is_newer: &dyn Fn(&Load) -> bool| {
-                let newer = links.iter().filter(|(_, load)| is_newer(load));
-                let source = |(link, _): &(&Rc<Link>, Load)| {
-                    let near = *link.domain.borrow() == self.site.domain;
-                    (Rc::clone(link), near)
-                };
-                newer.map(source).collect::<Vec<_>>()
+            let loads = links.iter().filter_map(|l| Some((l, l.report()?.load)));
+            let loads: Vec<_> = loads.collect();
+            let ahead = |is_ahead: &dyn Fn(&Load) -> bool| -> Vec<Ahead<'_>> {
+                let ahead = loads.iter().filter(|(_, load)| is_ahead(load));
+                ahead
+                    .map(|(link, _)| (*link, *link.domain.borrow() == self.site.domain))
+                    .collect()
             };
             let (version, known) = (self.configuration.version(), self.directory.newest());
-            let ahead = newer(&|load| load.config > version);
-            ask(
-                &mut config,
-                version.0,
-                &ahead,
-                &Frame::WantConfig,
-                &self.read_config,
-            );
-            let ahead = newer(&|load| load.items > known);
-            ask(
-                &mut items,
-                known,
-                &ahead,
-                &Frame::Want(known),
-                &self.read_directory,
-            );
+            let newer = ahead(&|load| load.config > version);
+            let (want, read) = (Frame::WantConfig, &self.read_config);
+            ask(&mut config, version.0, &newer, want, read);
+            let newer = ahead(&|load| load.items > known);
+            let (want, read) = (Frame::Want(known), &self.read_directory);
+            ask(&mut items, known, &newer, want, read);
             // Further reports come within this pause.
             time::sleep(ASK_PAUSE).await;
         }
@@ -474,34 +462,25 @@
     }
 }
 
+/// Node with newer state, and whether it is in this node's failure domain.
+type Ahead<'a> = (&'a Rc<Link>, bool);
+
 /// Takes the next step of a question: asks one of the nodes that are ahead, or has the store read.
-fn ask(
-    question: &mut Question,
-    known: u64,
-    ahead: &[(Rc<Link>, bool)],
-    frame: &Frame,
-    read: &Notify,
-) {
-    let source = |(link, near): &'_ (Rc<Link>, bool)| (link.node.clone(), *near);
-    let names: Vec<_> = ahead.iter().map(source).collect();
-    let sources = names
-        .iter()
-        .map(|(node, near)| Source { node, near: *near });
+fn ask(question: &mut Question, known: u64, ahead: &[Ahead<'_>], want: Frame, read: &Notify) {
+    let sources = ahead.iter().map(|(link, near)| Source {
+        node: &link.node,
+        near: *near,
+    });
     let sources: Vec<_> = sources.collect();
     match question.step(known, &sources, Instant::now(), rand::random()) {
         Step::Rest => {}
         Step::Ask(node) => {
             if let Some((link, _)) = ahead.iter().find(|(link, _)| link.node == node) {
-                link.send(frame.clone());
+                link.send(want);
             }
         }
         Step::Read => {
-            tracing::info!(
-                event = 327,
-                ?frame,
-                nodes = ahead.len(),
-                "still behind other nodes; the store is read"
-            );
+            tracing::info!(event = 327, frame = ?want, nodes = ahead.len(), "still behind other nodes; the store is read");
             read.notify_one();
         }
     }
--- a/src/coordination/sidecar/offers.rs
+++ b/src/coordination/sidecar/offers.rs
@@ -32,13 +32,10 @@
 impl Offers {
     /// Notes what became of a second offer.
     pub fn note(&mut self, service: &str, refused: bool, now: Instant) {
-        let new = || Fading::new(WEIGHT, FADE, now);
-        if !self.refused.contains_key(service) {
-            self.refused.insert(service.to_owned(), new());
-        }
-        if let Some(share) = self.refused.get_mut(service) {
-            share.add(f64::from(u8::from(refused)), now);
-        }
+        let share = self.refused.entry(service.to_owned());
+        share
+            .or_insert_with(|| Fading::new(WEIGHT, FADE, now))
+            .add(f64::from(u8::from(refused)), now);
     }
 
     /// Returns whether a refused request is offered to another gate; `luck`, from 0 to 1, decides
--- a/src/coordination/sidecar/targets.rs
+++ b/src/coordination/sidecar/targets.rs
@@ -243,12 +243,7 @@
             && usable(&own)
             && !tried.contains(Place::Here.name())
         {
-            // Nothing is on its way to the backend server beside this node.
-            let here = Load {
-                late_ms: 0.0,
-                ..own
-            };
-            candidates.push(candidate(&here, 0, true));
+            candidates.push(candidate(&own, 0, true));
             places.push(Place::Here);
         }
         for (link, report) in self.roster.of_service(service) {
--- a/src/state/clock.rs
+++ b/src/state/clock.rs
@@ -8,6 +8,12 @@
 
 use nix::time::{ClockId, clock_gettime};
 
+/// Returns a duration in whole milliseconds, the largest number if there are more.
+#[must_use]
+pub fn millis(d: Duration) -> u32 {
+    u32::try_from(d.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Instant on `CLOCK_BOOTTIME` of this host.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Instant(Duration);
--- a/src/transport/sidecar/peers.rs
+++ b/src/transport/sidecar/peers.rs
@@ -20,7 +20,7 @@
     About, Call, Cause, Failure, Frame, HeatOf, Hello, Items, Load, Outcome, Seq, StoreRequest,
     StoreResponse,
 };
-use crate::state::clock::Instant;
+use crate::state::clock::{self, Instant};
 use crate::state::routes::Repeat;
 use crate::transport::sidecar::frames;
 use crate::transport::sidecar::lag::Lag;
@@ -300,7 +300,7 @@
             Frame::Call(seq, mut call) => {
                 let late = remote.borrow_mut().lag.of(call.sent_ms, Instant::now());
                 self.service.delayed(late);
-                let late = u32::try_from(late.as_millis()).unwrap_or(u32::MAX);
+                let late = clock::millis(late);
                 if late >= call.left_ms {
                     tracing::info!(event = 234, id = %call.id, late_ms = late, left_ms = call.left_ms, "a call arrived too late to be run");
                     let outcome = Outcome::NotRun(Failure::before(Cause::Expired, 0));
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -20,7 +20,7 @@
 ///
 /// Returns an error if the address is in use or not an address of this host.
 pub fn listen(addr: net::SocketAddr) -> io::Result<Arc<Server>> {
-    Server::http(addr).map(Arc::new).map_err(io::Error::other)
+    listen_on(net::TcpListener::bind(addr)?)
 }
 
 /// Serves on a listener.
