--- a/harness/src/process.rs
+++ b/harness/src/process.rs
@@ -63,6 +63,11 @@
         self.signal(Signal::SIGTERM);
     }
 
+    /// Asks the process to read its settings again.
+    pub fn hang_up(&self) {
+        self.signal(Signal::SIGHUP);
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = i32::try_from(self.child.id()).expect("a process id fits");
         kill(Pid::from_raw(pid), signal).expect("the process is a child that was not reaped");
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -121,7 +121,7 @@
     /// Creates the parts of a sidecar.
     #[must_use]
     pub fn new(site: &Site, adapter: &Rc<dyn Adapter>, metrics: &Metrics) -> Rc<Self> {
-        let address = site.listen.peers.to_string();
+        let address = site.listen.announced.to_string();
         let incarnation = rand::random();
         let hello = Hello {
             node: address.clone(),
@@ -285,7 +285,7 @@
 
     fn beats_handler(self: &Rc<Self>, adapter: &Rc<dyn Adapter>) -> server::Handler {
         let beats = Rc::new(Beats {
-            node: self.site.listen.peers.to_string(),
+            node: self.site.listen.announced.to_string(),
             address: self.site.backend,
             adapter: Rc::clone(adapter),
             configuration: Rc::clone(&self.configuration),
--- a/src/state/site.rs
+++ b/src/state/site.rs
@@ -32,6 +32,8 @@
     pub ready: SocketAddr,
     /// Heartbeats of the backend server.
     pub heartbeats: SocketAddr,
+    /// Address under which other nodes know and reach this one.
+    pub announced: SocketAddr,
 }
 
 /// Settings of a sidecar.
