--- a/src/state/routes.rs
+++ b/src/state/routes.rs
@@ -3,7 +3,7 @@
 //! A table is immutable. A newer version replaces it as a whole, so a request that began under one
 //! version keeps its route until it is answered.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -98,8 +98,8 @@
     pub version: Version,
     /// Limits on callers.
     pub limits: Limits,
-    services: HashMap<String, Service>,
-    hosts: HashMap<String, HashMap<String, Rc<Route>>>,
+    services: BTreeMap<String, Service>,
+    hosts: BTreeMap<String, BTreeMap<String, Rc<Route>>>,
 }
 
 impl RouteTable {
@@ -109,8 +109,8 @@
         Self {
             version,
             limits,
-            services: HashMap::new(),
-            hosts: HashMap::new(),
+            services: BTreeMap::new(),
+            hosts: BTreeMap::new(),
         }
     }
 
@@ -144,7 +144,7 @@
     /// Returns the number of routes.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.hosts.values().map(HashMap::len).sum()
+        self.hosts.values().map(BTreeMap::len).sum()
     }
 
     /// Returns whether there is no route.
