Write the last log lines of a process before it ends

Ruled out: nodes that were killed; they had left 4 s after SIGTERM, before the end of the grace time. Change: the log is held by the command, and its end waits up to 0.1 s for the writer.

--- a/src/cmd/logging.rs
+++ b/src/cmd/logging.rs
@@ -18,6 +18,9 @@
 /// Lines written in a second; more are dropped.
 const LINES_PER_SECOND: u32 = 400;
 
+/// Longest wait at the end of the process for lines that have not been written.
+const LAST_LINES: Duration = Duration::from_millis(100);
+
 /// Lines dropped so far.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
@@ -36,13 +39,43 @@
         .init();
 }
 
-/// Starts logging to the standard output stream, bounded in volume and without waiting for it.
-pub fn start_bounded() {
+/// Log of a process, to be kept until its end.
+#[derive(Debug)]
+#[must_use = "the last lines are lost if the log is dropped early"]
+pub struct Log {
+    /// Closed at the end of the process.
+    end: Option<channel::Sender<()>>,
+    done: channel::Receiver<()>,
+}
+
+impl Drop for Log {
+    fn drop(&mut self) {
+        self.end = None;
+        // An error means that the time has passed, or that the writer ended before.
+        let _written = self.done.recv_timeout(LAST_LINES);
+    }
+}
+
+/// Starts logging to the standard output stream, bounded in volume and without waiting for it. Lines
+/// that still wait when the returned log is dropped are written, if that takes no longer than
+/// [`LAST_LINES`].
+pub fn start_bounded() -> Log {
     let (lines, waiting) = channel::bounded(WAITING_LINES);
+    let (end, ended) = channel::bounded(0);
+    let (tell, done) = channel::bounded(1);
     let writer = thread::Builder::new().name("log".to_owned());
-    if let Err(e) = writer.spawn(move || write(&waiting)) {
+    let spawned = writer.spawn(move || {
+        write(&waiting, &ended);
+        // Nobody waits if the process does not end.
+        let _told = tell.send(());
+    });
+    let log = Log {
+        end: Some(end),
+        done,
+    };
+    if let Err(e) = spawned {
         eprintln!("can't start the log writer: {e}");
-        return;
+        return log;
     }
     tracing_subscriber::fmt()
         .json()
@@ -51,12 +84,21 @@
         .with_env_filter(filter())
         .with_writer(Lines { lines })
         .init();
+    log
+}
+
+/// Returns the next line, or `None` at the end of the process when all have been written.
+fn next(waiting: &channel::Receiver<Vec<u8>>, ended: &channel::Receiver<()>) -> Option<Vec<u8>> {
+    channel::select! {
+        recv(waiting) -> line => line.ok(),
+        recv(ended) -> _ => waiting.try_recv().ok(),
+    }
 }
 
-fn write(waiting: &channel::Receiver<Vec<u8>>) {
+fn write(waiting: &channel::Receiver<Vec<u8>>, ended: &channel::Receiver<()>) {
     let mut out = io::stdout();
     let (mut second, mut count, mut reported) = (Instant::now(), 0, 0);
-    while let Ok(line) = waiting.recv() {
+    while let Some(line) = next(waiting, ended) {
         if second.elapsed() >= Duration::from_secs(1) {
             (second, count) = (Instant::now(), 0);
         }
--- a/src/cmd/sidecar.rs
+++ b/src/cmd/sidecar.rs
@@ -86,7 +86,7 @@
         println!("{path}: valid");
         return Ok(());
     }
-    logging::start_bounded();
+    let _log = logging::start_bounded();
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
