Send little work to backend servers that answer with failures

Change: an answer with a 5xx other than 504 counts as a failure and not as a run time. What is usual in a service isn't held against one of them, because a failure of what all depend on shows at each; that goes for the choice and for the planner's capacities.

--- a/src/coordination/sidecar/choose.rs
+++ b/src/coordination/sidecar/choose.rs
@@ -7,6 +7,8 @@
 use rand::Rng;
 use rand::seq::SliceRandom;
 
+use crate::coordination::sidecar::evidence;
+
 /// Extra time for a candidate in another failure domain, as a share of the latency objective;
 /// traffic between failure domains is paid for, and a bit of latency within the objective is not.
 const CROSSING: f64 = 0.05;
@@ -80,10 +82,15 @@
 /// many.
 pub fn pick(candidates: &[Candidate], objective_ms: f64, rng: &mut impl Rng) -> Option<usize> {
     let sample = sample(candidates, rng);
+    let usual = evidence::usual(candidates.iter().map(|c| c.failing));
     let mut best: Option<(usize, f64)> = None;
     for i in sample {
         let spread = 1.0 + SPREAD * rng.random::<f64>();
-        let ms = candidates[i].expected_ms(objective_ms) * spread;
+        let blamed = Candidate {
+            failing: evidence::own(candidates[i].failing, usual),
+            ..candidates[i]
+        };
+        let ms = blamed.expected_ms(objective_ms) * spread;
         if best.is_none_or(|(_, least)| ms < least) {
             best = Some((i, ms));
         }
--- a/src/coordination/sidecar/gate.rs
+++ b/src/coordination/sidecar/gate.rs
@@ -13,6 +13,7 @@
 
 use crate::coordination::sidecar::admission::{Queue, Rank, Ticket, TicketId, Turn, Verdict};
 use crate::coordination::sidecar::beside::Backend;
+use crate::coordination::sidecar::evidence;
 use crate::coordination::sidecar::holdings::Holdings;
 use crate::protocol::edge::{self, Adapter};
 use crate::protocol::http;
@@ -406,7 +407,8 @@
         let begun = Instant::now();
         let done = self.send(&call, &backend, limit).await;
         let took = Instant::now().since(begun);
-        let whole = matches!(&done, Ok(r) if r.status != 504);
+        // A failure takes no time that an answer would tell from.
+        let whole = matches!(&done, Ok(r) if r.status < 500);
         place.took = whole.then_some(took);
         self.settle(&call, done, took)
     }
@@ -468,8 +470,7 @@
     fn settle(&self, call: &Call, done: Result<Response, Failed>, took: Duration) -> Outcome {
         let outcome = match done {
             Ok(response) => {
-                // A failed call of the request itself says nothing about this backend server.
-                self.count(false);
+                self.count(evidence::is_failure(response.status));
                 return Outcome::Answered(response);
             }
             Err(Failed::NotSent(cause)) => {
--- a/src/coordination/sidecar/mod.rs
+++ b/src/coordination/sidecar/mod.rs
@@ -15,6 +15,7 @@
 pub mod directory;
 pub mod duties;
 pub mod entry;
+pub mod evidence;
 pub mod follow;
 pub mod gate;
 pub mod holdings;
--- a/src/coordination/sidecar/planner.rs
+++ b/src/coordination/sidecar/planner.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use crate::coordination::sidecar::directory::Directory;
+use crate::coordination::sidecar::evidence;
 use crate::coordination::sidecar::gate::Gate;
 use crate::coordination::sidecar::membership::Membership;
 use crate::coordination::sidecar::plan::{self, Change, Member};
@@ -236,13 +237,14 @@
         0 => FIRST_GUESS_MS,
         n => times.iter().sum::<f64>() / n as f64,
     };
+    let failing = evidence::usual(loads.iter().map(|l| l.1.failing));
     let member = |(holder, load): &(Option<Holder>, Load)| {
         let ms = if load.service_ms > 0.0 {
             f64::from(load.service_ms)
         } else {
             usual
         };
-        let sound = 1.0 - load.failing;
+        let sound = 1.0 - evidence::own(load.failing, failing);
         Some(Member {
             holder: holder.clone()?,
             capacity: f64::from(load.slots) * 1000.0 / ms * sound.max(LEAST_SHARE),
--- a/tests/sidecar/choose.rs
+++ b/tests/sidecar/choose.rs
@@ -1,6 +1,10 @@
 //! Choice of a backend server.
 
+use std::time::Duration;
+
 use filbertflow::coordination::sidecar::choose::{Candidate, pick};
+use filbertflow::state::clock::Instant;
+use filbertflow::state::fading::Fading;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -103,3 +107,48 @@
         1000
     );
 }
+
+/// Pattern: three of 22 backend servers fail every request within milliseconds while their health
+/// check is good, and so seem to have more room than all others. Guards against a rush on them: 95% of
+/// the requests are to be served.
+#[test]
+fn rush_on_failing_ones_is_avoided() {
+    const REQUESTS: u64 = 4000;
+    let mut rng = StdRng::seed_from_u64(3);
+    let start = Instant::now();
+    let mut shares = [Fading::new(0.06, Duration::from_secs(4), start); 22];
+    let mut lost = 0;
+    for n in 0..REQUESTS {
+        let now = start + Duration::from_millis(n);
+        let candidate = |i: usize| {
+            let fails = i < 3;
+            Candidate {
+                busy: if fails { 0 } else { 10 },
+                failing: shares[i].get(now),
+                near: i.is_multiple_of(3),
+                ..IDLE
+            }
+        };
+        let all: Vec<_> = (0..shares.len()).map(candidate).collect();
+        let i = pick(&all, 1200.0, &mut rng).unwrap();
+        lost += u64::from(i < 3);
+        shares[i].add(f64::from(u8::from(i < 3)), now);
+    }
+    assert!(lost * 20 <= REQUESTS, "{lost}");
+}
+
+/// Pattern: a service that all depend on fails, and each backend server answers with the failure of
+/// its calls. Guards against a choice by chance differences.
+#[test]
+fn failures_that_all_share_change_nothing() {
+    let failing = |share| Candidate {
+        failing: share,
+        ..IDLE
+    };
+    let slower = |share| Candidate {
+        service_ms: 130.0,
+        ..failing(share)
+    };
+    assert_eq!(first(failing(0.7), slower(0.7)), 1000);
+    assert_eq!(first(slower(0.7), failing(0.7)), 0);
+}
