--- a/harness/src/relay.rs
+++ b/harness/src/relay.rs
@@ -4,7 +4,7 @@
 //! would. A silenced connection delivers nothing any more and is not closed. A reset one is closed at
 //! both ends.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,8 +32,8 @@
 /// State of the network.
 #[derive(Debug, Clone, Default)]
 struct Faults {
-    /// Directions in which nothing is delivered.
-    cut: HashSet<(Party, Party)>,
+    /// Directions in which nothing is delivered, with the number of cuts that say so.
+    cut: HashMap<(Party, Party), usize>,
     /// Pairs whose connections with a number below this one are silent.
     silent: BTreeMap<(Party, Party), u64>,
     /// Pairs whose connections with a number below this one are closed.
@@ -64,7 +64,7 @@
 impl Faults {
     fn holds(&self, from: Party, to: Party, number: u64) -> bool {
         let pair = (from.min(to), from.max(to));
-        self.cut.contains(&(from, to)) || self.silent.get(&pair).is_some_and(|n| number < *n)
+        self.cut.contains_key(&(from, to)) || self.silent.get(&pair).is_some_and(|n| number < *n)
     }
 
     fn resets(&self, link: Link) -> bool {
@@ -162,7 +162,7 @@
     /// Delivers nothing in one direction any more.
     pub fn cut(&self, from: Party, to: Party) {
         self.faults.send_modify(|f| {
-            f.cut.insert((from, to));
+            *f.cut.entry((from, to)).or_default() += 1;
         });
     }
 
@@ -187,10 +187,15 @@
         });
     }
 
-    /// Ends a cut in one direction.
+    /// Ends one cut in one direction; bytes pass when all have ended.
     pub fn join(&self, from: Party, to: Party) {
         self.faults.send_modify(|f| {
-            f.cut.remove(&(from, to));
+            let left = f.cut.get(&(from, to)).map_or(0, |n| n - 1);
+            if left == 0 {
+                f.cut.remove(&(from, to));
+            } else {
+                f.cut.insert((from, to), left);
+            }
         });
     }
 
@@ -271,7 +276,8 @@
     mut faults: watch::Receiver<Faults>,
 ) {
     let opens = |f: &Faults| {
-        !f.cut.contains(&(link.dialer, link.target)) && !f.cut.contains(&(link.target, link.dialer))
+        !f.cut.contains_key(&(link.dialer, link.target))
+            && !f.cut.contains_key(&(link.target, link.dialer))
     };
     if faults.wait_for(opens).await.is_err() {
         return;
