--- a/src/coordination/sidecar/gate.rs
+++ b/src/coordination/sidecar/gate.rs
@@ -407,7 +407,7 @@
         let begun = Instant::now();
         let done = self.send(&call, &backend, limit).await;
         let took = Instant::now().since(begun);
-        // A failure takes no time that an answer would tell from.
+        // Failures often come at once and would make a failing backend server look fast.
         let whole = matches!(&done, Ok(r) if r.status < 500);
         place.took = whole.then_some(took);
         self.settle(&call, done, took)
