Keep the outcomes of a node's earlier process from its next one

The entry had been killed and started again. A run that may not be repeated held the cell of its calling node, the cell's contents were replaced at the restart, and the outcome went to the new process, whose sequence numbers begin anew. Relayed store calls had the same shape. A late greeting of the killed process emptied the record of the living one, which was then told that its purchase had not run. Ruled out: the caller's connection (answers are futures of their own request), the backend server's connection (the identifier is checked), a number used twice in one process. Change: each process of a node has a record of its own, which its runs hold. Four are remembered; a process whose record was dropped is told that the outcome is unknown. Conclusion: an outcome can't reach a process other than the one that asked.

--- a/src/transport/sidecar/peers.rs
+++ b/src/transport/sidecar/peers.rs
@@ -3,6 +3,10 @@
 //! A call runs apart from the connection on which it came. Its outcome is kept until it has been
 //! sent, and for requests that may not be repeated a while longer, because the connection may be
 //! lost before the outcome arrives.
+//!
+//! Sequence numbers mean something within one process of the calling node only. So each process
+//! has a record of its own, and a run holds the record of the process that asked for it: what it
+//! ends with can't reach the process that comes after.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -28,9 +32,13 @@
 /// Time for which calls of a node that lost its connection go on.
 const ORPHAN_TIME: Duration = Duration::from_millis(1500);
 
-/// Outcomes that are kept after they were sent, for each node.
+/// Outcomes that are kept after they were sent, for each process of a node.
 const KEPT_OUTCOMES: usize = 128;
 
+/// Processes of one node that are remembered. The greeting of one that was killed may be read after
+/// that of its successor, so the newest greeting doesn't tell which process lives.
+const KEPT_PROCESSES: usize = 4;
+
 /// Pause after an accept that failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -116,9 +124,10 @@
     fn relay(&self, request: StoreRequest) -> Pin<Box<dyn Future<Output = Option<StoreResponse>>>>;
 }
 
+/// One process of another node.
 #[derive(Debug, Default)]
 struct Remote {
-    incarnation: u64,
+    /// Connections so far.
     epoch: u64,
     out: Option<mpsc::UnboundedSender<Frame>>,
     running: HashMap<Seq, Running>,
@@ -154,19 +163,36 @@
         let kept = self.kept.iter().find(|k| k.0 == seq);
         let outcome = match kept {
             Some((_, outcome)) => outcome.clone(),
-            None if seq <= self.forgotten => Outcome::Unknown(Failure::after(Cause::LinkLost)),
+            // A process asks only after calls over an earlier connection; if this is the first one
+            // known here, the record of that was dropped.
+            None if seq <= self.forgotten || self.epoch <= 1 => {
+                Outcome::Unknown(Failure::after(Cause::LinkLost))
+            }
             // One that may not be repeated would be running or kept if it had ever arrived.
             None => Outcome::NotRun(Failure::before(Cause::LinkLost, 0)),
         };
         self.send(Frame::Reply(seq, Box::new(outcome)));
     }
+
+    /// Ends the present connection, and what may be cancelled.
+    fn abandon(&mut self) {
+        self.epoch += 1;
+        self.out = None;
+        self.running.retain(|_, running| !running.cancel());
+    }
 }
 
+/// Record of one process of another node.
+type Shared = Rc<RefCell<Remote>>;
+
+/// Processes of one node, the one that connected last at the end.
+type Processes = Vec<(u64, Shared)>;
+
 /// All nodes that are connected to this one.
 pub struct Peers {
     service: Rc<dyn Service>,
     hello: Hello,
-    remotes: RefCell<HashMap<String, Rc<RefCell<Remote>>>>,
+    remotes: RefCell<HashMap<String, Processes>>,
 }
 
 impl std::fmt::Debug for Peers {
@@ -210,7 +236,7 @@
 
     /// Tells all connected nodes.
     pub fn publish(&self, frame: &Frame) {
-        for remote in self.remotes.borrow().values() {
+        for (_, remote) in self.remotes.borrow().values().flatten() {
             remote.borrow().send(frame.clone());
         }
     }
@@ -219,27 +245,32 @@
     #[must_use]
     pub fn running(&self) -> usize {
         let remotes = self.remotes.borrow();
-        remotes.values().map(|r| r.borrow().running.len()).sum()
+        let all = remotes.values().flatten();
+        all.map(|(_, r)| r.borrow().running.len()).sum()
     }
 
-    fn enter(
-        &self,
-        hello: &Hello,
-        out: mpsc::UnboundedSender<Frame>,
-    ) -> (Rc<RefCell<Remote>>, u64) {
+    /// Makes a connection the present one of the process that opened it; returns the record of the
+    /// process and the number of the connection.
+    fn enter(&self, hello: &Hello, out: mpsc::UnboundedSender<Frame>) -> (Shared, u64) {
         let mut remotes = self.remotes.borrow_mut();
-        let remote = Rc::clone(remotes.entry(hello.node.clone()).or_default());
-        let mut r = remote.borrow_mut();
-        if r.incarnation != hello.incarnation {
-            // The node was restarted: nobody waits for these any more.
-            r.running.retain(|_, running| !running.cancel());
-            let epoch = r.epoch;
-            *r = Remote {
-                incarnation: hello.incarnation,
-                epoch,
-                ..Remote::default()
-            };
+        let processes = remotes.entry(hello.node.clone()).or_default();
+        let known = processes.iter().position(|(i, _)| *i == hello.incarnation);
+        let process = match known {
+            Some(i) => processes.remove(i),
+            None => (hello.incarnation, Shared::default()),
+        };
+        for (incarnation, other) in &*processes {
+            let mut other = other.borrow_mut();
+            if other.out.is_some() || !other.running.is_empty() {
+                tracing::info!(event = 235, node = %hello.node, incarnation, successor = hello.incarnation, calls = other.running.len(), "another process of a node connected; what the earlier one waited for is cancelled where it may be");
+            }
+            other.abandon();
         }
+        let remote = Rc::clone(&process.1);
+        processes.push(process);
+        let extra = processes.len().saturating_sub(KEPT_PROCESSES);
+        processes.drain(..extra);
+        let mut r = remote.borrow_mut();
         r.epoch += 1;
         r.out = Some(out);
         let epoch = r.epoch;
@@ -295,7 +326,7 @@
         done
     }
 
-    fn receive(&self, remote: &Rc<RefCell<Remote>>, frame: Frame) {
+    fn receive(&self, remote: &Shared, frame: Frame) {
         match frame {
             Frame::Call(seq, mut call) => {
                 let late = remote.borrow_mut().lag.of(call.sent_ms, Instant::now());
@@ -355,7 +386,7 @@
 }
 
 /// Ends what nobody will ask for, if the node does not come back.
-async fn orphan(remote: Rc<RefCell<Remote>>, epoch: u64) {
+async fn orphan(remote: Shared, epoch: u64) {
     time::sleep(ORPHAN_TIME).await;
     let mut r = remote.borrow_mut();
     if r.epoch == epoch {
