Let no late source bring back what was removed from the store

A model test of the copy of the store's items that each node keeps, driven with late answers, late pages and restarts, found two ways: a node that reads the store anew after a server has left does not know the removal, and answers another node's question for changes without it, which keeps the entry for good; and an answer or pages from before a removal that arrive after it put the entry back, while the watch goes on behind the removal. Such an entry is listed for ever, so the keys of its holder are never taken away. Ruled out: ownership tables (an older revision is never taken), configurations (versions only rise). Change: the copy is a module without input and output (replica.rs). Each message says which revisions it covers; what does not reach beyond the copy is ignored, and a node whose revision lies in a span that the copy has leapt over gets the whole content.

--- a/src/coordination/sidecar/configuration.rs
+++ b/src/coordination/sidecar/configuration.rs
@@ -59,6 +59,8 @@
     pub fn item(&self) -> Items {
         Items {
             whole: false,
+            since: 0,
+            as_of: 0,
             items: self.source.borrow().iter().cloned().collect(),
         }
     }
--- a/src/coordination/sidecar/follow.rs
+++ b/src/coordination/sidecar/follow.rs
@@ -22,8 +22,8 @@
     /// Takes all items over, which were read at revision `as_of` or later.
     fn reset(&self, items: &[Item], as_of: u64);
 
-    /// Takes a change over.
-    fn apply(&self, event: &Event);
+    /// Takes changes over, in their order.
+    fn apply(&self, events: &[Event]);
 
     /// Returns the revision up to which everything is known, if it is learnt by other ways too.
     fn position(&self) -> Option<u64>;
@@ -85,9 +85,7 @@
             };
             match reply {
                 Ok(StoreReply::Events { events, as_of: to }) => {
-                    for event in &events {
-                        follower.apply(event);
-                    }
+                    follower.apply(&events);
                     as_of = to.max(as_of);
                 }
                 Ok(_) => {
--- a/src/coordination/sidecar/mod.rs
+++ b/src/coordination/sidecar/mod.rs
@@ -27,6 +27,7 @@
 pub mod passage;
 pub mod plan;
 pub mod planner;
+pub mod replica;
 pub mod reports;
 pub mod roster;
 pub mod tables;
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -295,6 +295,10 @@
 pub struct Items {
     /// Whether these are all items that there are.
     pub whole: bool,
+    /// Revision after which the changes are told, unless these are all items.
+    pub since: u64,
+    /// Revision up to which the sender knows all changes; 0 for a configuration alone.
+    pub as_of: u64,
     /// Items, in the order of their revisions.
     pub items: Vec<StoredItem>,
 }
--- a/tests/sidecar/links.rs
+++ b/tests/sidecar/links.rs
@@ -68,6 +68,8 @@
     fn config(&self) -> Items {
         Items {
             whole: false,
+            since: 0,
+            as_of: 0,
             items: Vec::new(),
         }
     }
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -22,5 +22,6 @@
 mod pace;
 mod packed;
 mod plan;
+mod replica;
 mod reports;
 mod routes;
