Expect run times from objectives and running requests, not from the first to end

Change: runtimes.rs expects a part of the route's objective at first, twice that while the backend server says it is cold, then the mean of the runs that ended, with those that run if they are older than it. A run cut off at its limit counts as a long one. Unknown backend servers are compared by the same guess.

--- a/src/coordination/sidecar/admission.rs
+++ b/src/coordination/sidecar/admission.rs
@@ -11,11 +11,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use crate::coordination::sidecar::runtimes::{End, Runtimes};
 use crate::state::clock::{self, Instant};
 
-/// Weight of the newest request in the mean run times; about 30 requests count.
-const SMOOTHING: f64 = 0.03;
-
 /// Requests of one rank that may wait without a chance to meet their objective, per slot.
 const LATE_PER_SLOT: f64 = 0.25;
 
@@ -34,12 +32,6 @@
 /// Share of the expected run time that must be left for a request to be started; run times vary.
 const START_SHARE: f64 = 0.6;
 
-/// Run time that is assumed before the first request has ended.
-const FIRST_GUESS: Duration = Duration::from_millis(100);
-
-/// Requests after which the mean run time is worth telling.
-const ENOUGH: u32 = 20;
-
 /// Place of a request in the order of service; lower goes first.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -58,6 +50,12 @@
     pub fn priority(self) -> u32 {
         self.0 >> 16
     }
+
+    /// Returns the latency objective, up to about a minute.
+    #[must_use]
+    pub fn objective(self) -> Duration {
+        Duration::from_millis(u64::from(self.0 & 0xffff))
+    }
 }
 
 /// Identifier of a request in the queue.
@@ -121,9 +119,8 @@
     places: HashMap<TicketId, Place>,
     late: HashMap<Rank, usize>,
     demand: BTreeMap<Rank, Demand>,
-    mean: Option<f64>,
-    kinds: HashMap<u32, f64>,
-    ended: u32,
+    /// Run times.
+    pub times: Runtimes,
     next: u64,
 }
 
@@ -138,9 +135,7 @@
             places: HashMap::new(),
             late: HashMap::new(),
             demand: BTreeMap::new(),
-            mean: None,
-            kinds: HashMap::new(),
-            ended: 0,
+            times: Runtimes::default(),
             next: 0,
         }
     }
@@ -150,13 +145,6 @@
         self.slots = slots;
     }
 
-    /// Forgets the run times, when another backend server takes the place.
-    pub fn reset_times(&mut self) {
-        self.mean = None;
-        self.ended = 0;
-        self.kinds.clear();
-    }
-
     /// Returns the number of running requests.
     #[must_use]
     pub fn running(&self) -> usize {
@@ -169,18 +157,9 @@
         self.waiting.len()
     }
 
-    /// Returns the mean run time of all requests, once enough have ended.
-    #[must_use]
-    pub fn mean(&self) -> Option<Duration> {
-        let mean = self.mean.filter(|_| self.ended >= ENOUGH)?;
-        Some(Duration::from_secs_f64(mean))
-    }
-
-    /// Returns the expected run time of a kind of request.
-    #[must_use]
-    pub fn expected(&self, kind: u32) -> Duration {
-        let known = self.kinds.get(&kind).copied().or(self.mean);
-        known.map_or(FIRST_GUESS, Duration::from_secs_f64)
+    fn cost(&self, ticket: &Ticket, now: Instant) -> Duration {
+        let objective = ticket.rank.objective();
+        self.times.expected(ticket.kind, objective, now)
     }
 
     /// Returns the slots that a rank can count on: those that more urgent ranks don't take.
@@ -191,12 +170,10 @@
     }
 
     /// Returns the expected wait of a request at a place in the queue.
-    fn wait_at(&self, place: Place) -> Duration {
+    fn wait_at(&self, place: Place, cost: Duration, now: Instant) -> Duration {
         let ahead = self.waiting.range(..place);
-        let work: f64 = ahead
-            .map(|(_, t)| self.expected(t.kind).as_secs_f64())
-            .sum();
-        let mean = self.mean.unwrap_or(FIRST_GUESS.as_secs_f64());
+        let work: f64 = ahead.map(|(_, t)| self.cost(t, now).as_secs_f64()).sum();
+        let mean = self.times.mean(now).unwrap_or(cost).as_secs_f64();
         Duration::from_secs_f64((work + mean) / self.room(place.rank))
     }
 
@@ -214,13 +191,13 @@
 
     /// Decides on a request that arrives.
     pub fn offer(&mut self, ticket: Ticket, now: Instant) -> Verdict {
-        let cost = self.expected(ticket.kind);
+        let cost = self.cost(&ticket, now);
         self.count(ticket.rank, cost, now);
         if now + cost.mul_f64(START_SHARE) > ticket.limit {
             return Verdict::Refuse(cost);
         }
         if self.running < self.slots && self.waiting.is_empty() {
-            self.running += 1;
+            self.start(&ticket, now);
             return Verdict::Start;
         }
         self.next += 1;
@@ -231,9 +208,9 @@
             id: TicketId(self.next),
         };
         let end = |wait: Duration| now + (wait + cost).mul_f64(MARGIN);
-        if end(self.wait_at(place)) > ticket.aim {
+        if end(self.wait_at(place, cost, now)) > ticket.aim {
             place.late = true;
-            let wait = self.wait_at(place);
+            let wait = self.wait_at(place, cost, now);
             let late = self.late.get(&ticket.rank).copied().unwrap_or(0);
             let full = late as f64 >= LATE_PER_SLOT * self.slots as f64;
             if full || end(wait.mul_f64(LATE_WAIT)) > ticket.limit {
@@ -267,17 +244,16 @@
         }
     }
 
-    /// Ends a running request; `took` is its run time if it ran to its end.
-    pub fn finish(&mut self, kind: u32, took: Option<Duration>, now: Instant) -> Turn {
+    fn start(&mut self, ticket: &Ticket, now: Instant) {
+        self.running += 1;
+        let objective = ticket.rank.objective();
+        self.times.start(ticket.kind, objective, now);
+    }
+
+    /// Ends a running request that began at `begun`.
+    pub fn finish(&mut self, kind: u32, begun: Instant, end: End, now: Instant) -> Turn {
         self.running = self.running.saturating_sub(1);
-        if let Some(took) = took {
-            self.ended = self.ended.saturating_add(1);
-            let took = took.as_secs_f64();
-            let blend = |old: f64| old + SMOOTHING * (took - old);
-            self.mean = Some(self.mean.map_or(took, blend));
-            let kind = self.kinds.entry(kind).or_insert(took);
-            *kind = blend(*kind);
-        }
+        self.times.end(kind, begun, end, now);
         self.turn(now)
     }
 
@@ -289,7 +265,7 @@
                 break;
             };
             self.remove(place);
-            let cost = self.expected(ticket.kind).mul_f64(START_SHARE);
+            let cost = self.cost(&ticket, now).mul_f64(START_SHARE);
             if now + cost > ticket.limit {
                 turn.expired.push(place.id);
                 continue;
@@ -305,7 +281,7 @@
                 );
                 continue;
             }
-            self.running += 1;
+            self.start(&ticket, now);
             turn.start.push(place.id);
         }
         turn
@@ -314,7 +290,7 @@
     /// Takes out the waiting requests that can't end in time any more.
     pub fn expire(&mut self, now: Instant) -> Vec<TicketId> {
         let past = |(p, t): (&Place, &Ticket)| {
-            let cost = self.expected(t.kind).mul_f64(START_SHARE);
+            let cost = self.cost(t, now).mul_f64(START_SHARE);
             (now + cost > t.limit).then_some(*p)
         };
         let gone: Vec<_> = self.waiting.iter().filter_map(past).collect();
--- a/src/coordination/sidecar/choose.rs
+++ b/src/coordination/sidecar/choose.rs
@@ -8,6 +8,7 @@
 use rand::seq::SliceRandom;
 
 use crate::coordination::sidecar::evidence;
+use crate::coordination::sidecar::runtimes;
 
 /// Extra time for a candidate in another failure domain, as a share of the latency objective;
 /// traffic between failure domains is paid for, and a bit of latency within the objective is not.
@@ -23,15 +24,9 @@
 /// Largest random factor on an estimate; keeps nodes with the same reports from choosing alike.
 const SPREAD: f64 = 0.1;
 
-/// Factor on the run time of a backend server that has just started.
-const WARMUP_FACTOR: f64 = 2.0;
-
 /// Share of failures above which a candidate counts as failing all the time.
 const WORST_SHARE: f64 = 0.9;
 
-/// Run time that is assumed for a backend server without reports, in milliseconds.
-const FIRST_GUESS_MS: f64 = 100.0;
-
 /// Backend server that may run a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Candidate {
@@ -59,10 +54,10 @@
         let slots = f64::from(self.slots.max(1));
         let mut run = match self.service_ms {
             ms if ms > 0.0 => ms,
-            _ => FIRST_GUESS_MS,
+            _ => runtimes::GUESS_SHARE * objective_ms,
         };
         if self.warming {
-            run *= WARMUP_FACTOR;
+            run *= runtimes::WARMUP_FACTOR;
         }
         let ahead = f64::from(self.busy);
         let full = (ahead / slots).min(1.0);
--- a/src/coordination/sidecar/gate.rs
+++ b/src/coordination/sidecar/gate.rs
@@ -15,6 +15,7 @@
 use crate::coordination::sidecar::beside::Backend;
 use crate::coordination::sidecar::evidence;
 use crate::coordination::sidecar::holdings::Holdings;
+use crate::coordination::sidecar::runtimes::End;
 use crate::protocol::edge::{self, Adapter};
 use crate::protocol::http;
 use crate::protocol::mesh::{About, Call, Cause, Failure, Health, Load, Outcome, Response};
@@ -101,13 +102,14 @@
 struct Place {
     gate: Rc<Gate>,
     kind: u32,
-    took: Option<Duration>,
+    begun: Instant,
+    end: End,
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
         let mut queue = self.gate.queue.borrow_mut();
-        let turn = queue.finish(self.kind, self.took, Instant::now());
+        let turn = queue.finish(self.kind, self.begun, self.end, Instant::now());
         drop(queue);
         self.gate.dispatch(turn);
     }
@@ -132,7 +134,8 @@
         match self.told.try_recv() {
             // Started at the moment at which its caller left.
             Ok(Go::Start) => {
-                let turn = queue.finish(self.kind, None, Instant::now());
+                let now = Instant::now();
+                let turn = queue.finish(self.kind, now, End::Failed, now);
                 drop(queue);
                 self.gate.dispatch(turn);
             }
@@ -180,11 +183,13 @@
         if life(&before) != life(&backend) {
             self.pool.clear();
             self.holdings.borrow_mut().clear();
-            self.queue.borrow_mut().reset_times();
+            self.queue.borrow_mut().times.reset();
             self.failures.borrow_mut().set(0.0, Instant::now());
         }
         let slots = backend.as_ref().map_or(0, |b| usize::from(b.slots));
+        let warming = backend.as_ref().is_some_and(|b| b.warm_at.is_ahead());
         let mut queue = self.queue.borrow_mut();
+        queue.times.set_warming(warming);
         queue.set_slots(slots);
         let turn = queue.turn(Instant::now());
         drop(queue);
@@ -258,7 +263,10 @@
             slots: backend.as_ref().map_or(0, |b| b.slots),
             running: short(queue.running()),
             queued: short(queue.waiting()),
-            service_ms: queue.mean().map_or(0.0, |d| d.as_secs_f32() * 1000.0),
+            service_ms: queue
+                .times
+                .mean(Instant::now())
+                .map_or(0.0, |d| d.as_secs_f32() * 1000.0),
             failing: self.failing(),
             warmup_ms: clock::millis(warm),
             stopping: self.stopping.get(),
@@ -342,9 +350,11 @@
         *self.expected.borrow_mut() = expected;
     }
 
-    async fn permitted(&self, key: Key, kind: u32, limit: Instant) -> bool {
-        let cost = self.queue.borrow().expected(kind);
+    async fn permitted(&self, key: Key, call: &Call, limit: Instant) -> bool {
         let now = Instant::now();
+        let objective = Duration::from_millis(call.objective_ms.into());
+        let times = |queue: &Queue| queue.times.expected(call.route.0, objective, now);
+        let cost = times(&self.queue.borrow());
         let time = limit.since(now + cost).mul_f64(PERMISSION_SHARE);
         let end = now + time.min(PERMISSION_WAIT);
         loop {
@@ -374,7 +384,7 @@
         }
         if let Some(key) = call.key {
             let keyed = self.backend.borrow().as_ref().is_some_and(|b| b.keyed);
-            if keyed && !self.permitted(key, call.route.0, limit).await {
+            if keyed && !self.permitted(key, &call, limit).await {
                 return self.refuse(&call, Cause::NotHolder, PERMISSION_PAUSE_MS, waited());
             }
             self.heat.borrow_mut().count(key);
@@ -407,9 +417,14 @@
         let begun = Instant::now();
         let done = self.send(&call, &backend, limit).await;
         let took = Instant::now().since(begun);
-        // Failures often come at once and would make a failing backend server look fast.
-        let whole = matches!(&done, Ok(r) if r.status < 500);
-        place.took = whole.then_some(took);
+        place.end = match &done {
+            Ok(r) if r.status < 500 => End::Answered,
+            Ok(r) if evidence::is_failure(r.status) => End::Failed,
+            // Out of time, here or at the backend server.
+            Ok(_) | Err(Failed::Unknown(Cause::Timeout | Cause::Endless)) => End::CutOff,
+            // Failures often come at once and would make a failing backend server look fast.
+            Err(_) => End::Failed,
+        };
         self.settle(&call, done, took)
     }
 
@@ -438,7 +453,8 @@
         Ok(Place {
             gate: Rc::clone(self),
             kind: ticket.kind,
-            took: None,
+            begun: Instant::now(),
+            end: End::CutOff,
         })
     }
 
--- a/src/coordination/sidecar/mod.rs
+++ b/src/coordination/sidecar/mod.rs
@@ -30,5 +30,6 @@
 pub mod replica;
 pub mod reports;
 pub mod roster;
+pub mod runtimes;
 pub mod tables;
 pub mod targets;
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -25,3 +25,4 @@
 mod replica;
 mod reports;
 mod routes;
+mod runtimes;
