Tell loads to those who send work, and news of the store as differences

Change: a load goes to nodes of the own failure domain and to those that sent a call within 3 s, to others every 10 s or when it decides whether work may be sent at all. News of the store is pushed, from watching nodes to their failure domain and one node of each other one, which passes it on; a table goes as the rows that are new since the receiver's revision, and whole if that does not fit. Questions to other nodes stay as the way to heal. Conflicts carry the present items. Watching nodes gather changes for up to 120 ms, and a node waits 500 ms after its start before it watches.

--- a/src/coordination/sidecar/configuration.rs
+++ b/src/coordination/sidecar/configuration.rs
@@ -106,6 +106,7 @@
                     key: item.key.clone(),
                     value: Some(packed.unwrap_or_else(|| packed::pack(&item.value))),
                     revision: item.revision,
+                    base: 0,
                 });
                 self.changed.notify_waiters();
             }
--- a/src/coordination/sidecar/directory.rs
+++ b/src/coordination/sidecar/directory.rs
@@ -4,9 +4,11 @@
 //! knows is complete up to its newest revision, so the items after a revision are all that another
 //! node needs. A node that reaches none of the watching ones watches the store itself.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use tokio::sync::Notify;
+
 use crate::coordination::sidecar::configuration::Configuration;
 use crate::coordination::sidecar::follow::Follower;
 use crate::coordination::sidecar::replica::{Change, Replica};
@@ -20,6 +22,15 @@
 /// Nodes that watch the store.
 const WATCHERS: usize = 3;
 
+/// News that this node passes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct News {
+    /// Revision before the news.
+    pub since: u64,
+    /// Whether the store told it; otherwise a node of another failure domain did.
+    pub read: bool,
+}
+
 /// Items below the product's prefix, and the newest configuration.
 #[derive(Debug)]
 pub struct Directory {
@@ -28,6 +39,11 @@
     tables: Rc<Tables>,
     configuration: Rc<Configuration>,
     replica: RefCell<Replica>,
+    /// Failure domain of this node.
+    domain: String,
+    news: Cell<Option<News>>,
+    /// Told of news to pass on.
+    pub told: Notify,
 }
 
 impl Directory {
@@ -38,6 +54,7 @@
         roster: Rc<Roster>,
         tables: Rc<Tables>,
         configuration: Rc<Configuration>,
+        domain: &str,
     ) -> Rc<Self> {
         Rc::new(Self {
             store,
@@ -45,6 +62,9 @@
             tables,
             configuration,
             replica: RefCell::default(),
+            domain: domain.to_owned(),
+            news: Cell::new(None),
+            told: Notify::new(),
         })
     }
 
@@ -54,6 +74,30 @@
         self.replica.borrow().newest()
     }
 
+    /// Returns the revision after which other nodes are asked for changes.
+    #[must_use]
+    pub fn wanted(&self) -> u64 {
+        self.replica.borrow().wanted()
+    }
+
+    /// Takes the news to pass on.
+    pub fn take_news(&self) -> Option<News> {
+        self.news.take()
+    }
+
+    /// Notes news since a revision, if there are any.
+    fn note(&self, since: u64, read: bool) {
+        if self.newest() == since || since == 0 {
+            return;
+        }
+        let before = self.news.get();
+        self.news.set(Some(News {
+            since: before.map_or(since, |n| n.since.min(since)),
+            read: read || before.is_some_and(|n| n.read),
+        }));
+        self.told.notify_one();
+    }
+
     /// Returns whether this node is among those that watch the store.
     #[must_use]
     pub fn is_watcher(&self) -> bool {
@@ -66,11 +110,15 @@
         self.replica.borrow().after(revision)
     }
 
-    /// Takes over what another node knows.
-    pub fn take(&self, items: Items) {
+    /// Takes over what a node of a failure domain knows.
+    pub fn take(&self, domain: &str, items: Items) {
         if items.as_of > 0 {
+            let since = self.newest();
             let changes = self.replica.borrow_mut().take(items);
             self.carry_out(changes);
+            if domain != self.domain {
+                self.note(since, false);
+            }
             return;
         }
         for item in items.items {
@@ -111,8 +159,10 @@
     }
 
     fn apply(&self, events: &[Event]) {
+        let since = self.newest();
         let changes = self.replica.borrow_mut().apply(events);
         self.carry_out(changes);
+        self.note(since, true);
     }
 
     fn position(&self) -> Option<u64> {
--- a/src/coordination/sidecar/follow.rs
+++ b/src/coordination/sidecar/follow.rs
@@ -8,6 +8,7 @@
 
 use crate::coordination::sidecar::pace::Pace;
 use crate::protocol::edge::{Event, Item, StoreCall, StoreReply};
+use crate::state::clock::Instant;
 use crate::transport::sidecar::store::{self, Store};
 
 /// Longest wait of a watch. One that a connection has forgotten ends soon after it. A random part
@@ -17,6 +18,13 @@
 /// Interval at which a node that does not watch looks whether it has to.
 const ROLE_POLL: Duration = Duration::from_millis(300);
 
+/// Time after the start in which a node gets to know those that watch already, before it watches.
+const FIRST_ROLE: Duration = Duration::from_millis(500);
+
+/// Longest pause after changes, in which further ones gather: a watch ends with the first, and each
+/// call is priced. Each watching node draws its own, so that one of them hears soon.
+const GATHER: Duration = Duration::from_millis(120);
+
 /// Receiver of what lies below a prefix of the store.
 pub trait Follower {
     /// Takes all items over, which were read at revision `as_of` or later.
@@ -41,6 +49,7 @@
 ) {
     let mut pace = Pace::default();
     let mut known = false;
+    let start = Instant::now();
     loop {
         let (items, mut as_of) = match read(&store, &prefix).await {
             Ok(read) => read,
@@ -68,7 +77,7 @@
         );
         follower.reset(&items, as_of);
         loop {
-            if !follower.watches() {
+            if !follower.watches() || Instant::now().since(start) < FIRST_ROLE {
                 tokio::select! {
                     () = time::sleep(ROLE_POLL) => continue,
                     () = again.notified() => break,
@@ -87,6 +96,9 @@
                 Ok(StoreReply::Events { events, as_of: to }) => {
                     follower.apply(&events);
                     as_of = to.max(as_of);
+                    if !events.is_empty() {
+                        time::sleep(GATHER.mul_f64(rand::random())).await;
+                    }
                 }
                 Ok(_) => {
                     tracing::info!(
--- a/src/coordination/sidecar/membership.rs
+++ b/src/coordination/sidecar/membership.rs
@@ -119,7 +119,12 @@
                     );
                     return Ok(());
                 }
-                StoreReply::Conflict => expected = self.entry_revision(&key).await?,
+                StoreReply::Conflict { items } => {
+                    expected = match items.iter().find(|i| i.key == key) {
+                        Some(item) => item.revision,
+                        None => self.entry_revision(&key).await?,
+                    };
+                }
                 _ => return Err(store::Error::Refused),
             }
         }
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -1,6 +1,7 @@
 //! Life of a sidecar: its parts, its timers, and its end.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -44,6 +45,9 @@
 /// Longest wait of the first question for a configuration, in which others get it.
 const CONFIG_SPREAD: Duration = Duration::from_millis(120);
 
+/// Longest wait of the first question for items, in which they are passed on without one.
+const ITEMS_SPREAD: Duration = Duration::from_millis(250);
+
 /// Pause between two questions for newer state.
 const ASK_PAUSE: Duration = Duration::from_millis(20);
 
@@ -126,6 +130,7 @@
         let hello = Hello {
             node: address.clone(),
             incarnation,
+            domain: site.domain.clone(),
         };
         let changed = Rc::new(Notify::new());
         let calls = metrics.store_calls.clone();
@@ -138,9 +143,12 @@
             Rc::clone(&roster),
             Rc::clone(&tables),
             Rc::clone(&configuration),
+            &site.domain,
         );
         let take = Rc::clone(&directory);
-        roster.set_take_items(Rc::new(move |items| take.take(items)));
+        roster.set_take_items(Rc::new(move |domain, items| {
+            take.take(domain, items);
+        }));
         let gate = Gate::new(Rc::clone(adapter), site.bounds.drain, Rc::clone(&changed));
         let entry = NodeEntry {
             address: address.clone(),
@@ -254,6 +262,7 @@
         self.spawn(|node| async move { node.check().await });
         self.spawn(|node| async move { node.watch_links().await });
         self.spawn(|node| async move { node.catch_up().await });
+        self.spawn(|node| async move { node.pass_on().await });
         self.spawn(|node| async move { node.plan().await });
         Ok(())
     }
@@ -331,12 +340,10 @@
 
     /// Tells other nodes the load when it has changed.
     async fn report_load(&self) {
-        let mut last = Load::default();
         let mut about = About::default();
-        let mut at = Instant::now();
         loop {
             tokio::select! {
-                () = time::sleep(reports::interval(self.roster.size())) => {}
+                () = time::sleep(reports::interval(2 * self.roster.near())) => {}
                 () = self.changed.notified() => {}
                 () = self.tables.changed.notified() => {}
             }
@@ -346,12 +353,29 @@
                 about = beside;
             }
             let load = self.duties.load();
-            let age = Instant::now().since(at);
-            if reports::is_due(&load, &last, self.directory.is_watcher(), age) {
-                self.peers.publish(&Frame::Load(load));
-                last = load;
-                at = Instant::now();
-            }
+            let (now, nodes) = (Instant::now(), self.roster.size());
+            let watches = self.directory.is_watcher();
+            self.peers.report(load, |told| {
+                reports::is_due(&load, told, watches, nodes, now)
+            });
+        }
+    }
+
+    /// Passes news of the store on: what the store told to all of this failure domain and to one node
+    /// of each other one, what another failure domain told to all of this one.
+    async fn pass_on(&self) {
+        loop {
+            self.directory.told.notified().await;
+            let Some(news) = self.directory.take_news() else {
+                continue;
+            };
+            let rank = self.roster.rank(self.store.is_up());
+            let relays = relays(&self.roster.elsewhere(), rank);
+            let items = self.directory.after(news.since);
+            self.peers.spread(&items, |node, domain| {
+                let relay = news.read && relays.iter().any(|r| r == node);
+                domain == self.site.domain || relay
+            });
         }
     }
 
@@ -373,7 +397,7 @@
     /// Asks other nodes for state that they have reported and this one has not.
     async fn catch_up(&self) {
         let mut config = Question::new(CONFIG_SPREAD);
-        let mut items = Question::new(Duration::ZERO);
+        let mut items = Question::new(ITEMS_SPREAD);
         loop {
             tokio::select! {
                 () = self.roster.news.notified() => {}
@@ -393,7 +417,8 @@
             let (want, read) = (Frame::WantConfig, &self.read_config);
             ask(&mut config, version.0, &newer, want, read);
             let newer = ahead(&|load| load.items > known);
-            let (want, read) = (Frame::Want(known), &self.read_directory);
+            let want = Frame::Want(self.directory.wanted());
+            let read = &self.read_directory;
             ask(&mut items, known, &newer, want, read);
             // Further reports come within this pause.
             time::sleep(ASK_PAUSE).await;
@@ -462,6 +487,13 @@
     }
 }
 
+/// Returns the node of each failure domain that passes news on there; watching nodes choose different
+/// ones, by their rank.
+fn relays(elsewhere: &BTreeMap<String, Vec<String>>, rank: usize) -> Vec<String> {
+    let chosen = |nodes: &Vec<String>| nodes.get(rank % nodes.len().max(1)).cloned();
+    elsewhere.values().filter_map(chosen).collect()
+}
+
 /// Node with newer state, and whether it is in this node's failure domain.
 type Ahead<'a> = (&'a Rc<Link>, bool);
 
--- a/src/coordination/sidecar/replica.rs
+++ b/src/coordination/sidecar/replica.rs
@@ -6,10 +6,12 @@
 //!
 //! Nothing here does input or output, so that a test can play sources against each other.
 
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
+use crate::coordination::sidecar::tables;
 use crate::protocol::edge::{Event, Item};
 use crate::protocol::mesh::{Items, StoredItem};
+use crate::protocol::ownership;
 
 /// Removals that are remembered; a node further behind gets all items.
 const REMOVALS: usize = 64;
@@ -17,6 +19,10 @@
 /// Gaps that are remembered.
 const GAPS: usize = 8;
 
+/// Earlier values of an ownership table that are kept, to tell what is new since then; a table takes
+/// 20 to 50 KB, and several changes a second are common while keys move.
+const EARLIER: usize = 6;
+
 /// Change of a copy.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
@@ -37,6 +43,10 @@
     /// went within one is unknown here, but a node whose own revision lies within may have it.
     gaps: VecDeque<(u64, u64)>,
     newest: u64,
+    /// Earlier values of the ownership tables, oldest first.
+    earlier: HashMap<String, VecDeque<(u64, Vec<u8>)>>,
+    /// Whether a difference did not fit, so that everything is to be asked for.
+    unfit: bool,
 }
 
 impl Replica {
@@ -46,6 +56,12 @@
         self.newest
     }
 
+    /// Returns the revision after which changes are to be asked for, 0 for everything.
+    #[must_use]
+    pub fn wanted(&self) -> u64 {
+        if self.unfit { 0 } else { self.newest }
+    }
+
     /// Returns the revision of an item.
     #[must_use]
     pub fn revision(&self, key: &str) -> Option<u64> {
@@ -58,10 +74,17 @@
         let within = |&(from, to): &(u64, u64)| from < since && since < to;
         let whole = since == 0 || since < self.forgotten || self.gaps.iter().any(within);
         let present = self.items.iter().filter(|(_, (r, _))| whole || *r > since);
-        let present = present.map(|(key, (revision, value))| StoredItem {
-            key: key.clone(),
-            value: Some(value.clone()),
-            revision: *revision,
+        let present = present.map(|(key, (revision, value))| {
+            let known = if whole { 0 } else { since };
+            let (base, told) = self
+                .difference(key, value, known)
+                .unwrap_or_else(|| (0, value.clone()));
+            StoredItem {
+                key: key.clone(),
+                value: Some(told),
+                revision: *revision,
+                base,
+            }
         });
         let gone = |key: &str| !self.items.contains_key(key);
         let removed = self.removed.iter();
@@ -70,6 +93,7 @@
             key: key.clone(),
             value: None,
             revision: *revision,
+            base: 0,
         });
         let mut items: Vec<_> = present.chain(removed).collect();
         items.sort_by_key(|i| i.revision);
@@ -81,6 +105,36 @@
         }
     }
 
+    /// Returns what is new in a table for a node that knows all changes up to `since`, and the
+    /// revision of the table that it has.
+    fn difference(&self, key: &str, value: &[u8], since: u64) -> Option<(u64, Vec<u8>)> {
+        let earlier = self.earlier.get(key)?;
+        let (base, old) = earlier.iter().rev().find(|(r, _)| *r <= since)?;
+        match ownership::difference(old, value) {
+            Ok(told) if told.len() < value.len() => Some((*base, told)),
+            Ok(_) => None,
+            Err(e) => {
+                tracing::warn!(event = 329, key, base, error = %e, "the difference of two tables can't be told");
+                None
+            }
+        }
+    }
+
+    /// Returns the value that another node has told.
+    fn value(&self, key: &str, told: Vec<u8>, base: u64) -> Option<Vec<u8>> {
+        if base == 0 {
+            return Some(told);
+        }
+        let (_, old) = self.items.get(key).filter(|(r, _)| *r == base)?;
+        match ownership::patched(old, &told) {
+            Ok(value) => Some(value),
+            Err(e) => {
+                tracing::warn!(event = 329, key, base, error = %e, "the difference of two tables does not fit");
+                None
+            }
+        }
+    }
+
     /// Takes over pages of all items, the first of which was read at revision `as_of`.
     ///
     /// Items of later pages that are newer than that are left to whatever tells the changes after it:
@@ -133,20 +187,32 @@
         if items.as_of <= base || gap {
             return Vec::new();
         }
+        let mut told = Vec::new();
+        for item in items.items {
+            if item.revision <= base && !items.whole {
+                continue;
+            }
+            let StoredItem { key, value, .. } = item;
+            let value = match value {
+                None => None,
+                Some(value) => {
+                    let Some(value) = self.value(&key, value, item.base) else {
+                        // The sender knew less than this node, or something went wrong.
+                        self.unfit = items.since == base;
+                        return Vec::new();
+                    };
+                    Some(value)
+                }
+            };
+            told.push((key, value, item.revision));
+        }
+        self.unfit = false;
         let mut changes = Vec::new();
         if items.whole {
-            let listed: HashSet<&str> = items.items.iter().map(|i| i.key.as_str()).collect();
+            let listed: HashSet<&str> = told.iter().map(|(key, ..)| key.as_str()).collect();
             changes = self.keep_only(&listed, items.as_of);
         }
-        for StoredItem {
-            key,
-            value,
-            revision,
-        } in items.items
-        {
-            if revision <= base && !items.whole {
-                continue;
-            }
+        for (key, value, revision) in told {
             changes.extend(match value {
                 Some(value) => self.put(&key, value, revision),
                 None => self.remove(&key, revision),
@@ -189,8 +255,16 @@
             value,
             revision,
         };
-        self.items
+        let before = self
+            .items
             .insert(item.key.clone(), (revision, item.value.clone()));
+        if let Some(before) = before.filter(|_| key.starts_with(tables::TABLES)) {
+            let earlier = self.earlier.entry(item.key.clone()).or_default();
+            earlier.push_back(before);
+            if earlier.len() > EARLIER {
+                earlier.pop_front();
+            }
+        }
         Some(Change::Put(item))
     }
 
--- a/src/coordination/sidecar/roster.rs
+++ b/src/coordination/sidecar/roster.rs
@@ -8,10 +8,11 @@
 
 use tokio::sync::Notify;
 
-use crate::protocol::mesh::{Hello, Items, StoreRequest, StoreResponse};
+use crate::coordination::sidecar::reports;
+use crate::protocol::mesh::{Hello, StoreRequest, StoreResponse};
 use crate::protocol::ownership::NodeEntry;
 use crate::state::clock::Instant;
-use crate::transport::sidecar::links::{Link, Report};
+use crate::transport::sidecar::links::{Link, Report, TakeItems};
 
 /// Time for which a node without an entry is kept while it can't be reached.
 const UNLISTED_TIME: Duration = Duration::from_secs(3);
@@ -31,7 +32,7 @@
 /// Known nodes by address, without this one.
 pub struct Roster {
     hello: Hello,
-    take_items: RefCell<Rc<dyn Fn(Items)>>,
+    take_items: RefCell<TakeItems>,
     peers: RefCell<BTreeMap<String, Peer>>,
     /// Told of new reports and lost connections.
     pub news: Rc<Notify>,
@@ -52,14 +53,14 @@
     pub fn new(hello: Hello) -> Self {
         Self {
             hello,
-            take_items: RefCell::new(Rc::new(|_| ())),
+            take_items: RefCell::new(Rc::new(|_, _| ())),
             peers: RefCell::new(BTreeMap::new()),
             news: Rc::new(Notify::new()),
         }
     }
 
     /// Sets what gets the items that other nodes send.
-    pub fn set_take_items(&self, take: Rc<dyn Fn(Items)>) {
+    pub fn set_take_items(&self, take: TakeItems) {
         *self.take_items.borrow_mut() = take;
     }
 
@@ -150,6 +151,27 @@
         address == self.hello.node || self.peers.borrow().get(address).is_some_and(|p| p.listed)
     }
 
+    /// Returns the number of nodes in the failure domain of this node, with it.
+    #[must_use]
+    pub fn near(&self) -> usize {
+        let peers = self.peers.borrow();
+        let near = |p: &&Peer| *p.link.domain.borrow() == self.hello.domain;
+        peers.values().filter(near).count() + 1
+    }
+
+    /// Returns the connected nodes of each failure domain but this node's own, in order.
+    #[must_use]
+    pub fn elsewhere(&self) -> BTreeMap<String, Vec<String>> {
+        let mut all: BTreeMap<String, Vec<String>> = BTreeMap::new();
+        for (address, peer) in &*self.peers.borrow() {
+            let domain = peer.link.domain.borrow();
+            if peer.link.is_up() && *domain != self.hello.domain {
+                all.entry(domain.clone()).or_default().push(address.clone());
+            }
+        }
+        all
+    }
+
     /// Returns the number of nodes, with this one.
     #[must_use]
     pub fn size(&self) -> usize {
@@ -168,9 +190,13 @@
 
     /// Makes a call to the store through other nodes, until one has an answer.
     pub async fn relay(&self, request: StoreRequest) -> Option<StoreResponse> {
+        // Nodes elsewhere tell too seldom in a large fleet whether the store answers them.
+        let fresh = |l: &Rc<Link>| {
+            reports::is_small(self.size()) || *l.domain.borrow() == self.hello.domain
+        };
         let answered = |l: &Rc<Link>| l.report().is_some_and(|r| r.load.store_up);
-        let up = self.links().into_iter().filter(answered);
-        let mut up: Vec<_> = up.collect();
+        let up = self.links().into_iter();
+        let mut up: Vec<_> = up.filter(fresh).filter(answered).collect();
         // Another start for each call, so that one node that is turned away isn't asked always.
         let turn = rand::random_range(0..up.len().max(1));
         up.rotate_left(turn);
--- a/src/coordination/sidecar/tables.rs
+++ b/src/coordination/sidecar/tables.rs
@@ -143,8 +143,15 @@
                     self.set(service, revision, Rc::new(next));
                     return Ok(true);
                 }
-                Ok(_) => {
-                    self.read(service).await?;
+                Ok(reply) => {
+                    let told = match &reply {
+                        StoreReply::Conflict { items } => items.iter().find(|i| i.key == name),
+                        _ => None,
+                    };
+                    match told {
+                        Some(item) => self.take(item),
+                        None => self.read(service).await?,
+                    }
                     let moved = self.get(service).is_some_and(|t| t.revision != revision);
                     if !moved {
                         // One of the further conditions does not hold.
--- a/src/protocol/edge.rs
+++ b/src/protocol/edge.rs
@@ -258,7 +258,10 @@
         revision: u64,
     },
     /// A condition does not hold.
-    Conflict,
+    Conflict {
+        /// Items of the conditions as they are now, as far as they exist and can be read.
+        items: Vec<Item>,
+    },
     /// A lease is open.
     Lease {
         /// Identifier, `None` for a renewal.
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -59,6 +59,8 @@
     pub node: String,
     /// Start of the process; a new one for each start.
     pub incarnation: u64,
+    /// Failure domain.
+    pub domain: String,
 }
 
 /// Request on its way to a backend server.
@@ -287,6 +289,8 @@
     pub value: Option<Vec<u8>>,
     /// Revision of its last change.
     pub revision: u64,
+    /// Revision of the value from which this one differs by what is told; 0 if all of it is told.
+    pub base: u64,
 }
 
 /// Items of the store as nodes pass them on.
--- a/src/protocol/ownership.rs
+++ b/src/protocol/ownership.rs
@@ -15,8 +15,9 @@
 /// First key, last key, token, index of the holder, index of the target, handover.
 type Row = (u16, u16, u64, Option<usize>, Option<usize>, String);
 
-impl From<&keyspace::Keyspace> for Table {
-    fn from(keys: &keyspace::Keyspace) -> Self {
+impl Table {
+    /// Writes slices, which need not be all of a table.
+    fn of(next_token: u64, slices: &[keyspace::Slice]) -> Self {
         let mut holders: Vec<keyspace::Holder> = Vec::new();
         let mut index = |h: &Option<keyspace::Holder>| {
             let h = h.as_ref()?;
@@ -29,28 +30,25 @@
             let (holder, target) = (index(&s.holder), index(&s.target));
             (s.from, s.to, s.token, holder, target, s.handover.clone())
         };
-        let slices = keys.slices.iter().map(row).collect();
+        let slices = slices.iter().map(row).collect();
         Self {
-            next_token: keys.next_token,
+            next_token,
             holders,
             slices,
         }
     }
-}
-
-impl TryFrom<Table> for keyspace::Keyspace {
-    type Error = Unreadable;
 
-    fn try_from(table: Table) -> Result<Self, Unreadable> {
+    /// Reads the slices, which need not be all of a table.
+    fn slices(self) -> Result<Vec<keyspace::Slice>, Unreadable> {
         let holder = |i: Option<usize>| match i {
             None => Ok(None),
-            Some(i) => match table.holders.get(i) {
+            Some(i) => match self.holders.get(i) {
                 Some(h) => Ok(Some(h.clone())),
                 None => Err(Unreadable(format!("holder {i} is not listed"))),
             },
         };
-        let mut slices = Vec::with_capacity(table.slices.len());
-        for (from, to, token, h, t, handover) in table.slices {
+        let mut slices = Vec::with_capacity(self.slices.len());
+        for (from, to, token, h, t, handover) in self.slices {
             slices.push(keyspace::Slice {
                 from,
                 to,
@@ -60,9 +58,23 @@
                 handover,
             });
         }
+        Ok(slices)
+    }
+}
+
+impl From<&keyspace::Keyspace> for Table {
+    fn from(keys: &keyspace::Keyspace) -> Self {
+        Self::of(keys.next_token, &keys.slices)
+    }
+}
+
+impl TryFrom<Table> for keyspace::Keyspace {
+    type Error = Unreadable;
+
+    fn try_from(table: Table) -> Result<Self, Unreadable> {
         let keys = Self {
             next_token: table.next_token,
-            slices,
+            slices: table.slices()?,
         };
         keys.check().map_err(|e| Unreadable(e.to_string()))?;
         Ok(keys)
@@ -89,6 +101,41 @@
     keyspace::Keyspace::try_from(table)
 }
 
+/// Returns what is new in a table: the rows that an older one does not have.
+///
+/// # Errors
+///
+/// Returns why one of the values is no table.
+pub fn difference(old: &[u8], new: &[u8]) -> Result<Vec<u8>, Unreadable> {
+    let (old, new) = (read_table(old)?, read_table(new)?);
+    let same = |s: &keyspace::Slice| old.find(s.from) == Some(s);
+    let changed = new.slices.iter().filter(|s| !same(s));
+    let changed: Vec<_> = changed.cloned().collect();
+    let table = Table::of(new.next_token, &changed);
+    postcard::to_allocvec(&table).map_err(|e| Unreadable(e.to_string()))
+}
+
+/// Returns the newer table from an older one and its [`difference`].
+///
+/// # Errors
+///
+/// Returns why there is no table: one of the values can't be read, or they don't fit together.
+pub fn patched(old: &[u8], difference: &[u8]) -> Result<Vec<u8>, Unreadable> {
+    let mut keys = read_table(old)?;
+    let table: Table = postcard::from_bytes(difference).map_err(|e| Unreadable(e.to_string()))?;
+    keys.next_token = table.next_token;
+    let changed = table.slices()?;
+    // Rows that are gone are covered by changed ones.
+    keys.slices.retain(|s| {
+        let after = changed.partition_point(|c| c.to < s.from);
+        changed.get(after).is_none_or(|c| !c.meets(s.from, s.to))
+    });
+    keys.slices.extend(changed);
+    keys.slices.sort_by_key(|s| s.from);
+    keys.check().map_err(|e| Unreadable(e.to_string()))?;
+    Ok(write_table(&keys))
+}
+
 /// Entry of a live node, kept under a lease.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/transport/sidecar/links.rs
+++ b/src/transport/sidecar/links.rs
@@ -48,6 +48,9 @@
 /// Time for which an idempotent call waits for a new connection before it is tried elsewhere.
 const RESUME_TIME: Duration = Duration::from_millis(500);
 
+/// Function that gets the items that a node sends, with the failure domain of that node.
+pub type TakeItems = Rc<dyn Fn(&str, Items)>;
+
 #[derive(Debug)]
 struct Pending {
     reply: oneshot::Sender<Outcome>,
@@ -81,7 +84,7 @@
     incarnation: Cell<Option<u64>>,
     about: RefCell<Rc<About>>,
     report: Cell<Option<(Load, Instant)>>,
-    take_items: Rc<dyn Fn(Items)>,
+    take_items: TakeItems,
     /// Calls sent less calls ended since the last report.
     since_report: Cell<i32>,
     heard: Cell<Instant>,
@@ -110,7 +113,7 @@
         domain: &str,
         hello: Hello,
         news: Rc<Notify>,
-        take_items: Rc<dyn Fn(Items)>,
+        take_items: TakeItems,
     ) -> Rc<Self> {
         let now = Instant::now();
         let link = Rc::new(Self {
@@ -294,7 +297,11 @@
                 }
             }
             Frame::About(about) => *self.about.borrow_mut() = Rc::new(about),
-            Frame::Items(items) => (self.take_items)(*items),
+            Frame::Items(items) => {
+                // The items may change the failure domain of this very node.
+                let domain = self.domain.borrow().clone();
+                (self.take_items)(&domain, *items);
+            }
             Frame::Pong => {}
             other => {
                 tracing::warn!(event = 222, node = %self.node, frame = ?other, "a node sent a frame in the wrong direction");
--- a/src/transport/sidecar/peers.rs
+++ b/src/transport/sidecar/peers.rs
@@ -129,6 +129,11 @@
 struct Remote {
     /// Connections so far.
     epoch: u64,
+    domain: String,
+    /// Last call.
+    worked: Option<Instant>,
+    /// Load that was sent last.
+    told: Option<(Load, Instant)>,
     out: Option<mpsc::UnboundedSender<Frame>>,
     running: HashMap<Seq, Running>,
     kept: VecDeque<(Seq, Outcome)>,
@@ -182,6 +187,19 @@
     }
 }
 
+/// What one node was last told of this one's load.
+#[derive(Debug, Clone, Copy)]
+pub struct Told {
+    /// Load.
+    pub load: Load,
+    /// Time at which it was sent.
+    pub at: Instant,
+    /// Whether the node is in the failure domain of this one.
+    pub near: bool,
+    /// Last call of the node.
+    pub worked: Option<Instant>,
+}
+
 /// Record of one process of another node.
 type Shared = Rc<RefCell<Remote>>;
 
@@ -241,6 +259,35 @@
         }
     }
 
+    /// Tells the load to those connected nodes for which it is due.
+    pub fn report(&self, load: Load, is_due: impl Fn(&Told) -> bool) {
+        let now = Instant::now();
+        for (_, remote) in self.remotes.borrow().values().flatten() {
+            let mut remote = remote.borrow_mut();
+            let told = remote.told.map(|(load, at)| Told {
+                load,
+                at,
+                near: remote.domain == self.hello.domain,
+                worked: remote.worked,
+            });
+            if told.is_some_and(|told| is_due(&told)) && remote.send(Frame::Load(load)) {
+                remote.told = Some((load, now));
+            }
+        }
+    }
+
+    /// Sends items of the store to connected nodes, by their address and failure domain.
+    pub fn spread(&self, items: &Items, to: impl Fn(&str, &str) -> bool) {
+        for (node, processes) in &*self.remotes.borrow() {
+            for (_, remote) in processes {
+                let remote = remote.borrow();
+                if to(node, &remote.domain) {
+                    remote.send(Frame::Items(Box::new(items.clone())));
+                }
+            }
+        }
+    }
+
     /// Returns the number of calls that run for other nodes.
     #[must_use]
     pub fn running(&self) -> usize {
@@ -272,6 +319,12 @@
         processes.drain(..extra);
         let mut r = remote.borrow_mut();
         r.epoch += 1;
+        hello.domain.clone_into(&mut r.domain);
+        let load = self.service.load();
+        // The receiver lives as long as the connection.
+        let _sent = out.send(Frame::About(self.service.about()));
+        let _sent = out.send(Frame::Load(load));
+        r.told = Some((load, Instant::now()));
         r.out = Some(out);
         let epoch = r.epoch;
         drop(r);
@@ -288,9 +341,6 @@
         write.add(&Frame::Hello(self.hello.clone()))?;
         write.flush().await?;
         let (out, mut queued) = mpsc::unbounded_channel();
-        // The receiver lives until the end of this function.
-        let _sent = out.send(Frame::About(self.service.about()));
-        let _sent = out.send(Frame::Load(self.service.load()));
         let (remote, epoch) = self.enter(&hello, out);
         let done = async {
             loop {
@@ -329,7 +379,11 @@
     fn receive(&self, remote: &Shared, frame: Frame) {
         match frame {
             Frame::Call(seq, mut call) => {
-                let late = remote.borrow_mut().lag.of(call.sent_ms, Instant::now());
+                let now = Instant::now();
+                let mut r = remote.borrow_mut();
+                r.worked = Some(now);
+                let late = r.lag.of(call.sent_ms, now);
+                drop(r);
                 self.service.delayed(late);
                 let late = clock::millis(late);
                 if late >= call.left_ms {
--- a/tests/sidecar/links.rs
+++ b/tests/sidecar/links.rs
@@ -93,6 +93,7 @@
     Hello {
         node: node.to_owned(),
         incarnation,
+        domain: "d".to_owned(),
     }
 }
 
@@ -151,7 +152,7 @@
             "d",
             hello("a", 1),
             Rc::new(Notify::new()),
-            Rc::new(|_| ()),
+            Rc::new(|_, _| ()),
         );
         let world = Self {
             service,
@@ -343,7 +344,7 @@
             "d",
             hello("a", 1),
             Rc::new(Notify::new()),
-            Rc::new(|_| ()),
+            Rc::new(|_, _| ()),
         );
         time::sleep(Duration::from_millis(900)).await;
         assert!(
@@ -392,7 +393,7 @@
             while read.next().await.is_some() {}
         });
         let news = Rc::new(Notify::new());
-        let link = Link::start(address, "d", hello("a", 1), news, Rc::new(|_| ()));
+        let link = Link::start(address, "d", hello("a", 1), news, Rc::new(|_, _| ()));
         while link.report().is_none() {
             time::sleep(Duration::from_millis(5)).await;
         }
@@ -584,3 +585,31 @@
         assert_eq!(world.service.begun.get(), 1);
     });
 }
+
+/// Guards against a connection that ends for good when a node sends items that change what is known of
+/// this very node.
+#[test]
+fn items_may_change_their_sender() {
+    run(|world| async move {
+        let link: Rc<RefCell<Option<Rc<Link>>>> = Rc::default();
+        let taken = Rc::new(Cell::new(0));
+        let (known, count) = (Rc::clone(&link), Rc::clone(&taken));
+        let take = move |domain: &str, _items| {
+            let link: Rc<Link> = known.borrow().clone().unwrap();
+            format!("{domain}2").clone_into(&mut link.domain.borrow_mut());
+            count.set(count.get() + 1);
+        };
+        let news = Rc::new(Notify::new());
+        let made = Link::start(world.node, "d", hello("a", 1), news, Rc::new(take));
+        *link.borrow_mut() = Some(Rc::clone(&made));
+        while made.report().is_none() {
+            time::sleep(Duration::from_millis(5)).await;
+        }
+        for _ in 0..2 {
+            made.send(Frame::WantConfig);
+            time::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(taken.get(), 2);
+        assert_eq!(*made.domain.borrow(), "d22");
+    });
+}
--- a/tests/sidecar/replica.rs
+++ b/tests/sidecar/replica.rs
@@ -5,6 +5,8 @@
 use filbertflow::coordination::sidecar::replica::{Change, Replica};
 use filbertflow::protocol::edge::{Event, Item};
 use filbertflow::protocol::mesh::Items;
+use filbertflow::protocol::ownership;
+use filbertflow::state::keyspace::{Holder, Key, Keyspace};
 use quickcheck::{Arbitrary, Gen, TestResult};
 
 /// Nodes of a history.
@@ -30,7 +32,7 @@
         for &(key, put) in changes {
             let key = name(key);
             self.events.push(if put {
-                let value = revision.to_string().into_bytes();
+                let value = value(&key, revision);
                 Event::Put(Item {
                     key,
                     value,
@@ -63,8 +65,8 @@
         let now = self.at(self.revision);
         let listed = keys.filter_map(|k| Some((name(k), *now.get(&name(k))?)));
         let item = |(key, revision): (String, u64)| Item {
+            value: value(&key, revision),
             key,
-            value: revision.to_string().into_bytes(),
             revision,
         };
         listed.map(item).collect()
@@ -76,8 +78,36 @@
     *revision
 }
 
+/// Name of an item; the last one is an ownership table.
 fn name(key: u8) -> String {
-    format!("filbertflow/node/{}", key % KEYS)
+    match key % KEYS {
+        3 => "filbertflow/keys/s".to_owned(),
+        n => format!("filbertflow/node/{n}"),
+    }
+}
+
+/// Value of an item since a revision.
+fn value(key: &str, revision: u64) -> Vec<u8> {
+    if key.starts_with("filbertflow/node/") {
+        return revision.to_string().into_bytes();
+    }
+    let holder = |n: u64| Holder {
+        node: format!("10.0.0.{n}:7600"),
+        backend: format!("i-{n}"),
+        born: n,
+    };
+    let mut table = Keyspace::default();
+    for n in 0..40 {
+        let from = Key::try_from(n * 1600).unwrap();
+        table.assign(from, from + 1599, &holder(n % 5));
+    }
+    // A few ranges differ from one revision to the next.
+    for n in [revision % 40, (revision * 7) % 40] {
+        let from = Key::try_from(n * 1600 + 100).unwrap();
+        table.plan(from, from + 300, &holder(n % 5), &holder(6));
+        table.release(from, from + 100, &holder(n % 5), "proof");
+    }
+    ownership::write_table(&table)
 }
 
 /// Step of a history.
@@ -139,6 +169,12 @@
     fn wrong(&self, past: &Past) -> Option<(String, Option<u64>, Option<u64>)> {
         let newest = self.replica.newest();
         let then = past.at(newest);
+        for item in self.replica.after(0).items {
+            let right = value(&item.key, item.revision);
+            if item.value.as_ref() != Some(&right) {
+                return Some((item.key, Some(item.revision), None));
+            }
+        }
         (0..KEYS).map(name).find_map(|key| {
             let shown = self.replica.revision(&key);
             let right = then.get(&key).copied();
@@ -282,6 +318,49 @@
     assert!(changes.contains(&Change::Removed(name(1))), "{changes:?}");
 }
 
+/// Pattern: several keys move in a table of 77 holders, and 194 nodes hear of it. Guards against the
+/// whole table on each of their connections.
+#[test]
+fn change_of_a_table_is_told_as_a_difference() {
+    let table = |revision| Item {
+        key: name(3),
+        value: value(&name(3), revision),
+        revision,
+    };
+    let mut node = Replica::default();
+    node.reset(&[table(5)], 5);
+    let mut other = Replica::default();
+    other.reset(&[table(5)], 5);
+    node.apply(&[Event::Put(table(6))]);
+    let told = node.after(5);
+    let bytes = told.items[0].value.as_ref().unwrap().len();
+    assert!(bytes * 4 < table(6).value.len(), "{bytes} bytes");
+    assert_eq!(other.take(told), [Change::Put(table(6))]);
+}
+
+/// Guards against a difference that is laid over another table than its own, and against questions
+/// that get it again and again.
+#[test]
+fn difference_that_does_not_fit_asks_for_everything() {
+    let table = |revision| Item {
+        key: name(3),
+        value: value(&name(3), revision),
+        revision,
+    };
+    let mut node = Replica::default();
+    node.reset(&[table(5)], 5);
+    node.apply(&[Event::Put(table(6))]);
+    let mut other = Replica::default();
+    other.reset(&[table(4)], 5);
+    assert_eq!(other.take(node.after(5)), []);
+    assert_eq!(other.wanted(), 0);
+    assert_eq!(
+        other.take(node.after(other.wanted())),
+        [Change::Put(table(6))]
+    );
+    assert_eq!(other.wanted(), 6);
+}
+
 /// Guards against the second change of a commit that is taken for an old one.
 #[test]
 fn all_changes_of_one_commit_are_taken() {
--- a/tests/sidecar/reports.rs
+++ b/tests/sidecar/reports.rs
@@ -4,15 +4,48 @@
 
 use filbertflow::coordination::sidecar::reports::{interval, is_due};
 use filbertflow::protocol::mesh::{Health, Load};
+use filbertflow::state::clock::Instant;
+use filbertflow::state::routes::Version;
+use filbertflow::transport::sidecar::peers::Told;
 
 const YOUNG: Duration = Duration::from_millis(100);
 
+/// Relation of the node that is told to the one that tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum To {
+    Near,
+    Working,
+    /// In another failure domain, and has sent nothing.
+    Idle,
+    /// Sent its last call long ago.
+    Resting,
+}
+
+fn due(load: &Load, to: To, watches: bool, nodes: usize, age: Duration) -> bool {
+    let now = Instant::now() + Duration::from_mins(1);
+    let ago = |s| Some(now - Duration::from_secs(s));
+    let told = Told {
+        load: Load::default(),
+        at: now - age,
+        near: to == To::Near,
+        worked: match to {
+            To::Working => ago(1),
+            To::Resting => ago(20),
+            To::Near | To::Idle => None,
+        },
+    };
+    is_due(load, &told, watches, nodes, now)
+}
+
 macro_rules! reports {
     ($($(#[$doc:meta])* $name:ident: $load:expr, $watches:literal => $due:literal;)*) => {$(
         $(#[$doc])*
         #[test]
         fn $name() {
-            assert_eq!(is_due(&$load, &Load::default(), $watches, YOUNG), $due);
+            for to in [To::Near, To::Working] {
+                assert_eq!(due(&$load, to, $watches, 194, YOUNG), $due, "{to:?}");
+            }
+            assert_eq!(due(&$load, To::Idle, $watches, 10, YOUNG), $due);
         }
     )*};
 }
@@ -29,11 +62,39 @@
     table_seen_by_another: Load { items: 7, ..Load::default() }, false => false;
 }
 
+macro_rules! to_idle {
+    ($($(#[$doc:meta])* $name:ident: $load:expr, $watches:literal => $due:literal;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            for to in [To::Idle, To::Resting] {
+                assert_eq!(due(&$load, to, $watches, 194, YOUNG), $due, "{to:?}");
+            }
+        }
+    )*};
+}
+
+to_idle! {
+    /// Pattern: 194 hosts, each of which sends work to a few. Guards against 193 reports of each to
+    /// nodes that send it nothing.
+    busier_is_no_news_elsewhere: Load { running: 9, ..Load::default() }, false => false;
+    /// Guards against work for a backend server that leaves or a node that stops.
+    leaving_is_news_everywhere: Load { health: Health::Leaving, ..Load::default() }, false => true;
+    stopping_is_news_everywhere: Load { stopping: true, ..Load::default() }, false => true;
+    /// Pattern: configurations in quick succession in a fleet of 194. Guards against 194 reports of
+    /// each version to each node.
+    version_is_no_news_elsewhere: Load { config: Version(7), ..Load::default() }, false => false;
+    /// Guards against a failure domain that nobody tells of a new configuration.
+    version_at_a_watcher_is_news: Load { config: Version(7), ..Load::default() }, true => true;
+}
+
 /// Guards against a node that looks dead because it has nothing to do.
 #[test]
 fn quiet_node_reports() {
-    let (load, last) = (Load::default(), Load::default());
-    assert!(is_due(&load, &last, false, Duration::from_secs(1)));
+    let load = Load::default();
+    assert!(due(&load, To::Near, false, 194, Duration::from_secs(1)));
+    assert!(due(&load, To::Idle, false, 10, Duration::from_secs(1)));
+    assert!(due(&load, To::Idle, false, 194, Duration::from_secs(10)));
 }
 
 /// Pattern: 10 to 300 hosts. Guards against reports that cost each node more than a small fleet's,
