--- a/tests/sidecar/links.rs
+++ b/tests/sidecar/links.rs
@@ -600,7 +600,7 @@
             count.set(count.get() + 1);
         };
         let news = Rc::new(Notify::new());
-        let made = Link::start(world.node, "d", hello("a", 1), news, Rc::new(take));
+        let made = Link::start(world.node, "d", hello("c", 1), news, Rc::new(take));
         *link.borrow_mut() = Some(Rc::clone(&made));
         while made.report().is_none() {
             time::sleep(Duration::from_millis(5)).await;
