Answer what callers have sent before a stopping node closes its listener

When a stopping node ended, connections that the system had taken and the node had not accepted yet were reset with the requests on them, and a request that had arrived on an idle connection at that moment was closed away unread. Ruled out: requests that were read (they are answered before the process ends). Change: an ending node accepts what is established, for 10 ms after the last and 200 ms at most, and reads an idle connection once more before it closes it. It looks for open connections after that time.

--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -447,6 +447,8 @@
         let grace = self.site.bounds.grace;
         time::sleep(grace.mul_f64(CLOSING_SHARE)).await;
         self.entry.set_stage(Stage::Ending);
+        // What was established before the listener closed counts as open from now on.
+        time::sleep(caller::LAST_CALLS).await;
         let last_call = start + grace.mul_f64(OPEN_SHARE);
         self.until(last_call, || self.connections.get() == 0).await;
         // Callers elsewhere depend on this node until its successor runs, so it stops late.
--- a/src/transport/sidecar/caller.rs
+++ b/src/transport/sidecar/caller.rs
@@ -33,6 +33,13 @@
 /// Time for which a closed connection is still read, so that the last response isn't reset.
 const LINGER: Duration = Duration::from_millis(700);
 
+/// Time in which an ending node still takes what callers have sent before: connections that wait to be
+/// accepted, and bytes on idle ones. The system hands over what it has at once.
+const LAST_CALL: Duration = Duration::from_millis(10);
+
+/// Longest time for taking such connections, however many follow.
+pub const LAST_CALLS: Duration = Duration::from_millis(200);
+
 /// First size of a read buffer, in bytes.
 const FIRST_BUFFER: usize = 1024;
 
@@ -130,22 +137,30 @@
             () = ending.notified() => continue,
         };
         match accepted {
-            Ok((io, _)) => {
-                let handler = Rc::clone(&handler);
-                let counted = Open::new(&open);
-                task::spawn_local(async move {
-                    if let Err(e) = serve(io, &*handler).await {
-                        tracing::debug!(event = 251, error = %e, "a caller's connection failed");
-                    }
-                    drop(counted);
-                });
-            }
+            Ok((io, _)) => spawn(io, &handler, &open),
             Err(e) => {
                 tracing::warn!(event = 252, error = %e, open = open.get(), "can't accept a caller");
                 time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+    // Connections that the system has taken already may carry requests; closing the listener would
+    // reset them.
+    let end = Instant::now() + LAST_CALLS;
+    while let Ok(Ok((io, _))) = time::timeout(LAST_CALL.min(end.left()), listener.accept()).await {
+        spawn(io, &handler, &open);
+    }
+}
+
+fn spawn(io: TcpStream, handler: &Rc<dyn Handler>, open: &Rc<Cell<usize>>) {
+    let handler = Rc::clone(handler);
+    let counted = Open::new(open);
+    task::spawn_local(async move {
+        if let Err(e) = serve(io, &*handler).await {
+            tracing::debug!(event = 251, error = %e, "a caller's connection failed");
+        }
+        drop(counted);
+    });
 }
 
 /// Future of a response, and whether it ends the connection.
@@ -226,7 +241,11 @@
                     self.buffer = BytesMut::new();
                 }
                 if handler.is_ending() {
-                    return Input::Idle;
+                    let read = self.io.read_buf(&mut self.buffer);
+                    match time::timeout(LAST_CALL, read).await {
+                        Ok(Ok(n)) if n > 0 => continue,
+                        _ => return Input::Idle,
+                    }
                 }
             }
             if self.buffer.capacity() == self.buffer.len() {
--- a/tests/sidecar/caller.rs
+++ b/tests/sidecar/caller.rs
@@ -264,3 +264,44 @@
         assert!(TcpStream::connect(world.address).await.is_err());
     });
 }
+
+/// Pattern: a planned stop under load. Guards against requests that were established before the
+/// listener closed and are cut off without an answer.
+#[test]
+fn requests_before_the_end_are_answered() {
+    run(|world| async move {
+        let mut callers = Vec::new();
+        for _ in 0..20 {
+            // The system takes these connections; the task that accepts them has not run yet.
+            let mut io = std::net::TcpStream::connect(world.address).unwrap();
+            std::io::Write::write_all(&mut io, get(30).as_bytes()).unwrap();
+            callers.push(io);
+        }
+        world.handler.closing.set(true);
+        world.handler.ending.set(true);
+        world.handler.told.notify_waiters();
+        for io in callers {
+            io.set_nonblocking(true).unwrap();
+            let mut io = TcpStream::from_std(io).unwrap();
+            assert_eq!(bodies(&rest(&mut io).await), ["30"]);
+        }
+    });
+}
+
+/// Guards against a request on a kept connection that has arrived when the node closes idle ones.
+#[test]
+fn request_that_has_arrived_is_read_before_the_end() {
+    run(|world| async move {
+        let mut io = world.connect().await;
+        io.write_all(get(5).as_bytes()).await.unwrap();
+        let mut first = [0; 4096];
+        assert!(io.read(&mut first).await.unwrap() > 0);
+        let mut io = io.into_std().unwrap();
+        std::io::Write::write_all(&mut io, get(30).as_bytes()).unwrap();
+        world.handler.closing.set(true);
+        world.handler.ending.set(true);
+        world.handler.told.notify_waiters();
+        let mut io = TcpStream::from_std(io).unwrap();
+        assert_eq!(bodies(&rest(&mut io).await), ["30"]);
+    });
+}
