Take the record of a settled cluster from the look that found it settled

Cause: KNOWN-RED listed succession::paused_standby_is_replaced_without_a_gap, which once found a record without standbys right after the cluster had settled. Traced with two runs of a temporary test: after a pause of the coordinator the nodes show Epoch(1) with 2 standbys, Epoch(2) with 1, then 2; after a stall of all nodes for 1.5 s Epoch(1) with 1, then 2. A claim names the standbys that are left, and two claims in a row leave none until new ones have promised, which is the rule (R3). The test looked a second time, after the look that had found two. Change: settled() returns the record that all nodes show with two standbys, and the test takes that. Its checks are the same.

--- a/tests/ownership/cluster.rs
+++ b/tests/ownership/cluster.rs
@@ -219,8 +219,11 @@
     nodes
 }
 
-/// Waits until every node owns slices, none moves, and two standbys are named.
-pub fn settled(nodes: &[TestNode]) {
+/// Waits until every node owns slices, none moves, and two standbys are named, and returns the record
+/// that says so. A later look may find another one: when the machine stalls the coordinator for longer
+/// than a promise, a claim names fewer standbys until new ones have promised.
+pub fn settled(nodes: &[TestNode]) -> Arc<record::PartitionRecord> {
+    let named = |r: &record::PartitionRecord| r.standbys.len() == 2.min(nodes.len() - 1);
     wait_for("a settled record", || {
         let mut led = nodes
             .iter()
@@ -228,17 +231,22 @@
         let Some(record) = led.next() else {
             return false;
         };
-        record.standbys.len() == 2.min(nodes.len() - 1)
+        named(&record)
             && record.owners().len() == nodes.len()
             && record.slices.iter().all(|s| s.target.is_none())
     });
+    let mut settled = None;
     wait_for("one record at all nodes", || {
-        let mut stamps = nodes.iter().map(|n| n.record().map(|r| r.stamp()));
-        let first = stamps.next().unwrap();
-        stamps.all(|s| s == first)
+        let mut records = nodes.iter().map(TestNode::record);
+        let first = records.next().unwrap();
+        let stamp = first.as_ref().map(|r| r.stamp());
+        let same = records.all(|r| r.map(|r| r.stamp()) == stamp);
+        settled = first.filter(|r| same && named(r));
+        settled.is_some()
     });
     let nodes: Vec<_> = nodes.iter().collect();
     wait_for("all keys to be served", || all_served(&nodes));
+    settled.unwrap()
 }
 
 /// Checks while it lives that admissions of each hash happen in the order of their tokens, and
--- a/tests/ownership/succession.rs
+++ b/tests/ownership/succession.rs
@@ -102,7 +102,7 @@
     let platform = Fake::start();
     let domains = ["ie-east-a", "ie-east-b", "ie-east-c", "ie-east-a"];
     let mut nodes = cluster::cluster(&platform, &domains);
-    let record = nodes[0].record().unwrap();
+    let record = cluster::settled(&nodes);
     let paused = record.standbys[0];
     let i = nodes.iter().position(|n| n.me() == paused).unwrap();
     let observer = Observer::watch(&nodes);
