Keep a backend server's departure beyond the life of the process beside it

A backend server that had said it leaves was in use again after its node's process was killed: the next process knew nothing of it and took a heartbeat from before for one to use. Ruled out: keys (the tables and the entry's revision decide, both in the store). What remains: a restart while the store is down, and a record that could not be written.

--- a/src/coordination/sidecar/beats.rs
+++ b/src/coordination/sidecar/beats.rs
@@ -12,6 +12,7 @@
 
 use crate::coordination::sidecar::beside::Backend;
 use crate::coordination::sidecar::configuration::Configuration;
+use crate::coordination::sidecar::departures::Departures;
 use crate::coordination::sidecar::gate::Gate;
 use crate::coordination::sidecar::owner::Owner;
 use crate::protocol::edge::{Adapter, Heartbeat, Notice, Phase};
@@ -38,14 +39,21 @@
     pub gate: Rc<Gate>,
     /// Keys of the backend server.
     pub owner: Rc<Owner>,
+    /// Departures, also those that earlier processes have acknowledged.
+    pub departures: Rc<Departures>,
 }
 
 impl Beats {
     /// Answers a call of the backend server.
-    pub fn answer(&self, head: &http::RequestHead, body: &[u8]) -> Reply {
+    pub async fn answer(&self, head: &http::RequestHead, body: &[u8]) -> Reply {
         match self.adapter.notice(head, body) {
-            Ok(Notice::Heartbeat(beat)) => self.heartbeat(&beat),
-            Ok(Notice::Leave { backend, born }) => self.leave(&backend, born),
+            Ok(Notice::Heartbeat(beat)) => {
+                if self.gate.backend().is_none() {
+                    self.departures.known().await;
+                }
+                self.heartbeat(&beat)
+            }
+            Ok(Notice::Leave { backend, born }) => self.leave(&backend, born).await,
             Err(e) => {
                 tracing::warn!(event = 371, target = %head.target, error = %e, "a heartbeat can't be read and is ignored");
                 (400, Vec::new())
@@ -53,14 +61,16 @@
         }
     }
 
-    fn leave(&self, id: &str, born: Option<u64>) -> Reply {
+    async fn leave(&self, id: &str, born: Option<u64>) -> Reply {
         if let Some(mut backend) = self.gate.backend()
             && backend.holder.backend == id
             && born.is_none_or(|b| b == backend.holder.born)
         {
             tracing::info!(event = 372, backend = %id, "the backend server leaves");
             backend.leaving.get_or_insert_with(Instant::now);
+            let holder = backend.holder.clone();
             self.gate.set_backend(backend);
+            self.departures.record(&holder).await;
         }
         (200, self.adapter.grants(None))
     }
@@ -111,9 +121,14 @@
         let before = before.and_then(|b| b.leaving);
         let leaving = match beat.phase {
             Phase::Draining => Some(before.unwrap_or(now)),
-            // A life that leaves does not come back.
+            // A life that leaves does not come back, nor after a restart of this node's process.
+            Phase::Ready if self.departures.has_left(&holder) => Some(before.unwrap_or(now)),
             Phase::Ready => before,
         };
+        if beat.phase == Phase::Draining {
+            let (departures, holder) = (Rc::clone(&self.departures), holder.clone());
+            task::spawn_local(async move { departures.record(&holder).await });
+        }
         if !known || leaving != before {
             tracing::info!(event = 374, backend = %beat.backend, born = beat.born, sequence = beat.sequence, service = %beat.service, phase = ?beat.phase, "the backend server's state changed");
         }
--- a/src/coordination/sidecar/mod.rs
+++ b/src/coordination/sidecar/mod.rs
@@ -12,6 +12,7 @@
 pub mod catchup;
 pub mod choose;
 pub mod configuration;
+pub mod departures;
 pub mod directory;
 pub mod duties;
 pub mod entry;
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -15,6 +15,7 @@
 use crate::coordination::sidecar::budget::{self, Budget};
 use crate::coordination::sidecar::catchup::{Question, Source, Step};
 use crate::coordination::sidecar::configuration::Configuration;
+use crate::coordination::sidecar::departures::Departures;
 use crate::coordination::sidecar::directory::{ConfigFollower, Directory};
 use crate::coordination::sidecar::duties::{self, Duties};
 use crate::coordination::sidecar::entry::{Door, Entry, Parts, Stage};
@@ -109,6 +110,7 @@
     duties: Rc<Duties>,
     gate: Rc<Gate>,
     membership: Rc<Membership>,
+    departures: Rc<Departures>,
     planner: Rc<Planner>,
     owner: Rc<Owner>,
     entry: Rc<Entry>,
@@ -155,6 +157,7 @@
             incarnation,
             domain: site.domain.clone(),
         };
+        let departures = Departures::new(&address, Rc::clone(&store));
         let membership = Rc::new(Membership::new(Rc::clone(&store), entry));
         let planner = Rc::new(Planner::new(
             &address,
@@ -202,6 +205,7 @@
             directory,
             gate,
             membership,
+            departures,
             planner,
             owner,
             entry,
@@ -256,6 +260,7 @@
             "heartbeats",
             self.beats_handler(adapter),
         ));
+        self.spawn(|node| async move { node.departures.read().await });
         self.spawn(|node| async move { node.membership.run().await });
         self.follow();
         self.spawn(|node| async move { node.report_load().await });
@@ -300,10 +305,11 @@
             configuration: Rc::clone(&self.configuration),
             gate: Rc::clone(&self.gate),
             owner: Rc::clone(&self.owner),
+            departures: Rc::clone(&self.departures),
         });
         Rc::new(move |head, body| {
             let beats = Rc::clone(&beats);
-            Box::pin(async move { beats.answer(&head, &body) })
+            Box::pin(async move { beats.answer(&head, &body).await })
         })
     }
 
