--- a/src/coordination/sidecar/mod.rs
+++ b/src/coordination/sidecar/mod.rs
@@ -1,9 +1,11 @@
 //! Sidecar: the one process beside a backend server on the users' platform.
 //!
-//! `entry` takes callers' requests, `targets` knows where they may go, and `gate` runs them on the backend server beside it; between
-//! two nodes they meet through `transport::sidecar`. `membership` and `configuration` follow the
-//! platform's store, `directory` passes on what was seen there, `owner` and `planner` keep the ownership of keys there. `node` puts the parts
-//! together. `admission`, `choose`, `budget`, `holdings` and `plan` decide without input or output.
+//! `entry` takes callers' requests, `targets` knows where they may go, and `gate` runs them on the
+//! backend server beside it; between two nodes they meet through `transport::sidecar`. `membership`,
+//! `departures` and `configuration` follow the platform's store, `directory` passes on what was seen
+//! there, `owner` and `planner` keep the ownership of keys there. `node` puts the parts together.
+//! `admission`, `runtimes`, `choose`, `budget`, `reports`, `replica`, `holdings` and `plan` decide
+//! without input or output.
 
 pub mod admission;
 pub mod beats;
