Split what has grown: relays, start errors, evidence of run times, tests of restarted nodes

Change: code moved as it is: relays.rs, start.rs, evidence::end, Backend::health and about, and the tests of killed and restarted nodes in tests/sidecar/incarnations.rs. Behaviour is as before.

--- a/src/coordination/sidecar/beside.rs
+++ b/src/coordination/sidecar/beside.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::protocol::mesh::{About, Health};
 use crate::state::clock::Instant;
 use crate::state::keyspace::Holder;
 
@@ -27,3 +28,23 @@
     /// Arrival of its last heartbeat.
     pub heard: Instant,
 }
+
+impl Backend {
+    /// Returns its state for callers.
+    #[must_use]
+    pub fn health(&self) -> Health {
+        match self.leaving {
+            Some(_) => Health::Leaving,
+            None => Health::Ready,
+        }
+    }
+
+    /// Returns what other nodes are told of it.
+    #[must_use]
+    pub fn about(&self) -> About {
+        About {
+            service: self.service.clone(),
+            holder: Some(self.holder.clone()),
+        }
+    }
+}
--- a/src/coordination/sidecar/evidence.rs
+++ b/src/coordination/sidecar/evidence.rs
@@ -5,6 +5,10 @@
 //! fails elsewhere. That concerns all of its service alike, so only what is beyond the usual share
 //! counts against one.
 
+use crate::coordination::sidecar::runtimes::End;
+use crate::protocol::mesh::{Cause, Response};
+use crate::transport::sidecar::backend::Failed;
+
 /// Status of a backend server that ran out of the request's time, which says more about its load.
 const OUT_OF_TIME: u16 = 504;
 
@@ -17,6 +21,19 @@
     status >= 500 && status != OUT_OF_TIME
 }
 
+/// Returns what a result says about the time that a run takes.
+#[must_use]
+pub fn end(done: &Result<Response, Failed>) -> End {
+    match done {
+        Ok(r) if r.status < 500 => End::Answered,
+        // Failures often come at once and would make a failing backend server look fast.
+        Ok(r) if is_failure(r.status) => End::Failed,
+        // Out of time, here or at the backend server.
+        Ok(_) | Err(Failed::Unknown(Cause::Timeout | Cause::Endless)) => End::CutOff,
+        Err(_) => End::Failed,
+    }
+}
+
 /// Returns the share of failures that is usual among backend servers of one service.
 #[must_use]
 pub fn usual(shares: impl IntoIterator<Item = f64>) -> f64 {
--- a/src/coordination/sidecar/gate.rs
+++ b/src/coordination/sidecar/gate.rs
@@ -232,21 +232,15 @@
     /// Returns the state of the backend server for callers.
     #[must_use]
     pub fn health(&self) -> Health {
-        match &*self.backend.borrow() {
-            None => Health::Absent,
-            Some(b) if b.leaving.is_some() => Health::Leaving,
-            Some(_) => Health::Ready,
-        }
+        let backend = self.backend.borrow();
+        backend.as_ref().map_or(Health::Absent, Backend::health)
     }
 
     /// Returns the backend server as other nodes see it.
     #[must_use]
     pub fn about(&self) -> About {
         let backend = self.backend.borrow();
-        backend.as_ref().map_or_else(About::default, |b| About {
-            service: b.service.clone(),
-            holder: Some(b.holder.clone()),
-        })
+        backend.as_ref().map_or_else(About::default, Backend::about)
     }
 
     /// Returns the load as other nodes see it, without what the gate doesn't know.
@@ -417,14 +411,7 @@
         let begun = Instant::now();
         let done = self.send(&call, &backend, limit).await;
         let took = Instant::now().since(begun);
-        place.end = match &done {
-            Ok(r) if r.status < 500 => End::Answered,
-            Ok(r) if evidence::is_failure(r.status) => End::Failed,
-            // Out of time, here or at the backend server.
-            Ok(_) | Err(Failed::Unknown(Cause::Timeout | Cause::Endless)) => End::CutOff,
-            // Failures often come at once and would make a failing backend server look fast.
-            Err(_) => End::Failed,
-        };
+        place.end = evidence::end(&done);
         self.settle(&call, done, took)
     }
 
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -1,8 +1,6 @@
 //! Life of a sidecar: its parts, its timers, and its end.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
-use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -24,8 +22,10 @@
 use crate::coordination::sidecar::membership::Membership;
 use crate::coordination::sidecar::owner::Owner;
 use crate::coordination::sidecar::planner::{self, Planner};
+use crate::coordination::sidecar::relays;
 use crate::coordination::sidecar::reports;
 use crate::coordination::sidecar::roster::Roster;
+use crate::coordination::sidecar::start::StartError;
 use crate::coordination::sidecar::tables::{self, Tables};
 use crate::metrics::Metrics;
 use crate::protocol::edge::Adapter;
@@ -71,33 +71,6 @@
 /// Longest wait for the removal of the node's entry.
 const LEAVE_LIMIT: Duration = Duration::from_millis(300);
 
-/// Error at the start of a sidecar.
-#[derive(Debug)]
-pub struct StartError {
-    /// Purpose of the address.
-    pub purpose: &'static str,
-    /// Address that can't be listened on.
-    pub address: SocketAddr,
-    /// Error of the system call.
-    pub source: std::io::Error,
-}
-
-impl fmt::Display for StartError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "can't listen on {} for {}: {}",
-            self.address, self.purpose, self.source
-        )
-    }
-}
-
-impl std::error::Error for StartError {
-    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
-        Some(&self.source)
-    }
-}
-
 /// Sidecar that runs.
 #[derive(Debug)]
 pub struct Node {
@@ -376,7 +349,7 @@
                 continue;
             };
             let rank = self.roster.rank(self.store.is_up());
-            let relays = relays(&self.roster.elsewhere(), rank);
+            let relays = relays::choose(&self.roster.elsewhere(), rank);
             let items = self.directory.after(news.since);
             self.peers.spread(&items, |node, domain| {
                 let relay = news.read && relays.iter().any(|r| r == node);
@@ -495,13 +468,6 @@
     }
 }
 
-/// Returns the node of each failure domain that passes news on there; watching nodes choose different
-/// ones, by their rank.
-fn relays(elsewhere: &BTreeMap<String, Vec<String>>, rank: usize) -> Vec<String> {
-    let chosen = |nodes: &Vec<String>| nodes.get(rank % nodes.len().max(1)).cloned();
-    elsewhere.values().filter_map(chosen).collect()
-}
-
 /// Node with newer state, and whether it is in this node's failure domain.
 type Ahead<'a> = (&'a Rc<Link>, bool);
 
--- a/tests/sidecar/links.rs
+++ b/tests/sidecar/links.rs
@@ -23,9 +23,9 @@
 
 /// Service that answers each call after the time in its target.
 #[derive(Default)]
-struct Slow {
-    begun: Cell<usize>,
-    ended: Rc<Cell<usize>>,
+pub struct Slow {
+    pub begun: Cell<usize>,
+    pub ended: Rc<Cell<usize>>,
 }
 
 impl Service for Slow {
@@ -89,7 +89,7 @@
     }
 }
 
-fn hello(node: &str, incarnation: u64) -> Hello {
+pub fn hello(node: &str, incarnation: u64) -> Hello {
     Hello {
         node: node.to_owned(),
         incarnation,
@@ -97,7 +97,7 @@
     }
 }
 
-fn call(repeat: Repeat, took: u32) -> Call {
+pub fn call(repeat: Repeat, took: u32) -> Call {
     Call {
         id: "1".to_owned(),
         service: "s".to_owned(),
@@ -118,9 +118,9 @@
 }
 
 /// Node with a relay in front of it, whose connections can be cut.
-struct World {
-    service: Rc<Slow>,
-    node: SocketAddr,
+pub struct World {
+    pub service: Rc<Slow>,
+    pub node: SocketAddr,
     relayed: Rc<RefCell<Vec<task::AbortHandle>>>,
     link: Rc<Link>,
     accept: task::AbortHandle,
@@ -184,7 +184,7 @@
     task::spawn_local(peers.accept(listener)).abort_handle()
 }
 
-fn run<F: Future<Output = ()>>(test: impl FnOnce(World) -> F) {
+pub fn run<F: Future<Output = ()>>(test: impl FnOnce(World) -> F) {
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -421,171 +421,6 @@
     });
 }
 
-/// Node that calls, as scripted frames.
-struct Caller {
-    read: frames::Frames,
-    write: frames::Writer,
-}
-
-impl Caller {
-    async fn connect(world: &World, incarnation: u64) -> Self {
-        let io = TcpStream::connect(world.node).await.unwrap();
-        let (read, mut write) = frames::split(io).unwrap();
-        write.add(&Frame::Hello(hello("c", incarnation))).unwrap();
-        write.flush().await.unwrap();
-        let mut caller = Self { read, write };
-        // The first report shows that the other side has taken the connection over.
-        while !matches!(caller.receive().await, Some(Frame::Load(_))) {}
-        caller
-    }
-
-    async fn send(&mut self, frame: Frame) {
-        self.write.add(&frame).unwrap();
-        self.write.flush().await.unwrap();
-    }
-
-    async fn call(&mut self, seq: u64, took: u32, body: &str) {
-        let call = Call {
-            body: body.as_bytes().to_vec(),
-            ..call(Repeat::Once, took)
-        };
-        self.send(Frame::Call(seq, Box::new(call))).await;
-    }
-
-    async fn receive(&mut self) -> Option<Frame> {
-        let bytes = self.read.next().await?.ok()?;
-        frames::decode(&bytes).ok()
-    }
-
-    /// Returns the bodies and sequence numbers of all replies until `quiet` has passed without one.
-    async fn replies(&mut self, quiet: Duration) -> Vec<(u64, String)> {
-        let mut all = Vec::new();
-        while let Ok(Some(frame)) = time::timeout(quiet, self.receive()).await {
-            match frame {
-                Frame::Reply(seq, outcome) => all.push((seq, told(&outcome))),
-                Frame::Relayed(seq, response) => {
-                    let body = response.map(|r| r.body).unwrap_or_default();
-                    all.push((seq, String::from_utf8(body).unwrap()));
-                }
-                _ => {}
-            }
-        }
-        all
-    }
-}
-
-fn told(outcome: &Outcome) -> String {
-    match outcome {
-        Outcome::Answered(r) => String::from_utf8(r.body.clone()).unwrap(),
-        Outcome::NotRun(f) => format!("not run: {}", f.cause.name()),
-        Outcome::Unknown(f) => format!("unknown: {}", f.cause.name()),
-    }
-}
-
-const QUIET: Duration = Duration::from_millis(300);
-
-/// Pattern: an entry is killed while a purchase runs elsewhere, and its next process begins to
-/// count from one again. Guards against the answer of another caller's purchase.
-#[test]
-fn outcome_of_an_earlier_process_does_not_reach_the_next_one() {
-    run(|world| async move {
-        let mut first = Caller::connect(&world, 1).await;
-        first.call(1, 100, "earlier").await;
-        time::sleep(Duration::from_millis(30)).await;
-        assert_eq!(world.service.begun.get(), 1);
-        drop(first);
-        let mut second = Caller::connect(&world, 2).await;
-        second.call(1, 200, "later").await;
-        assert_eq!(second.replies(QUIET).await, [(1, "later".to_owned())]);
-        assert_eq!(world.service.ended.get(), 2);
-    });
-}
-
-/// Guards against a relayed answer of the store that reaches the next process of a node.
-#[test]
-fn relayed_answer_of_an_earlier_process_does_not_reach_the_next_one() {
-    run(|world| async move {
-        let relay = |body: &str| StoreRequest {
-            method: "slow".to_owned(),
-            target: "/".to_owned(),
-            body: body.as_bytes().to_vec(),
-        };
-        let mut first = Caller::connect(&world, 1).await;
-        let request = Box::new(relay("earlier"));
-        first.send(Frame::Relay(1, request)).await;
-        time::sleep(Duration::from_millis(30)).await;
-        drop(first);
-        let mut second = Caller::connect(&world, 2).await;
-        let request = Box::new(relay("later"));
-        second.send(Frame::Relay(1, request)).await;
-        assert_eq!(second.replies(QUIET).await, [(1, "later".to_owned())]);
-    });
-}
-
-/// Guards against an outcome that is lost when a call ends between two connections of one process.
-#[test]
-fn outcome_between_two_connections_is_kept() {
-    run(|world| async move {
-        let mut first = Caller::connect(&world, 1).await;
-        first.call(1, 60, "whole").await;
-        time::sleep(Duration::from_millis(30)).await;
-        drop(first);
-        time::sleep(Duration::from_millis(100)).await;
-        assert_eq!(world.service.ended.get(), 1);
-        let mut second = Caller::connect(&world, 1).await;
-        second.send(Frame::Resume(vec![1])).await;
-        assert_eq!(second.replies(QUIET).await, [(1, "whole".to_owned())]);
-    });
-}
-
-/// Pattern: the greeting of a killed process is read after that of its successor. Guards against
-/// the claim that the successor's purchase has not run.
-#[test]
-fn late_greeting_of_an_earlier_process_forgets_nothing() {
-    run(|world| async move {
-        let mut second = Caller::connect(&world, 2).await;
-        second.call(1, 60, "whole").await;
-        time::sleep(Duration::from_millis(30)).await;
-        let late = Caller::connect(&world, 1).await;
-        drop((second, late));
-        time::sleep(Duration::from_millis(100)).await;
-        let mut again = Caller::connect(&world, 2).await;
-        again.send(Frame::Resume(vec![1])).await;
-        assert_eq!(again.replies(QUIET).await, [(1, "whole".to_owned())]);
-    });
-}
-
-/// Guards against the claim that a call has not run by a node that has forgotten its caller.
-#[test]
-fn forgotten_caller_is_told_nothing_for_certain() {
-    run(|world| async move {
-        let mut first = Caller::connect(&world, 1).await;
-        first.call(1, 10, "whole").await;
-        time::sleep(Duration::from_millis(50)).await;
-        drop(first);
-        for incarnation in 2..20 {
-            drop(Caller::connect(&world, incarnation).await);
-        }
-        let mut again = Caller::connect(&world, 1).await;
-        again.send(Frame::Resume(vec![1])).await;
-        let unknown = "unknown: link_lost".to_owned();
-        assert_eq!(again.replies(QUIET).await, [(1, unknown)]);
-    });
-}
-
-/// Guards against calls of a killed process that are read late and begun for nobody.
-#[test]
-fn call_of_an_earlier_process_is_not_begun() {
-    run(|world| async move {
-        let mut first = Caller::connect(&world, 1).await;
-        let mut second = Caller::connect(&world, 2).await;
-        first.call(1, 10, "earlier").await;
-        second.call(1, 10, "later").await;
-        assert_eq!(second.replies(QUIET).await, [(1, "later".to_owned())]);
-        assert_eq!(world.service.begun.get(), 1);
-    });
-}
-
 /// Guards against a connection that ends for good when a node sends items that change what is known of
 /// this very node.
 #[test]
