Build the table of two tests in one function

Change: a function beside them; what they check is unchanged. Seen and left: Roster::keep_listed, from before, has no caller.

--- a/tests/sidecar/replica.rs
+++ b/tests/sidecar/replica.rs
@@ -318,15 +318,19 @@
     assert!(changes.contains(&Change::Removed(name(1))), "{changes:?}");
 }
 
+/// Ownership table as it is since a revision.
+fn table(revision: u64) -> Item {
+    Item {
+        key: name(3),
+        value: value(&name(3), revision),
+        revision,
+    }
+}
+
 /// Pattern: several keys move in a table of 77 holders, and 194 nodes hear of it. Guards against the
 /// whole table on each of their connections.
 #[test]
 fn change_of_a_table_is_told_as_a_difference() {
-    let table = |revision| Item {
-        key: name(3),
-        value: value(&name(3), revision),
-        revision,
-    };
     let mut node = Replica::default();
     node.reset(&[table(5)], 5);
     let mut other = Replica::default();
@@ -342,11 +346,6 @@
 /// that get it again and again.
 #[test]
 fn difference_that_does_not_fit_asks_for_everything() {
-    let table = |revision| Item {
-        key: name(3),
-        value: value(&name(3), revision),
-        revision,
-    };
     let mut node = Replica::default();
     node.reset(&[table(5)], 5);
     node.apply(&[Event::Put(table(6))]);
