Log and count what a backend server says of itself in its responses

Change: the adapter decodes both headers into Signals; the dispatcher tracks them for the present incarnation (SignalTracker), logs each change (563, 564) and a limit that can't be decoded (557), adds the limit to a rejection (561), and exports filbertflow_backend_requests_total and filbertflow_backend_limit. No decision uses them yet. Taken are own, signed responses, also those that are cut off or fail, and refusals; not stray copies, unsigned bytes or another server's 421.

--- a/src/coordination/sidecar/dispatcher.rs
+++ b/src/coordination/sidecar/dispatcher.rs
@@ -19,7 +19,9 @@
 use crate::coordination::sidecar::granted_ranges::GrantedRanges;
 use crate::coordination::sidecar::local_backend::Backend;
 use crate::coordination::sidecar::service_times::Completion;
-use crate::protocol::adapter::{self, Adapter};
+use crate::coordination::sidecar::signals::SignalTracker;
+use crate::metrics::Metrics;
+use crate::protocol::adapter::{self, Adapter, Signals};
 use crate::protocol::http;
 use crate::protocol::mesh::{BackendInfo, Call, Cause, Failure, Health, Load, Outcome, Response};
 use crate::state::clock::{self, Instant};
@@ -88,6 +90,8 @@
     expected_keys: RefCell<ExpectedKeys>,
     /// Average share of failed requests.
     failure_average: RefCell<DecayedAverage>,
+    signals: RefCell<SignalTracker>,
+    metrics: Metrics,
     key_rates: RefCell<KeyRates>,
     stopping: Cell<bool>,
     state_changed: Rc<Notify>,
@@ -159,6 +163,7 @@
         adapter: Rc<dyn Adapter>,
         drain_timeout: Duration,
         state_changed: Rc<Notify>,
+        metrics: Metrics,
     ) -> Rc<Self> {
         let now = Instant::now();
         Rc::new(Self {
@@ -176,6 +181,8 @@
                 FAILURE_DECAY_TIME,
                 now,
             )),
+            signals: RefCell::default(),
+            metrics,
             key_rates: RefCell::new(KeyRates::new(now)),
             stopping: Cell::new(false),
             state_changed,
@@ -198,6 +205,8 @@
             self.granted_ranges.borrow_mut().clear();
             self.queue.borrow_mut().service_times.reset();
             self.failure_average.borrow_mut().set(0.0, Instant::now());
+            self.signals.take();
+            self.metrics.backend_limit.reset();
         }
         let slots = backend.as_ref().map_or(0, |b| usize::from(b.slots));
         let warming = backend.as_ref().is_some_and(|b| b.warmup_end.is_ahead());
@@ -215,6 +224,30 @@
         }
     }
 
+    /// Records what a backend server said of itself in the response to a request that was sent to it
+    /// at `sent`.
+    fn record_signals(&self, backend: &Backend, signals: Signals, sent: Instant) {
+        let holder = &backend.holder;
+        if self.backend.borrow().as_ref().map(|b| &b.holder) != Some(holder) {
+            return;
+        }
+        let mut tracker = self.signals.borrow_mut();
+        let change = tracker.record(signals, sent, Instant::now());
+        let limit = tracker.limit();
+        drop(tracker);
+        if change.limit {
+            tracing::info!(event = 563, backend = %holder.backend, born = holder.born, limit = ?limit, "the limit of the backend server changed");
+            let gauge = &self.metrics.backend_limit;
+            match limit.per_second() {
+                Some(rate) => gauge.with_label_values(&[&backend.service]).set(rate),
+                None => gauge.reset(),
+            }
+        }
+        if change.leaving {
+            tracing::info!(event = 564, backend = %holder.backend, born = holder.born, "the backend server says in a response that it is leaving");
+        }
+    }
+
     /// Sets the drain timeout of the backend server.
     pub fn set_drain_timeout(&self, timeout: Duration) {
         self.drain_timeout.set(timeout);
@@ -391,7 +424,7 @@
 
     fn reject(&self, call: &Call, cause: Cause, wait_ms: u32, waited: Duration) -> Outcome {
         let load = self.load();
-        tracing::info!(event = 561, id = %call.id, cause = cause.name(), wait_ms, waited_ms = waited.as_millis(), left_ms = call.left_ms, running = load.running, queued = load.queued, service_ms = load.service_ms, "request rejected by the dispatcher");
+        tracing::info!(event = 561, id = %call.id, cause = cause.name(), wait_ms, waited_ms = waited.as_millis(), left_ms = call.left_ms, running = load.running, queued = load.queued, service_ms = load.service_ms, limit = ?self.signals.borrow().limit(), "request rejected by the dispatcher");
         Outcome::NotRun(Failure::before_send(cause, wait_ms))
     }
 
@@ -479,6 +512,7 @@
         backend: &Backend,
         deadline: Instant,
     ) -> Result<Response, SendError> {
+        let sent = Instant::now();
         let metadata = adapter::RequestMetadata {
             left_ms: clock::millis(deadline.left()),
             backend: &backend.holder.backend,
@@ -492,7 +526,13 @@
             method: &call.method,
             repeat: call.repeat,
             bytes: &bytes,
+            on_signals: &|signals| self.record_signals(backend, signals, sent),
         };
+        let service = [backend.service.as_str()];
+        self.metrics
+            .backend_requests
+            .with_label_values(&service)
+            .inc();
         self.pool
             .send(backend.address, &request, deadline + RESPONSE_GRACE)
             .await
--- a/src/coordination/sidecar/mod.rs
+++ b/src/coordination/sidecar/mod.rs
@@ -36,6 +36,7 @@
 pub mod request_context;
 pub mod retry_budget;
 pub mod service_times;
+pub mod signals;
 pub mod start;
 pub mod tables;
 pub mod targets;
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -139,6 +139,7 @@
             Rc::clone(adapter),
             settings.bounds.drain,
             Rc::clone(&state_changed),
+            metrics.clone(),
         );
         let entry = NodeEntry {
             address: address.clone(),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Prometheus metrics of a node.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
+    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency histogram, in seconds. 9 ms is the target for the 99th percentile.
@@ -23,6 +23,11 @@
     pub dropped: IntCounterVec,
     /// Calls to the platform's store, by kind and outcome.
     pub store_calls: IntCounterVec,
+    /// Requests sent to the local backend server, by service.
+    pub backend_requests: IntCounterVec,
+    /// Limit named by the local backend server, in requests per second, by service; absent without
+    /// a limit.
+    pub backend_limit: GaugeVec,
 }
 
 impl Default for Metrics {
@@ -53,6 +58,22 @@
             &["kind", "outcome"],
         )
         .expect("the metric's name and labels are valid");
+        let backend_requests = IntCounterVec::new(
+            Opts::new(
+                "filbertflow_backend_requests_total",
+                "Requests sent to the local backend server",
+            ),
+            &["service"],
+        )
+        .expect("the metric's name and labels are valid");
+        let backend_limit = GaugeVec::new(
+            Opts::new(
+                "filbertflow_backend_limit",
+                "Requests per second that the local backend server takes",
+            ),
+            &["service"],
+        )
+        .expect("the metric's name and labels are valid");
         let metrics = Self {
             registry: Registry::new(),
             requests,
@@ -60,12 +81,16 @@
             peer_traffic: traffic,
             dropped,
             store_calls,
+            backend_requests,
+            backend_limit,
         };
         metrics.register(Box::new(metrics.requests.clone()));
         metrics.register(Box::new(metrics.latency.clone()));
         metrics.register(Box::new(metrics.peer_traffic.clone()));
         metrics.register(Box::new(metrics.dropped.clone()));
         metrics.register(Box::new(metrics.store_calls.clone()));
+        metrics.register(Box::new(metrics.backend_requests.clone()));
+        metrics.register(Box::new(metrics.backend_limit.clone()));
         metrics
     }
 }
--- a/src/protocol/adapter.rs
+++ b/src/protocol/adapter.rs
@@ -34,7 +34,7 @@
 }
 
 /// Metadata of a backend server's response.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Marks {
     /// Identifier of the request that the response belongs to.
     pub id: Option<String>,
@@ -44,6 +44,17 @@
     pub refusal: Option<Refusal>,
     /// Idle timeout of the connection.
     pub idle: Option<Duration>,
+    /// What the backend server says of itself.
+    pub signals: Signals,
+}
+
+/// What a backend server says of itself in a response.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Signals {
+    /// Limit on the requests that it takes; `Unknown` if it can't be decoded.
+    pub limit: mesh::RateLimit,
+    /// Whether it is leaving.
+    pub leaving: bool,
 }
 
 /// Reason of a backend server for refusing a request.
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -241,6 +241,30 @@
     Leaving,
 }
 
+/// Limit that a backend server has announced on the requests that all nodes together send it.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub enum RateLimit {
+    /// No response has told yet.
+    #[default]
+    Unknown,
+    /// The latest response named no limit.
+    Unlimited,
+    /// Requests per second.
+    PerSecond(f64),
+}
+
+impl RateLimit {
+    /// Returns the limit in requests per second, if there is one.
+    #[must_use]
+    pub fn per_second(self) -> Option<f64> {
+        match self {
+            Self::PerSecond(rate) => Some(rate),
+            Self::Unknown | Self::Unlimited => None,
+        }
+    }
+}
+
 /// Description of a node's local backend server for its peers.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/transport/sidecar/backend.rs
+++ b/src/transport/sidecar/backend.rs
@@ -19,7 +19,7 @@
 
 use crate::protocol::adapter;
 use crate::protocol::http;
-use crate::protocol::mesh::{Cause, Response};
+use crate::protocol::mesh::{Cause, RateLimit, Response};
 use crate::state::clock::Instant;
 use crate::state::routes::Repeat;
 use crate::transport::sidecar::socket::{BodyBudget, ReadError, Socket};
@@ -65,7 +65,6 @@
 }
 
 /// Encoded request to the backend server.
-#[derive(Debug)]
 pub struct Request<'a> {
     /// Identifier.
     pub id: &'a str,
@@ -75,6 +74,33 @@
     pub repeat: Repeat,
     /// Request as written to the connection.
     pub bytes: &'a [u8],
+    /// Called with what the backend server says of itself, once the head of its response is there.
+    pub on_signals: &'a dyn Fn(adapter::Signals),
+}
+
+impl std::fmt::Debug for Request<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Request")
+            .field("id", &self.id)
+            .field("method", &self.method)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Returns the signals of a response that belongs to its request, if they can be trusted: they come
+/// from the intended backend server, and its bytes aren't garbled.
+fn trusted_signals(marks: &adapter::Marks) -> Option<adapter::Signals> {
+    let signals = marks.signals;
+    match marks.refusal {
+        Some(adapter::Refusal::Misdirected) => None,
+        // A refusal may come from a part of the server that doesn't add the header.
+        Some(_) if signals.limit == RateLimit::Unlimited => Some(adapter::Signals {
+            limit: RateLimit::Unknown,
+            ..signals
+        }),
+        Some(_) => Some(signals),
+        None => marks.signed.then_some(signals),
+    }
 }
 
 /// Connection and whether it may be reused.
@@ -270,6 +296,17 @@
                 Some(id) => id == request.id,
                 None => marks.refusal.is_some() && first,
             };
+            // A response to another request is late, so what it says may no longer hold.
+            if own && let Some(signals) = trusted_signals(&marks) {
+                if marks.refusal.is_none() && signals.limit == RateLimit::Unknown {
+                    tracing::warn!(
+                        event = 557,
+                        id = request.id,
+                        "ignored a limit of the backend server that can't be decoded"
+                    );
+                }
+                (request.on_signals)(signals);
+            }
             let limit = if own { MAX_RESPONSE } else { MAX_SKIPPED_BODY };
             let body = socket.read_body(head.body, limit, &self.budget).await?;
             if own {
--- a/tests/sidecar/adapter.rs
+++ b/tests/sidecar/adapter.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use filbertflow::protocol::adapter::{
-    Adapter, DecodeError, GrantSet, Marks, Notice, Refusal, RequestMetadata, StoreCall, StoreReply,
-    Terms,
+    Adapter, DecodeError, GrantSet, Marks, Notice, Refusal, RequestMetadata, Signals, StoreCall,
+    StoreReply, Terms,
 };
 use filbertflow::protocol::http::{Header, RequestHead, ResponseHead, header_value};
-use filbertflow::protocol::mesh::{StoreRequest, StoreResponse};
+use filbertflow::protocol::mesh::{RateLimit, StoreRequest, StoreResponse};
 use filbertflow::state::routes::RouteTable;
 
 /// Adapter whose backend servers sign with `sig` and refuse with `refused`.
@@ -38,6 +38,13 @@
             signed: text("sig").is_some(),
             refusal: text("refused").map(|_| Refusal::Shed),
             idle: text("idle").map(|_| Duration::from_secs(5)),
+            signals: Signals {
+                limit: text("limit").map_or(RateLimit::Unlimited, |text| {
+                    text.parse()
+                        .map_or(RateLimit::Unknown, RateLimit::PerSecond)
+                }),
+                leaving: text("leaving").is_some(),
+            },
         }
     }
 
--- a/tests/sidecar/backend.rs
+++ b/tests/sidecar/backend.rs
@@ -16,7 +16,7 @@
 
 /// Starts a server that serves each connection with the next script, one response per read, and then
 /// closes the connection.
-async fn scripted(scripts: &'static [&'static [&'static str]]) -> SocketAddr {
+pub async fn scripted(scripts: &'static [&'static [&'static str]]) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     task::spawn_local(async move {
@@ -46,6 +46,7 @@
         method: "GET",
         repeat,
         bytes: b"GET / HTTP/1.1\r\nid: 7\r\n\r\n",
+        on_signals: &|_| (),
     };
     let deadline = Instant::now() + Duration::from_millis(500);
     let response = pool.send(address, &request, deadline).await?;
--- a/tests/sidecar/endless.rs
+++ b/tests/sidecar/endless.rs
@@ -84,6 +84,7 @@
                     method: "GET",
                     repeat: Repeat::Once,
                     bytes: b"GET / HTTP/1.1\r\nid: 7\r\n\r\n",
+                    on_signals: &|_| (),
                 };
                 let start = Instant::now();
                 let got = pool.send(address, &request, start + DEADLINE).await;
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -28,3 +28,4 @@
 mod retry_budget;
 mod routes;
 mod service_times;
+mod signals;
