Count a backend server as leaving once a response says so

Cause: a backend server that says in its responses that it is leaving, but whose heartbeats still say ready or don't arrive, went on getting requests: only heartbeats and leave notices counted. Change: a response that says so starts the drain in the dispatcher, like a heartbeat does. One task records each departure in the store, however it became known, and retries until it is written. Measured: mesh signals::leaving_named_in_a_response_counts failed before (76 requests later than the drain bound) and passes; the other tests of leaving pass.

--- a/src/coordination/sidecar/departures.rs
+++ b/src/coordination/sidecar/departures.rs
@@ -3,13 +3,14 @@
 //! A heartbeat may arrive seconds late. The process that acknowledged a departure can tell such a
 //! heartbeat from a new one; without a record, a restarted process would take it for a live backend
 //! server. So a departure is recorded in the store before it is acknowledged, and a new process loads
-//! the record before it accepts its first heartbeat.
+//! the record before it accepts its first heartbeat. While the store doesn't respond, writing the record
+//! is retried.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 use tokio::time;
 
 use crate::coordination::sidecar::backoff::Backoff;
@@ -50,6 +51,10 @@
     store: Rc<StoreClient>,
     key: String,
     last: RefCell<Option<Departed>>,
+    /// Whether the record of `last` is in the store.
+    written: Cell<bool>,
+    /// Held while the record is written.
+    writing: Mutex<()>,
     started: Instant,
     loaded: Cell<bool>,
     load_done: Notify,
@@ -63,6 +68,8 @@
             store,
             key: format!("{PREFIX}{node}"),
             last: RefCell::new(None),
+            written: Cell::new(false),
+            writing: Mutex::new(()),
             started: Instant::now(),
             loaded: Cell::new(false),
             load_done: Notify::new(),
@@ -80,7 +87,10 @@
                     }
                     // A departure that this process has recorded meanwhile is newer.
                     let mut last = self.last.borrow_mut();
-                    *last = last.take().or(found);
+                    if last.is_none() {
+                        self.written.set(found.is_some());
+                        *last = found;
+                    }
                     self.loaded.set(true);
                 }
                 Err(e) => {
@@ -132,23 +142,37 @@
         last.as_ref().is_some_and(same)
     }
 
+    /// Returns whether the departure of an incarnation is recorded in the store.
+    #[must_use]
+    pub fn is_recorded(&self, holder: &Holder) -> bool {
+        self.written.get() && self.has_left(holder)
+    }
+
     /// Records a departure in the store unless it is recorded already; takes at most `RECORD_TIMEOUT`.
     pub async fn record(&self, holder: &Holder) {
-        if self.has_left(holder) {
-            return;
-        }
         let departed = Departed {
             backend: holder.backend.clone(),
             born: holder.born,
         };
-        *self.last.borrow_mut() = Some(departed.clone());
-        let done = time::timeout(RECORD_TIMEOUT, self.write(&departed)).await;
-        let error = match done {
+        if !self.has_left(holder) {
+            *self.last.borrow_mut() = Some(departed.clone());
+            self.written.set(false);
+        }
+        let write = async {
+            let _writing = self.writing.lock().await;
+            if self.is_recorded(holder) {
+                return Ok(());
+            }
+            self.write(&departed).await?;
+            self.written.set(self.has_left(holder));
+            Ok::<_, store::Error>(())
+        };
+        let error = match time::timeout(RECORD_TIMEOUT, write).await {
             Ok(Ok(())) => return,
             Ok(Err(e)) => e.to_string(),
             Err(_) => "timed out".to_owned(),
         };
-        tracing::warn!(event = 379, backend = %departed.backend, born = departed.born, error, "can't record a departure; a restarted process will not know of it");
+        tracing::warn!(event = 379, backend = %departed.backend, born = departed.born, error, "can't record a departure in the store yet");
     }
 
     async fn write(&self, departed: &Departed) -> Result<(), store::Error> {
--- a/src/coordination/sidecar/dispatcher.rs
+++ b/src/coordination/sidecar/dispatcher.rs
@@ -256,6 +256,17 @@
         }
         if change.leaving {
             tracing::info!(event = 564, backend = %holder.backend, born = holder.born, "the backend server says in a response that it is leaving");
+            self.start_draining(Instant::now());
+        }
+    }
+
+    /// Marks the backend server as draining since a time, unless it is already.
+    fn start_draining(&self, since: Instant) {
+        if let Some(backend) = &mut *self.backend.borrow_mut()
+            && backend.draining_since.is_none()
+        {
+            backend.draining_since = Some(since);
+            self.state_changed.notify_waiters();
         }
     }
 
--- a/src/coordination/sidecar/heartbeats.rs
+++ b/src/coordination/sidecar/heartbeats.rs
@@ -125,10 +125,6 @@
             Phase::Ready if self.departures.has_left(&holder) => Some(before.unwrap_or(now)),
             Phase::Ready => before,
         };
-        if heartbeat.phase == Phase::Draining {
-            let (departures, holder) = (Rc::clone(&self.departures), holder.clone());
-            task::spawn_local(async move { departures.record(&holder).await });
-        }
         if !known || draining_since != before {
             tracing::info!(event = 374, backend = %heartbeat.backend, born = heartbeat.born, sequence = heartbeat.sequence, service = %heartbeat.service, phase = ?heartbeat.phase, "the backend server's state changed");
         }
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 use tokio::{task, time};
 
+use crate::coordination::sidecar::backoff::Backoff;
 use crate::coordination::sidecar::catchup::{Action, CatchUp, Source};
 use crate::coordination::sidecar::configuration::Configuration;
 use crate::coordination::sidecar::departures::Departures;
@@ -262,6 +263,7 @@
         self.watch_store();
         self.spawn(|node| async move { node.report_load().await });
         self.spawn(|node| async move { node.check().await });
+        self.spawn(|node| async move { node.record_departures().await });
         self.spawn(|node| async move { node.dispatcher.run_throttled().await });
         self.spawn(|node| async move { node.check_links().await });
         self.spawn(|node| async move { node.catch_up().await });
@@ -387,6 +389,27 @@
         }
     }
 
+    /// Records in the store that the local backend server is leaving, however that became known.
+    async fn record_departures(&self) {
+        let mut backoff = Backoff::default();
+        loop {
+            let backend = self.dispatcher.backend();
+            let leaving = backend.filter(|b| b.draining_since.is_some());
+            match leaving.filter(|b| !self.departures.is_recorded(&b.holder)) {
+                None => {
+                    backoff = Backoff::default();
+                    self.state_changed.notified().await;
+                }
+                Some(backend) => {
+                    self.departures.record(&backend.holder).await;
+                    if !self.departures.is_recorded(&backend.holder) {
+                        backoff.wait(&self.store).await;
+                    }
+                }
+            }
+        }
+    }
+
     async fn check_links(&self) {
         loop {
             time::sleep(links::SILENCE_CHECK_INTERVAL).await;
