Remind a restarted node of what its backend server has said

Cause: a sidecar that was killed and started again beside a running backend server had forgotten the limit and the leaving that the server had named in its responses. Until the first response it sent as many requests as there were slots, and a leaving server was ready again; a keyed one that drains was even given a second time to admit requests. The store's record of departures helps only while the store answers, and has no limits. Change: each node keeps in its link what it was told of the backend server beside the other node, from load reports, which now carry the limit, and from responses that it passed on (BackendMemory). On each new connection it sends that before its calls (Remind), and goes by it itself until the other node reports again. The dispatcher takes reminders in for the incarnation that is or will be registered; the latest limit counts, but none against a response to the present process.

--- a/src/coordination/sidecar/ingress.rs
+++ b/src/coordination/sidecar/ingress.rs
@@ -388,10 +388,20 @@
             ..context.call.clone()
         };
         match destination {
-            Destination::Remote(link) => match link.call(call) {
-                Some(call) => call.outcome().await,
-                None => Outcome::NotRun(Failure::before_send(Cause::LinkLost, 0)),
-            },
+            Destination::Remote(link) => {
+                let holder = link.holder();
+                let Some(call) = link.call(call) else {
+                    return Outcome::NotRun(Failure::before_send(Cause::LinkLost, 0));
+                };
+                let outcome = call.outcome().await;
+                if let (Outcome::Answered(response), Some(holder)) = (&outcome, holder)
+                    && link.holder().as_ref() == Some(&holder)
+                {
+                    let signals = self.adapter.decode_signals(&response.headers);
+                    link.record_signals(&holder, signals);
+                }
+                outcome
+            }
             Destination::Local => {
                 let (sender, receiver) = oneshot::channel();
                 let running =
--- a/src/coordination/sidecar/peer_handler.rs
+++ b/src/coordination/sidecar/peer_handler.rs
@@ -11,7 +11,7 @@
 use crate::coordination::sidecar::planner::Planner;
 use crate::coordination::sidecar::replication::Replicator;
 use crate::protocol::mesh::{
-    BackendInfo, Call, HolderRates, Items, Load, StoreRequest, StoreResponse,
+    BackendInfo, Call, HolderRates, Items, Load, Reminder, StoreRequest, StoreResponse,
 };
 use crate::state::clock::Instant;
 use crate::state::decayed_average::DecayedAverage;
@@ -94,6 +94,10 @@
         self.planner.record_rates(rates);
     }
 
+    fn recall(&self, reminder: Reminder) {
+        self.dispatcher.recall(reminder);
+    }
+
     fn relay(&self, request: StoreRequest) -> Pin<Box<dyn Future<Output = Option<StoreResponse>>>> {
         let store = Rc::clone(&self.store);
         Box::pin(async move {
--- a/src/coordination/sidecar/reports.rs
+++ b/src/coordination/sidecar/reports.rs
@@ -63,9 +63,11 @@
     };
     let availability = load.health != sent.health || load.stopping != sent.stopping;
     // Nodes request newer state from their own failure domain first.
+    let limit = load.limit != sent.limit;
     let state = load.config != sent.config || load.store_up != sent.store_up;
     age >= max_interval
         || availability
+        || (prompt && limit)
         || (prompt && requests(load).abs_diff(requests(sent)) >= MIN_REQUEST_CHANGE)
         || ((prompt || is_watcher) && state)
         || (is_watcher && load.items != sent.items)
--- a/src/protocol/adapter.rs
+++ b/src/protocol/adapter.rs
@@ -318,6 +318,9 @@
     /// Decodes the metadata of a backend server's response.
     fn decode_marks(&self, head: &http::ResponseHead) -> Marks;
 
+    /// Decodes what a backend server says of itself in a response.
+    fn decode_signals(&self, headers: &[http::Header]) -> Signals;
+
     /// Returns the header line with a request's identifier.
     fn request_id_header(&self, id: &str) -> http::Header;
 
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -49,6 +49,9 @@
     Relay(Seq, Box<StoreRequest>),
     /// Result of a forwarded store call; `None` if the receiver got no response either.
     Relayed(Seq, Option<StoreResponse>),
+    /// Reminds the receiver of what its local backend server has said of itself, in case that it was
+    /// restarted.
+    Remind(Box<Reminder>),
 }
 
 /// Handshake of a node.
@@ -284,6 +287,21 @@
     pub holder: Option<keyspace::Holder>,
 }
 
+/// What a node was told about the backend server beside the receiver.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Reminder {
+    /// Incarnation of the backend server.
+    pub holder: keyspace::Holder,
+    /// Limit in requests per second, if it has named one.
+    pub limit: Option<f64>,
+    /// Time since the limit was last confirmed, in milliseconds.
+    pub limit_ms: u32,
+    /// Time since the sender first knew that the backend server is leaving, in milliseconds; `None`
+    /// if it isn't known to leave.
+    pub leaving_ms: Option<u32>,
+}
+
 /// Load and state of a node, as reported to its peers.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -312,6 +330,8 @@
     pub config: routes::Version,
     /// Latest store revision known to the node.
     pub items: u64,
+    /// Limit that the backend server has announced.
+    pub limit: RateLimit,
 }
 
 /// Store item as replicated between nodes.
--- /dev/null
+++ b/src/transport/sidecar/backend_memory.rs
@@ -0,0 +1,108 @@
+//! What a node remembers of the backend server beside another node.
+//!
+//! A sidecar that is restarted beside a running backend server has forgotten what that one said of
+//! itself. The nodes that it serves remember it from load reports and from the responses that they
+//! passed on, and remind the new process over their next connection, before their calls.
+
+use std::time::Duration;
+
+use crate::protocol::adapter::Signals;
+use crate::protocol::mesh::{Health, Load, RateLimit, Reminder};
+use crate::state::clock::{self, Instant};
+use crate::state::keyspace::Holder;
+
+#[derive(Debug, Clone)]
+struct Known {
+    holder: Holder,
+    limit: RateLimit,
+    /// Time at which the limit was last confirmed.
+    limit_at: Instant,
+    /// Time at which the backend server was first known to leave.
+    leaving_at: Option<Instant>,
+}
+
+/// Memory of the last known incarnation of one backend server.
+#[derive(Debug, Default)]
+pub struct BackendMemory(Option<Known>);
+
+impl BackendMemory {
+    /// Returns the memory of an incarnation; forgets any earlier one.
+    fn of(&mut self, holder: &Holder, now: Instant) -> &mut Known {
+        let known = self.0.take().filter(|k| k.holder == *holder);
+        self.0.insert(known.unwrap_or_else(|| Known {
+            holder: holder.clone(),
+            limit: RateLimit::Unknown,
+            limit_at: now,
+            leaving_at: None,
+        }))
+    }
+
+    /// Records a load report. A process that has just started doesn't know the limit, and may not know
+    /// that the backend server is leaving.
+    pub fn record_load(&mut self, holder: &Holder, load: &Load, now: Instant) {
+        let known = self.of(holder, now);
+        if load.limit != RateLimit::Unknown {
+            (known.limit, known.limit_at) = (load.limit, now);
+        }
+        if load.health == Health::Leaving {
+            known.leaving_at.get_or_insert(now);
+        }
+    }
+
+    /// Records the signals of a response. One that names no limit may be older than one that does, so
+    /// only load reports end a limit.
+    pub fn record_response(&mut self, holder: &Holder, signals: Signals, now: Instant) {
+        if signals.limit.per_second().is_none() && !signals.leaving {
+            return;
+        }
+        let known = self.of(holder, now);
+        if signals.limit.per_second().is_some() {
+            (known.limit, known.limit_at) = (signals.limit, now);
+        }
+        if signals.leaving {
+            known.leaving_at.get_or_insert(now);
+        }
+    }
+
+    /// Adds to a load report of an incarnation what its node has forgotten.
+    pub fn complete(&self, holder: Option<&Holder>, load: &mut Load) {
+        let Some(known) = self.0.as_ref().filter(|k| Some(&k.holder) == holder) else {
+            return;
+        };
+        if load.limit == RateLimit::Unknown {
+            load.limit = known.limit;
+        }
+        if known.leaving_at.is_some() && load.health == Health::Ready {
+            load.health = Health::Leaving;
+        }
+    }
+
+    /// Returns the reminder for a new process of the node, if there is something to remind it of.
+    #[must_use]
+    pub fn reminder(&self, now: Instant) -> Option<Reminder> {
+        let known = self.0.as_ref()?;
+        let age = |at: Instant| clock::millis(now.since(at));
+        let reminder = Reminder {
+            holder: known.holder.clone(),
+            limit: known.limit.per_second(),
+            limit_ms: age(known.limit_at),
+            leaving_ms: known.leaving_at.map(age),
+        };
+        (reminder.limit.is_some() || reminder.leaving_ms.is_some()).then_some(reminder)
+    }
+}
+
+impl Reminder {
+    /// Returns the time at which the limit was last confirmed.
+    #[must_use]
+    pub fn limit_at(&self, now: Instant) -> Instant {
+        now - Duration::from_millis(self.limit_ms.into())
+    }
+
+    /// Returns the time since which the backend server is known to leave, if it does.
+    #[must_use]
+    pub fn leaving_since(&self, now: Instant) -> Option<Instant> {
+        let ms = self.leaving_ms?;
+        Some(now - Duration::from_millis(ms.into()))
+    }
+}
--- a/src/transport/sidecar/links.rs
+++ b/src/transport/sidecar/links.rs
@@ -19,12 +19,15 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::{task, time};
 
+use crate::protocol::adapter::Signals;
 use crate::protocol::mesh::{
     BackendInfo, Call, Cause, Failure, Frame, Hello, Items, Load, Outcome, Seq, StoreRequest,
     StoreResponse,
 };
 use crate::state::clock::Instant;
+use crate::state::keyspace::Holder;
 use crate::state::routes::Repeat;
+use crate::transport::sidecar::backend_memory::BackendMemory;
 use crate::transport::sidecar::frames::{self, FrameReader, FrameWriter};
 
 /// Maximum time to connect and exchange the first frames.
@@ -87,6 +90,7 @@
     incarnation: Cell<Option<u64>>,
     backend_info: RefCell<Rc<BackendInfo>>,
     report: Cell<Option<(Load, Instant)>>,
+    memory: RefCell<BackendMemory>,
     items_handler: ItemsHandler,
     /// Calls sent minus calls ended since the last report.
     since_report: Cell<i32>,
@@ -131,6 +135,7 @@
             incarnation: Cell::new(None),
             backend_info: RefCell::default(),
             report: Cell::new(None),
+            memory: RefCell::default(),
             items_handler,
             since_report: Cell::new(0),
             last_received: Cell::new(now),
@@ -159,8 +164,10 @@
     /// Returns the last report received over the current connection.
     #[must_use]
     pub fn report(&self) -> Option<Report> {
-        let (load, at) = self.report.get().filter(|_| self.is_connected())?;
+        let (mut load, at) = self.report.get().filter(|_| self.is_connected())?;
         let backend_info = Rc::clone(&self.backend_info.borrow());
+        let memory = self.memory.borrow();
+        memory.complete(backend_info.holder.as_ref(), &mut load);
         Some(Report {
             backend_info,
             load,
@@ -174,6 +181,18 @@
         self.since_report.get()
     }
 
+    /// Returns the incarnation of the node's local backend server, as far as it is known.
+    #[must_use]
+    pub fn holder(&self) -> Option<Holder> {
+        self.backend_info.borrow().holder.clone()
+    }
+
+    /// Records what the node's local backend server said of itself in a response.
+    pub fn record_signals(&self, holder: &Holder, signals: Signals) {
+        let mut memory = self.memory.borrow_mut();
+        memory.record_response(holder, signals, Instant::now());
+    }
+
     /// Closes the link; pending calls end with [`Cause::LinkLost`].
     pub fn close(&self) {
         self.closed.set(true);
@@ -295,6 +314,10 @@
         match frame {
             Frame::Reply(seq, outcome) => self.complete(seq, *outcome),
             Frame::Load(load) => {
+                if let Some(holder) = &self.backend_info.borrow().holder {
+                    let mut memory = self.memory.borrow_mut();
+                    memory.record_load(holder, &load, Instant::now());
+                }
                 self.report.set(Some((load, Instant::now())));
                 self.since_report.set(0);
                 self.report_changed.notify_waiters();
@@ -427,9 +450,12 @@
 async fn exchange(link: &Link, io: (FrameReader, FrameWriter)) -> std::io::Result<()> {
     let (mut read, mut write) = io;
     let (out, mut queued) = mpsc::unbounded_channel();
+    if let Some(reminder) = link.memory.borrow().reminder(Instant::now()) {
+        // The receiver isn't dropped before this function returns.
+        let _sent = out.send(Frame::Remind(Box::new(reminder)));
+    }
     let pending: Vec<Seq> = link.pending.borrow().keys().copied().collect();
     if !pending.is_empty() {
-        // The receiver isn't dropped before this function returns.
         let _sent = out.send(Frame::Resume(pending));
     }
     link.last_received.set(Instant::now());
--- a/src/transport/sidecar/mod.rs
+++ b/src/transport/sidecar/mod.rs
@@ -3,6 +3,7 @@
 //! All connections run on one thread, with one task per connection.
 
 pub mod backend;
+pub mod backend_memory;
 pub mod call_delay;
 pub mod caller;
 pub mod frames;
--- a/src/transport/sidecar/peer_server.rs
+++ b/src/transport/sidecar/peer_server.rs
@@ -22,8 +22,8 @@
 use tokio::{task, time};
 
 use crate::protocol::mesh::{
-    BackendInfo, Call, Cause, Failure, Frame, Hello, HolderRates, Items, Load, Outcome, Seq,
-    StoreRequest, StoreResponse,
+    BackendInfo, Call, Cause, Failure, Frame, Hello, HolderRates, Items, Load, Outcome, Reminder,
+    Seq, StoreRequest, StoreResponse,
 };
 use crate::state::clock::{self, Instant};
 use crate::state::routes::Repeat;
@@ -123,6 +123,9 @@
     /// Handles a report of key rates.
     fn receive_rates(&self, rates: HolderRates);
 
+    /// Takes in what another node was told about the local backend server.
+    fn recall(&self, reminder: Reminder);
+
     /// Makes a call to the store on behalf of another node.
     fn relay(&self, request: StoreRequest) -> Pin<Box<dyn Future<Output = Option<StoreResponse>>>>;
 }
@@ -432,6 +435,7 @@
                 let items = self.handler.config();
                 session.borrow().send(Frame::Items(Box::new(items)));
             }
+            Frame::Remind(reminder) => self.handler.recall(*reminder),
             Frame::Heat(rates) => self.handler.receive_rates(*rates),
             Frame::Relay(seq, request) => {
                 let relayed = self.handler.relay(*request);
--- a/tests/sidecar/adapter.rs
+++ b/tests/sidecar/adapter.rs
@@ -38,13 +38,18 @@
             signed: text("sig").is_some(),
             refusal: text("refused").map(|_| Refusal::Shed),
             idle: text("idle").map(|_| Duration::from_secs(5)),
-            signals: Signals {
-                limit: text("limit").map_or(RateLimit::Unlimited, |text| {
-                    text.parse()
-                        .map_or(RateLimit::Unknown, RateLimit::PerSecond)
-                }),
-                leaving: text("leaving").is_some(),
-            },
+            signals: self.decode_signals(&head.headers),
+        }
+    }
+
+    fn decode_signals(&self, headers: &[Header]) -> Signals {
+        let limit = header_value(headers, "limit").map_or(RateLimit::Unlimited, |text| {
+            let rate = text.parse();
+            rate.map_or(RateLimit::Unknown, RateLimit::PerSecond)
+        });
+        Signals {
+            limit,
+            leaving: header_value(headers, "leaving").is_some(),
         }
     }
 
--- a/tests/sidecar/links.rs
+++ b/tests/sidecar/links.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use filbertflow::protocol::mesh::{
-    BackendInfo, Call, Cause, Failure, Frame, Hello, HolderRates, Items, Load, Outcome, Response,
-    StoreRequest, StoreResponse,
+    BackendInfo, Call, Cause, Failure, Frame, Hello, HolderRates, Items, Load, Outcome, Reminder,
+    Response, StoreRequest, StoreResponse,
 };
 use filbertflow::state::clock::Instant;
 use filbertflow::state::routes::{Repeat, RouteId};
@@ -78,6 +78,8 @@
 
     fn receive_rates(&self, _rates: HolderRates) {}
 
+    fn recall(&self, _reminder: Reminder) {}
+
     fn relay(&self, request: StoreRequest) -> Pin<Box<dyn Future<Output = Option<StoreResponse>>>> {
         let StoreRequest { method, body, .. } = request;
         Box::pin(async move {
--- a/tests/sidecar/reports.rs
+++ b/tests/sidecar/reports.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use filbertflow::coordination::sidecar::reports::{is_due, min_interval};
-use filbertflow::protocol::mesh::{Health, Load};
+use filbertflow::protocol::mesh::{Health, Load, RateLimit};
 use filbertflow::state::clock::Instant;
 use filbertflow::state::routes::Version;
 use filbertflow::transport::sidecar::peer_server::SentLoad;
@@ -57,6 +57,7 @@
     one_request_more: Load { running: 1, ..Load::default() }, false => false;
     two_requests_more: Load { running: 1, queued: 1, ..Load::default() }, false => true;
     leaving: Load { health: Health::Leaving, ..Load::default() }, false => true;
+    limit: Load { limit: RateLimit::PerSecond(5.0), ..Load::default() }, false => true;
     /// Guards against a change of an assignment table that other nodes learn of late.
     table_seen_by_a_watcher: Load { items: 7, ..Load::default() }, true => true;
     /// Keys move in a fleet of 83. Guards against reports of all 83 nodes to 82 others for each move.
--- a/tests/sidecar/signals.rs
+++ b/tests/sidecar/signals.rs
@@ -6,10 +6,12 @@
 
 use filbertflow::coordination::sidecar::signals::SignalTracker;
 use filbertflow::protocol::adapter::Signals;
-use filbertflow::protocol::mesh::RateLimit;
+use filbertflow::protocol::mesh::{Health, Load, RateLimit, Reminder};
 use filbertflow::state::clock::Instant;
+use filbertflow::state::keyspace::Holder;
 use filbertflow::state::routes::Repeat;
 use filbertflow::transport::sidecar::backend::{Pool, Request};
+use filbertflow::transport::sidecar::backend_memory::BackendMemory;
 use tokio::{runtime, task};
 
 use crate::adapter::Plain;
@@ -109,3 +111,113 @@
     /// Guards against taking the signals of a late copy of an earlier response.
     stray_answer: "HTTP/1.1 200 OK\r\nid: 6\r\nsig: s\r\nleaving: 1\r\nContent-Length: 3\r\n\r\nbad" => None;
 }
+
+fn holder(backend: &str) -> Holder {
+    Holder {
+        node: "n".to_owned(),
+        backend: backend.to_owned(),
+        born: 1,
+    }
+}
+
+/// What a node learns about the backend server beside another node.
+enum Lesson {
+    /// Load report: incarnation, health and limit.
+    Load(&'static str, Health, RateLimit),
+    /// Response: incarnation, limit and whether it is leaving.
+    Response(&'static str, RateLimit, bool),
+}
+
+/// Returns what a node reminds a restarted one of: limit, and time since the departure.
+fn remembered(lessons: &[Lesson]) -> Option<(String, Option<f64>, Option<u32>)> {
+    let start = Instant::now();
+    let mut memory = BackendMemory::default();
+    let mut now = start;
+    for lesson in lessons {
+        now = now + Duration::from_secs(1);
+        match lesson {
+            Lesson::Load(backend, health, limit) => {
+                let load = Load {
+                    health: *health,
+                    limit: *limit,
+                    ..Load::default()
+                };
+                memory.record_load(&holder(backend), &load, now);
+            }
+            Lesson::Response(backend, limit, leaving) => {
+                let signals = Signals {
+                    limit: *limit,
+                    leaving: *leaving,
+                };
+                memory.record_response(&holder(backend), signals, now);
+            }
+        }
+    }
+    let reminder = memory.reminder(now)?;
+    Some((reminder.holder.backend, reminder.limit, reminder.leaving_ms))
+}
+
+macro_rules! memories {
+    ($($(#[$doc:meta])* $name:ident: $lessons:expr => $expected:expr;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            let expected: Option<(&str, Option<f64>, Option<u32>)> = $expected;
+            let expected = expected.map(|(id, limit, ms)| (id.to_owned(), limit, ms));
+            assert_eq!(remembered(&$lessons), expected);
+        }
+    )*};
+}
+
+memories! {
+    nothing_to_remember: [Lesson::Load("a", Health::Ready, NO_LIMIT)] => None;
+    limit_from_a_report: [Lesson::Load("a", Health::Ready, named(5.0))] => Some(("a", Some(5.0), None));
+    limit_from_a_response: [Lesson::Response("a", named(5.0), false)] => Some(("a", Some(5.0), None));
+    limit_ended: [Lesson::Load("a", Health::Ready, named(5.0)), Lesson::Load("a", Health::Ready, NO_LIMIT)] => None;
+    /// Guards against a limit that is forgotten because the new process reports before it is reminded.
+    limit_of_a_new_process: [
+        Lesson::Load("a", Health::Ready, named(5.0)), Lesson::Load("a", Health::Ready, RateLimit::Unknown)
+    ] => Some(("a", Some(5.0), None));
+    /// Guards against a limit that ends with a response from before it was named.
+    response_without_limit: [
+        Lesson::Load("a", Health::Ready, named(5.0)), Lesson::Response("a", NO_LIMIT, false)
+    ] => Some(("a", Some(5.0), None));
+    /// Guards against a departure that is forgotten because the new process reports the server as ready,
+    /// and against a drain that starts anew.
+    departure: [
+        Lesson::Response("a", NO_LIMIT, true), Lesson::Load("a", Health::Leaving, NO_LIMIT),
+        Lesson::Load("a", Health::Ready, RateLimit::Unknown)
+    ] => Some(("a", None, Some(2000)));
+    /// Guards against a limit and a departure that are taken for those of the next incarnation.
+    next_incarnation: [
+        Lesson::Response("a", named(5.0), true), Lesson::Load("b", Health::Ready, RateLimit::Unknown)
+    ] => None;
+}
+
+fn reminder(limit: f64, limit_ms: u32) -> Reminder {
+    Reminder {
+        holder: holder("a"),
+        limit: Some(limit),
+        limit_ms,
+        leaving_ms: None,
+    }
+}
+
+/// Two nodes remember different limits. Guards against taking the older one, and against taking either
+/// in place of what a response to this process has said.
+#[test]
+fn latest_reminder_counts_until_a_response() {
+    let now = Instant::now() + Duration::from_mins(1);
+    let mut tracker = SignalTracker::default();
+    tracker.recall(&reminder(5.0, 3000), now);
+    tracker.recall(&reminder(9.0, 1000), now);
+    tracker.recall(&reminder(7.0, 2000), now);
+    assert_eq!(tracker.limit(), named(9.0));
+    let none = Signals {
+        limit: NO_LIMIT,
+        leaving: false,
+    };
+    tracker.record(none, now, now);
+    tracker.recall(&reminder(9.0, 0), now);
+    assert_eq!(tracker.limit(), NO_LIMIT);
+}
