Choose among backend servers by the room within their limits

Cause: a backend server that has named a limit starts few requests, so it looks idle: load balancing went on picking it, and its refusals cost a dispatch each while others had room. Change: load reports carry the room within the limit, less what is queued; a candidate with a limit is as far away as its next token, counting the requests sent there since the report. Measured: load_balancing::unlimited fails without the term and passes; limit_with_room guards the other way.

--- a/src/coordination/sidecar/admission.rs
+++ b/src/coordination/sidecar/admission.rs
@@ -170,6 +170,14 @@
         }
     }
 
+    /// Returns the number of requests that the rate limit has room for at once, less those that are
+    /// queued; 0 without a limit.
+    #[must_use]
+    pub fn limit_room(&self, now: Instant) -> f64 {
+        let queued = self.waiting.len() as f64;
+        self.limiter.map_or(0.0, |l| l.tokens(now) - queued)
+    }
+
     /// Returns whether a request can start now.
     fn has_room(&self, now: Instant) -> bool {
         let within_limit = self.limiter.is_none_or(|l| l.tokens(now) >= 1.0);
--- a/src/coordination/sidecar/dispatcher.rs
+++ b/src/coordination/sidecar/dispatcher.rs
@@ -398,6 +398,7 @@
             warmup_ms: clock::millis(warmup),
             stopping: self.stopping.get(),
             limit: self.signals.borrow().limit(),
+            limit_room: queue.limit_room(Instant::now()),
             ..Load::default()
         }
     }
--- a/src/coordination/sidecar/load_balancing.rs
+++ b/src/coordination/sidecar/load_balancing.rs
@@ -1,13 +1,15 @@
 //! Load balancing of requests that any backend server of a service may execute.
 //!
 //! Each candidate is scored by the expected time to a response there: queueing delay, service time
-//! and the cost of a possible failure. The load that a node reported is corrected by the requests
+//! and the cost of a possible failure. A candidate that has named a limit is as far away as its next
+//! token. The load that a node reported is corrected by the requests
 //! that this node has sent there since.
 
 use rand::Rng;
 use rand::seq::SliceRandom;
 
 use crate::coordination::sidecar::failure_rate;
+use crate::coordination::sidecar::rate_limiter;
 use crate::coordination::sidecar::service_times;
 
 /// Penalty for a candidate in another failure domain, as a share of the latency objective; traffic
@@ -46,6 +48,24 @@
     pub warming: bool,
     /// Whether it is in the failure domain of this node.
     pub same_domain: bool,
+    /// Limit that it has named, if any.
+    pub limit: Option<Limit>,
+}
+
+/// Limit of a candidate.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limit {
+    /// Requests per second.
+    pub rate: f64,
+    /// Requests that it has room for at once; negative if some wait for it.
+    pub room: f64,
+}
+
+impl Limit {
+    /// Returns the time until one more request can start, in milliseconds.
+    fn wait_ms(self) -> f64 {
+        (1.0 - self.room).max(0.0) * 1000.0 / self.rate.max(rate_limiter::MIN_RATE)
+    }
 }
 
 impl Candidate {
@@ -63,7 +83,8 @@
         }
         let outstanding = f64::from(self.outstanding);
         let occupancy = (outstanding / slots).min(1.0);
-        let wait = (outstanding + 1.0 - slots).max(0.0) * service_ms / slots;
+        let slot_wait = (outstanding + 1.0 - slots).max(0.0) * service_ms / slots;
+        let wait = slot_wait.max(self.limit.map_or(0.0, Limit::wait_ms));
         let penalty = if self.same_domain {
             0.0
         } else {
--- a/src/coordination/sidecar/rate_limiter.rs
+++ b/src/coordination/sidecar/rate_limiter.rs
@@ -12,7 +12,7 @@
 
 /// Lowest rate, in requests per second. Only a response can tell that a limit has ended, so even a
 /// limit of zero lets a request through from time to time.
-const MIN_RATE: f64 = 0.2;
+pub const MIN_RATE: f64 = 0.2;
 
 /// Token bucket, empty at first.
 #[derive(Debug, Clone, Copy)]
--- a/src/coordination/sidecar/targets.rs
+++ b/src/coordination/sidecar/targets.rs
@@ -12,7 +12,7 @@
 use tokio::time;
 
 use crate::coordination::sidecar::dispatcher::Dispatcher;
-use crate::coordination::sidecar::load_balancing::{self, Candidate};
+use crate::coordination::sidecar::load_balancing::{self, Candidate, Limit};
 use crate::coordination::sidecar::membership::MembershipView;
 use crate::coordination::sidecar::request_context::RequestContext;
 use crate::coordination::sidecar::tables::Tables;
@@ -281,6 +281,10 @@
 
 fn candidate(load: &Load, sent_since: i32, same_domain: bool) -> Candidate {
     let outstanding = i32::from(load.running) + i32::from(load.queued) + sent_since;
+    let limit = load.limit.per_second().map(|rate| Limit {
+        rate,
+        room: load.limit_room - f64::from(sent_since.max(0)),
+    });
     Candidate {
         slots: load.slots,
         outstanding: u16::try_from(outstanding.max(0)).unwrap_or(u16::MAX),
@@ -289,5 +293,6 @@
         delay_ms: load.late_ms,
         warming: load.warmup_ms > 0,
         same_domain,
+        limit,
     }
 }
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -332,6 +332,8 @@
     pub items: u64,
     /// Limit that the backend server has announced.
     pub limit: RateLimit,
+    /// Requests that the limit has room for at once, less those that are queued; 0 without a limit.
+    pub limit_room: f64,
 }
 
 /// Store item as replicated between nodes.
--- a/tests/sidecar/load_balancing.rs
+++ b/tests/sidecar/load_balancing.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use filbertflow::coordination::sidecar::load_balancing::{Candidate, pick};
+use filbertflow::coordination::sidecar::load_balancing::{Candidate, Limit, pick};
 use filbertflow::state::clock::Instant;
 use filbertflow::state::decayed_average::DecayedAverage;
 use rand::SeedableRng;
@@ -16,6 +16,7 @@
     delay_ms: 0.0,
     warming: false,
     same_domain: true,
+    limit: None,
 };
 
 /// Returns how often the first of two candidates is picked, in 1000 times.
@@ -48,6 +49,11 @@
     /// Guards against preferring a backend server that looks idle because its host, with a tenth of
     /// a core or a saturated link, receives calls half a second late.
     lower_delay: Candidate { outstanding: 25, ..IDLE }, Candidate { delay_ms: 500.0, ..IDLE };
+    /// Guards against requests for an idle backend server whose limit has no room, while a busy one
+    /// would serve them sooner.
+    unlimited: Candidate { outstanding: 25, ..IDLE }, Candidate { limit: Some(Limit { rate: 10.0, room: -1.0 }), ..IDLE };
+    /// Guards against leaving unused what a limit has room for.
+    limit_with_room: Candidate { limit: Some(Limit { rate: 10.0, room: 1.5 }), ..IDLE }, Candidate { outstanding: 25, ..IDLE };
     /// Guards against overloading a backend server that is still warming up.
     warmed_up: IDLE, Candidate { warming: true, ..IDLE };
 }
