Plan keys by the limits of their holders

Cause: the planner took the capacity of a backend server from slots and service time, so keys stayed at, and even moved to, holders that had named a limit; and a hot key stays at its holder always, though another one could serve it. Change: a named limit bounds the capacity. A key whose requests alone exceed the limit of its holder moves to the backend server with the most capacity, if that is half as much again. Only limits count for this: the capacity by service times falls under load, and the key would move to and fro. Measured: plan::keys_follow_named_limits (50 of 20 requests/s) and hot_key_leaves_a_holder_whose_limit_it_exceeds fail without it and pass.

--- a/src/coordination/sidecar/plan.rs
+++ b/src/coordination/sidecar/plan.rs
@@ -2,7 +2,8 @@
 //!
 //! The load of a backend server should be in proportion to its capacity. Ranges without a holder are
 //! assigned first, those of a draining backend server next. Then the most overloaded one gives its
-//! excess load away, except for a key that alone exceeds it. Each move makes its keys unavailable
+//! excess load away, except for a key that alone exceeds it; such a key stays, unless its holder has
+//! named a limit that another backend server clearly exceeds. Each move makes its keys unavailable
 //! for about a heartbeat interval, so small imbalances are tolerated.
 
 use std::collections::{HashMap, HashSet};
@@ -28,6 +29,9 @@
 /// Minimum fraction of the excess load that a move must carry.
 const MIN_MOVE_FRACTION: f64 = 0.2;
 
+/// Ratio of capacities from which a key that its holder's limit can't serve is worth a move.
+const HOT_KEY_CAPACITY_RATIO: f64 = 1.5;
+
 /// Maximum number of slices in a table; a heartbeat's reply fits about 100 of one holder.
 const MAX_SLICES: usize = 400;
 
@@ -44,6 +48,8 @@
     pub holder: keyspace::Holder,
     /// Requests per second that it can serve.
     pub capacity: f64,
+    /// Whether a limit that it has named bounds its capacity.
+    pub limited: bool,
     /// Whether it may get more keys.
     pub accepts: bool,
     /// Whether it keeps its current keys.
@@ -260,6 +266,10 @@
     if !overloaded && !newcomer {
         return None;
     }
+    if overloaded && let Some((key, target)) = hot_key_move(draft, table, source) {
+        draft.assign(key, key, Some(source), target);
+        return Some(source);
+    }
     let wanted = excess.min(draft.fair_share(target) - draft.loads[target]);
     if wanted <= 0.0 {
         return None;
@@ -273,3 +283,24 @@
     draft.assign(from, to, Some(source), target);
     Some(source)
 }
+
+/// Returns a key whose requests alone exceed the limit of its holder, and the member with the most
+/// capacity if that serves clearly more of them.
+fn hot_key_move(draft: &Draft<'_>, table: &AssignmentTable, source: usize) -> Option<(Key, usize)> {
+    let member = &draft.members[source];
+    if !member.limited {
+        return None;
+    }
+    let rate = |key: &Key| draft.rates[usize::from(*key)];
+    let held = table.held_by(&member.holder).filter(|s| s.target.is_none());
+    let hottest = held
+        .flat_map(|s| s.from..=s.to)
+        .max_by(|a, b| rate(a).total_cmp(&rate(b)))?;
+    if rate(&hottest) <= member.capacity {
+        return None;
+    }
+    let others = (0..draft.members.len()).filter(|&i| i != source && draft.members[i].accepts);
+    let capacity = |i: usize| draft.members[i].capacity;
+    let target = others.max_by(|&a, &b| capacity(a).total_cmp(&capacity(b)))?;
+    (capacity(target) >= HOT_KEY_CAPACITY_RATIO * member.capacity).then_some((hottest, target))
+}
--- a/src/coordination/sidecar/planner.rs
+++ b/src/coordination/sidecar/planner.rs
@@ -233,7 +233,8 @@
 }
 
 /// Returns the backend servers that may hold keys, with their capacities.
-fn members(loads: &[(Option<Holder>, Load)]) -> Vec<Member> {
+#[must_use]
+pub fn members(loads: &[(Option<Holder>, Load)]) -> Vec<Member> {
     let known = loads.iter().map(|l| l.1).filter(|l| l.service_ms > 0.0);
     let times: Vec<f64> = known.map(|l| f64::from(l.service_ms)).collect();
     let mean = match times.len() {
@@ -248,9 +249,12 @@
             mean
         };
         let healthy = 1.0 - failure_rate::excess(load.failing, baseline);
+        let capacity = f64::from(load.slots) * 1000.0 / ms * healthy.max(MIN_CAPACITY_FRACTION);
+        let limit = load.limit.per_second().unwrap_or(f64::INFINITY);
         Some(Member {
             holder: holder.clone()?,
-            capacity: f64::from(load.slots) * 1000.0 / ms * healthy.max(MIN_CAPACITY_FRACTION),
+            capacity: capacity.min(limit),
+            limited: limit < capacity,
             accepts: load.health == Health::Ready && !load.stopping,
             keeps: load.health == Health::Ready,
         })
--- a/tests/sidecar/plan.rs
+++ b/tests/sidecar/plan.rs
@@ -1,6 +1,8 @@
 //! Plans of key assignments for given loads.
 
 use filbertflow::coordination::sidecar::plan::{Change, Member, plan};
+use filbertflow::coordination::sidecar::planner;
+use filbertflow::protocol::mesh::{Health, Load, RateLimit};
 use filbertflow::state::keyspace::{AssignmentTable, Holder, KEY_COUNT, Key, Slice};
 
 fn member(n: u8, capacity: f64) -> Member {
@@ -11,6 +13,7 @@
             born: 1,
         },
         capacity,
+        limited: false,
         accepts: true,
         keeps: true,
     }
@@ -134,3 +137,58 @@
     let (after, _) = converge(table.clone(), &members[..1], &even(90.0));
     assert_eq!(after, table);
 }
+
+/// Three of four backend servers name limits far below their load. Guards against keys that stay where
+/// their requests are refused while another one has room.
+#[test]
+fn keys_follow_named_limits() {
+    let limits = [Some(20.0), Some(30.0), Some(10.0), None];
+    let load = |limit: Option<f64>| Load {
+        health: Health::Ready,
+        slots: 18,
+        service_ms: 100.0,
+        limit: limit.map_or(RateLimit::Unlimited, RateLimit::PerSecond),
+        ..Load::default()
+    };
+    let holders = (0..4).map(|n| Some(member(n, 1.0).holder));
+    let before: Vec<_> = holders.clone().map(|h| (h, load(None))).collect();
+    let rates = even(200.0);
+    let (table, _) = converge(
+        AssignmentTable::default(),
+        &planner::members(&before),
+        &rates,
+    );
+    let now: Vec<_> = holders.zip(limits.map(load)).collect();
+    let members = planner::members(&now);
+    let (after, _) = converge(table, &members, &rates);
+    for (m, limit) in members.iter().zip(limits) {
+        let got = self::load(&after, m, &rates);
+        let room = limit.unwrap_or(180.0);
+        assert!(got <= 1.3 * room, "{got} of {room}");
+    }
+}
+
+/// The holder of a key with 60 requests a second names a limit of 10. Guards against refusing five in
+/// six of them while another backend server could serve them all, and against a key that moves to and
+/// fro.
+#[test]
+fn hot_key_leaves_a_holder_whose_limit_it_exceeds() {
+    let mut members = [member(0, 100.0), member(1, 100.0), member(2, 100.0)];
+    let mut rates = even(60.0);
+    rates[30_000] = 60.0;
+    let (table, _) = converge(AssignmentTable::default(), &members, &rates);
+    let hot = |table: &AssignmentTable| table.slice_of(30_000).unwrap().holder.clone().unwrap();
+    let holder = hot(&table);
+    for m in &mut members {
+        (m.capacity, m.limited) = if m.holder == holder {
+            (10.0, true)
+        } else {
+            (100.0, false)
+        };
+    }
+    let (after, _) = converge(table, &members, &rates);
+    assert_ne!(hot(&after), holder);
+    let limited = members.iter().find(|m| m.holder == holder).unwrap();
+    let got = load(&after, limited, &rates);
+    assert!(got <= 13.0, "{got}");
+}
