Close the window of a drain that an earlier process saw begin

Cause: a process that is started beside a leaving holder of keys counted the time for which requests for its keys are still admitted from the first heartbeat that it saw. An earlier process had acknowledged the drain before, so requests arrived later than the bound allows. Other nodes' reminders hide this unless all are restarted. Change: a drain that the first heartbeat of a process shows, or the store's record, counts as long begun.

--- a/src/coordination/sidecar/dispatcher.rs
+++ b/src/coordination/sidecar/dispatcher.rs
@@ -328,6 +328,12 @@
         }
     }
 
+    /// Returns the drain timeout of the backend server.
+    #[must_use]
+    pub fn drain_timeout(&self) -> Duration {
+        self.drain_timeout.get()
+    }
+
     /// Sets the drain timeout of the backend server.
     pub fn set_drain_timeout(&self, timeout: Duration) {
         self.drain_timeout.set(timeout);
--- a/src/coordination/sidecar/heartbeats.rs
+++ b/src/coordination/sidecar/heartbeats.rs
@@ -119,10 +119,16 @@
         let before = self.dispatcher.backend().filter(|b| b.holder == holder);
         let known = before.is_some();
         let before = before.and_then(|b| b.draining_since);
+        // An earlier process may have acknowledged the drain up to any time ago.
+        let first_seen = if known {
+            now
+        } else {
+            now - self.dispatcher.drain_timeout()
+        };
         let draining_since = match heartbeat.phase {
-            Phase::Draining => Some(before.unwrap_or(now)),
+            Phase::Draining => Some(before.unwrap_or(first_seen)),
             // An incarnation that has left stays draining, also after a restart of this process.
-            Phase::Ready if self.departures.has_left(&holder) => Some(before.unwrap_or(now)),
+            Phase::Ready if self.departures.has_left(&holder) => Some(before.unwrap_or(first_seen)),
             Phase::Ready => before,
         };
         if !known || draining_since != before {
