Number calls by process, not by link

Logs of its node: 324 drops another node that was cut off for longer than its lease, 322 finds it again, and the first connection ends before the calls on it arrive. The new link numbered calls from one again, while the other node keeps outcomes by process of the caller: asked for number k, it gave the outcome that it retained from the earlier link. A call of the earlier link that still ran could end a new one, too. Ruled out: a restart of the calling node (its process ran all the time; sessions handle that), the backend server (it answered the right request). Change: sequence numbers are unique in the process.

--- a/src/transport/sidecar/links.rs
+++ b/src/transport/sidecar/links.rs
@@ -12,6 +12,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use futures::StreamExt;
@@ -86,7 +87,6 @@
     out: RefCell<Option<mpsc::UnboundedSender<Frame>>>,
     pending: RefCell<BTreeMap<Seq, Pending>>,
     relays: RefCell<BTreeMap<Seq, oneshot::Sender<Option<StoreResponse>>>>,
-    last_seq: Cell<Seq>,
     incarnation: Cell<Option<u64>>,
     backend_info: RefCell<Rc<BackendInfo>>,
     report: Cell<Option<(Load, Instant)>>,
@@ -131,7 +131,6 @@
             out: RefCell::new(None),
             pending: RefCell::new(BTreeMap::new()),
             relays: RefCell::new(BTreeMap::new()),
-            last_seq: Cell::new(0),
             incarnation: Cell::new(None),
             backend_info: RefCell::default(),
             report: Cell::new(None),
@@ -207,11 +206,6 @@
         }
     }
 
-    fn next_seq(&self) -> Seq {
-        self.last_seq.set(self.last_seq.get() + 1);
-        self.last_seq.get()
-    }
-
     /// Sends a call; returns `None` if there is no connection.
     #[must_use]
     pub fn call(self: &Rc<Self>, mut call: Call) -> Option<InFlight> {
@@ -220,7 +214,7 @@
         }
         let sent = Instant::now().since_boot().as_millis();
         call.sent_ms = u64::try_from(sent).unwrap_or(u64::MAX);
-        let seq = self.next_seq();
+        let seq = next_seq();
         let (reply, outcome) = oneshot::channel();
         let pending = Pending {
             reply,
@@ -240,7 +234,7 @@
 
     /// Relays a call to the store through the other node; returns `None` without a response.
     pub async fn relay(&self, request: StoreRequest, limit: Duration) -> Option<StoreResponse> {
-        let seq = self.next_seq();
+        let seq = next_seq();
         let (reply, response) = oneshot::channel();
         self.relays.borrow_mut().insert(seq, reply);
         self.send(Frame::Relay(seq, Box::new(request)));
@@ -389,6 +383,13 @@
     }
 }
 
+/// Returns a sequence number that is unique in this process. The other node keeps calls and outcomes by
+/// process, so a link that replaces an earlier one to the same node must not use its numbers again.
+fn next_seq() -> Seq {
+    static LAST: AtomicU64 = AtomicU64::new(0);
+    LAST.fetch_add(1, Ordering::Relaxed) + 1
+}
+
 async fn run(link: Rc<Link>) {
     let mut backoff = INITIAL_BACKOFF;
     while !link.closed.get() {
--- a/tests/sidecar/links.rs
+++ b/tests/sidecar/links.rs
@@ -464,3 +464,55 @@
         assert_eq!(*link.domain.borrow(), "d22");
     });
 }
+
+/// Opens a new link to the node of a fixture, whose own link is closed, as for a node that was dropped
+/// while it couldn't be reached and was found again later.
+async fn reopen(fixture: &Fixture) -> Rc<Link> {
+    fixture.link.close();
+    let link = Link::start(
+        fixture.link.node.parse().unwrap(),
+        "d",
+        hello("a", 1),
+        Rc::new(Notify::new()),
+        Rc::new(|_, _| ()),
+    );
+    while link.report().is_none() {
+        time::sleep(Duration::from_millis(5)).await;
+    }
+    link
+}
+
+fn first_call(run_ms: u32) -> Call {
+    Call {
+        body: b"first".to_vec(),
+        ..call(Repeat::Once, run_ms)
+    }
+}
+
+/// The other node keeps outcomes by process, not by link. Guards against a call that is lost on a new
+/// link and gets the outcome of a call of the earlier one.
+#[test]
+fn outcome_of_a_dropped_link_does_not_reach_the_next_one() {
+    run(|fixture| async move {
+        let first = fixture.link.call(first_call(10)).unwrap();
+        first.outcome().await;
+        let next = reopen(&fixture).await;
+        let flight = next.call(call(Repeat::Once, 10)).unwrap();
+        fixture.cut();
+        let not_run = Outcome::NotRun(Failure::before_send(Cause::LinkLost, 0));
+        assert_eq!(flight.outcome().await, not_run);
+    });
+}
+
+/// Guards against a running call of a dropped link whose outcome ends a call of the next one.
+#[test]
+fn running_call_of_a_dropped_link_does_not_end_one_of_the_next() {
+    run(|fixture| async move {
+        let first = fixture.link.call(first_call(200)).unwrap();
+        time::sleep(Duration::from_millis(20)).await;
+        let next = reopen(&fixture).await;
+        let flight = next.call(call(Repeat::Once, 400)).unwrap();
+        let (outcome, _) = tokio::join!(flight.outcome(), first.outcome());
+        assert_eq!(outcome, answered());
+    });
+}
