--- a/src/coordination/sidecar/mod.rs
+++ b/src/coordination/sidecar/mod.rs
@@ -6,8 +6,9 @@
 //! store's items, and `membership` and `configuration` hold their decoded content. `grant_manager` and
 //! `planner` maintain the assignment tables in the store. `node` builds and connects these parts.
 //!
-//! `admission`, `service_times`, `load_balancing`, `failure_rate`, `retry_budget`, `overload_retry`,
-//! `catchup`, `forwarders`, `granted_ranges`, `plan`, `replica` and `reports` do no input or output.
+//! `admission`, `rate_limiter`, `service_times`, `signals`, `load_balancing`, `failure_rate`,
+//! `retry_budget`, `overload_retry`, `catchup`, `forwarders`, `granted_ranges`, `plan`, `replica` and
+//! `reports` do no input or output.
 
 pub mod admission;
 pub mod backoff;
