Give out ports of test meshes without binding them

Cause: KNOWN-RED.txt has two mesh tests whose sidecar found its port taken. The harness found a free port by binding a socket and closing it. The kernel may assign that port again to a listener on the same address, and a child that is being started holds a copy of the socket until it runs its program. Not proved for the two failures. Change: ports come from a counter, below the range that the kernel assigns; nothing is bound. Networks that two processes share are told apart by where the counter begins. Conclusion: the two entries stay until the runs beside load have passed.

--- a/harness/src/lib.rs
+++ b/harness/src/lib.rs
@@ -16,12 +16,10 @@
 pub mod process;
 pub mod relay;
 
-use std::collections::BTreeSet;
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU8, AtomicU16, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::atomic::{AtomicU8, AtomicU16, AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -85,23 +83,29 @@
         TcpListener::bind((ip, 0)).expect("a loopback address has free ports")
     }
 
-    /// Returns a free address on a host of the network, a different one on each call. The addresses
-    /// are remembered because the kernel may assign a port again before a process listens on it.
+    /// Returns a free address on a host of the network, a different one on each call.
     pub fn free_addr(self, host: u8) -> SocketAddr {
-        static ALLOCATED: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
-        loop {
-            let listener = self.listen(host);
-            let addr = listener
-                .local_addr()
-                .expect("a bound socket has an address");
-            let mut allocated = ALLOCATED.lock().unwrap_or_else(PoisonError::into_inner);
-            if allocated.insert(addr) {
-                return addr;
-            }
-        }
+        let ip = Ipv4Addr::new(127, self.process, self.mesh, host);
+        SocketAddr::from((ip, next_port()))
     }
 }
 
+/// First port that is given out; the ports are below those that the kernel assigns, 32768 and up.
+const FIRST_PORT: u16 = 10_000;
+
+/// Number of ports that are given out before the first one is used again.
+const PORTS: u32 = 20_000;
+
+/// Returns a port that this process has not given out yet. Binding a socket to find a free one would not
+/// reserve it, and a child that is being started keeps a copy of that socket until it runs its program.
+fn next_port() -> u16 {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    // Processes whose networks are the same begin at different ports.
+    let start = std::process::id() / 128 * 101;
+    let offset = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS;
+    FIRST_PORT + u16::try_from(offset).expect("the offset is below the number of ports")
+}
+
 /// Returns a free address on a separate loopback host, so that no other listener of this process and
 /// no outgoing connection can take the port before it is bound or while it is unbound between two uses.
 pub fn free_addr() -> SocketAddr {
@@ -111,10 +115,7 @@
     // connections.
     let process = 1 + u8::try_from(std::process::id() % 62).expect("the remainder fits");
     let ip = Ipv4Addr::new(127, process, high, low);
-    let listener = TcpListener::bind((ip, 0)).expect("a loopback address has free ports");
-    listener
-        .local_addr()
-        .expect("a bound socket has an address")
+    SocketAddr::from((ip, next_port()))
 }
 
 /// Polls a condition until it holds; returns false if it does not hold within the limit.
