Let the demand of a rank fade while no requests of it arrive

Cause: the admission queue takes the average demand of more urgent ranks off what a rank can get, but updates an average only when a request of that rank arrives. After a burst of urgent requests had ended, less urgent ones were refused for its sake until the next urgent request, with a limit as with slots. Change: the averages fade with the time since the last request wherever they are read. Conclusion: an older fault that the limit made worse.

--- a/src/coordination/sidecar/admission.rs
+++ b/src/coordination/sidecar/admission.rs
@@ -125,6 +125,14 @@
     at: Instant,
 }
 
+impl Demand {
+    /// Returns the share of the averages that is left after a time without requests.
+    fn decay(&self, now: Instant) -> f64 {
+        let age = now.since(self.at).as_secs_f64();
+        (-age / DEMAND_WINDOW.as_secs_f64()).exp()
+    }
+}
+
 /// Admission queue of one backend server.
 #[derive(Debug)]
 pub struct AdmissionQueue {
@@ -210,8 +218,9 @@
     }
 
     /// Returns the slots that more urgent ranks leave for a rank.
-    fn available_slots(&self, rank: Rank) -> f64 {
-        let urgent = self.demand.range(..rank).map(|(_, d)| d.slots);
+    fn available_slots(&self, rank: Rank, now: Instant) -> f64 {
+        let urgent = self.demand.range(..rank);
+        let urgent = urgent.map(|(_, d)| d.slots * d.decay(now));
         let slots = self.slots.max(1) as f64;
         (slots - urgent.sum::<f64>()).max(MIN_RANK_SHARE * slots)
     }
@@ -225,7 +234,7 @@
             // Requests of its own rank that still meet their objective go before a late one.
             **rank < position.rank || (position.late && **rank == position.rank)
         });
-        let demand: f64 = ahead.map(|(_, d)| d.rate).sum();
+        let demand: f64 = ahead.map(|(_, d)| d.rate * d.decay(now)).sum();
         let min_share = if position.late {
             MIN_LATE_SHARE
         } else {
@@ -262,7 +271,7 @@
             .mean(now)
             .unwrap_or(estimate)
             .as_secs_f64();
-        Duration::from_secs_f64((work + mean) / self.available_slots(position.rank))
+        Duration::from_secs_f64((work + mean) / self.available_slots(position.rank, now))
     }
 
     /// Adds the service time of an arriving request to the demand of its rank.
@@ -273,8 +282,7 @@
             at: now,
         });
         let window = DEMAND_WINDOW.as_secs_f64();
-        let age = now.since(demand.at).as_secs_f64();
-        let decay = (-age / window).exp();
+        let decay = demand.decay(now);
         demand.slots = demand.slots * decay + estimate.as_secs_f64() / window;
         demand.rate = demand.rate * decay + 1.0 / window;
         demand.at = now;
--- a/tests/sidecar/rate_limiter.rs
+++ b/tests/sidecar/rate_limiter.rs
@@ -173,6 +173,46 @@
     assert!(tallies[0].longest_ms <= OBJECTIVE_MS, "{tallies:?}");
 }
 
+/// Pattern: a burst of urgent requests uses the whole limit and ends. Guards against refusing less urgent
+/// ones for the sake of requests that no longer come.
+#[test]
+fn burst_of_urgent_requests_is_forgotten() {
+    let urgent = |at| AdmissionRequest {
+        rank: Rank::new(URGENT, ms(OBJECTIVE_MS)),
+        kind: 0,
+        soft_deadline: at + ms(OBJECTIVE_MS),
+        deadline: at + ms(DEADLINE_MS),
+    };
+    let start = Instant::now();
+    let mut queue = AdmissionQueue::new(SLOTS);
+    queue.set_rate_limit(Some(20.0), start);
+    for n in 0..200 {
+        let at = start + ms(n * 10);
+        let started = match queue.admit(urgent(at), at) {
+            AdmissionDecision::Admit => 1,
+            _ => queue.dequeue(at).started.len(),
+        };
+        for _ in 0..started {
+            queue.finish(0, at, Completion::Answered, at);
+        }
+    }
+    let later = start + ms(12_000);
+    queue.expire(later);
+    let other = AdmissionRequest {
+        rank: Rank::new(OTHER, ms(OBJECTIVE_MS)),
+        ..urgent(later)
+    };
+    let admitted = (0..8).filter(|_| {
+        let decision = queue.admit(other, later);
+        !matches!(
+            decision,
+            AdmissionDecision::Throttle(_) | AdmissionDecision::Reject(_)
+        )
+    });
+    // Five tokens are left, and more come within the objective.
+    assert_eq!(admitted.count(), 8);
+}
+
 /// Pattern: a limit falls, rises, ends and comes back. Guards against a limit that stays in force, and
 /// against a burst when it begins.
 #[test]
