Name the request in refusals that come before it is parsed

Cause: the earlier node's listener refuses requests that are malformed, too large or over a limit before they are parsed, and answers those whose task was dropped, without the identifier that the caller had set. Change: each response bears the identifier of its request if the caller gave a valid one, whoever made it. Measured: four cases in tests/listener.rs fail before and pass.

--- a/src/transport/caller_listener.rs
+++ b/src/transport/caller_listener.rs
@@ -20,6 +20,7 @@
 use ureq::http;
 
 use crate::protocol::caller;
+use crate::state::ids;
 use crate::transport::self_connect;
 
 /// Number of threads that take requests from `tiny_http`.
@@ -441,7 +442,23 @@
     }
 }
 
-fn respond(request: Request, response: caller::Response) {
+/// Returns the identifier of a request, if its caller set a valid one.
+fn request_id(request: &Request) -> Option<ids::RequestId> {
+    let is_id = |h: &&Header| h.field.equiv(caller::REQUEST_ID_HEADER);
+    let header = request.headers().iter().find(is_id)?;
+    header.value.as_str().parse().ok()
+}
+
+fn respond(request: Request, mut response: caller::Response) {
+    let identified = response
+        .headers
+        .iter()
+        .any(|(name, _)| *name == caller::REQUEST_ID_HEADER);
+    // A request may be refused before it is parsed.
+    if let Some(id) = request_id(&request).filter(|_| !identified) {
+        let header = (caller::REQUEST_ID_HEADER, id.to_string());
+        response.headers.push(header);
+    }
     let headers = response
         .headers
         .iter()
--- a/tests/listener.rs
+++ b/tests/listener.rs
@@ -68,3 +68,36 @@
     idle_connections_do_not_hold_up_callers: start_entry;
     idle_connections_do_not_hold_up_operators: start_admin;
 }
+
+const ID: &str = "01a2412d-b746-70a0-a0de-2491973393af";
+
+/// Sends a request with an identifier and more header lines; returns the response.
+fn refusal(headers: &str) -> String {
+    let addr = start_entry(50);
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+    let head = format!("POST /a/b HTTP/1.1\r\nhost: a\r\nfilbert-id: {ID}\r\n{headers}\r\n");
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut response = [0; 1024];
+    let read = stream.read(&mut response).unwrap();
+    String::from_utf8_lossy(&response[..read]).into_owned()
+}
+
+macro_rules! refusals {
+    ($($name:ident: $headers:expr, $status:literal;)*) => {$(
+        /// Guards against a refusal that its caller can't tell from that of another request.
+        #[test]
+        fn $name() {
+            let response = refusal($headers);
+            assert!(response.starts_with(concat!("HTTP/1.1 ", $status)), "{response}");
+            assert!(response.to_lowercase().contains(&format!("filbert-id: {ID}")), "{response}");
+        }
+    )*};
+}
+
+refusals! {
+    refusal_of_a_large_body_bears_the_identifier: "content-length: 5000000\r\n", "413";
+    refusal_of_two_lengths_bears_the_identifier: "content-length: 0\r\ncontent-length: 0\r\n", "400";
+    refusal_of_an_upgrade_bears_the_identifier: "connection: upgrade\r\nupgrade: x\r\ncontent-length: 0\r\n", "400";
+    answer_to_a_dropped_request_bears_the_identifier: "content-length: 0\r\n", "500";
+}
