--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -351,9 +351,19 @@
 /// exceeds its memory, and with it end the requests of other clients.
 fn bodies(record: &Record, trouble: bool) -> io::Result<usize> {
     let work = Duration::from_millis(300);
-    let mut mesh = Mesh::start(record, &[WALKS, OFFICE, OFFICE, OFFICE, OFFICE])?;
+    let mut mesh = Mesh::start(
+        record,
+        &[WALKS, OFFICE, OFFICE, OFFICE, OFFICE, OFFICE, OFFICE],
+    )?;
     let mut instances = vec![mesh.start_instance(0, "i-a1", work)?];
-    for (n, id) in [(1, "i-b1"), (2, "i-c1"), (3, "i-d1"), (4, "i-e1")] {
+    for (n, id) in [
+        (1, "i-b1"),
+        (2, "i-c1"),
+        (3, "i-d1"),
+        (4, "i-e1"),
+        (5, "i-f1"),
+        (6, "i-g1"),
+    ] {
         instances.push(mesh.start_instance(n, id, work)?);
     }
     sleep(8.0);
@@ -370,7 +380,7 @@
         senders.spawn_sender(&mesh.machines[0], LARGE_BODY);
     }
     let start = Instant::now();
-    let (mut peaks, mut usual, mut kills, mut burst) = ([0; 5], None, Vec::new(), None);
+    let (mut peaks, mut usual, mut kills, mut burst) = ([0; 7], None, Vec::new(), None);
     while start.elapsed() < Duration::from_secs(24) {
         let now = Instant::now();
         for (n, machine) in mesh.machines.iter_mut().enumerate() {
@@ -393,7 +403,7 @@
                 (0..MORE_SENDERS).for_each(|_| burst.spawn_sender(&mesh.machines[0], LARGE_BODY));
             }
         }
-        if start.elapsed() > Duration::from_secs(18) {
+        if start.elapsed() > Duration::from_secs(20) {
             burst.iter().for_each(Clients::stop);
         }
         sleep(0.002);
@@ -421,12 +431,12 @@
     Ok(lost.len().saturating_sub(3))
 }
 
-/// Memory of a machine's process, as in the deployments' settings.
-const MEMORY_MB: u64 = 260;
+/// Memory of a machine's process; the smallest one of the site.
+const MEMORY_MB: u64 = 160;
 
 /// Size of the large bodies; the configuration allows 64 MiB.
-const LARGE_BODY: usize = 10 << 20;
+const LARGE_BODY: usize = 5 << 20;
 
 /// Number of clients that send large bodies, and of those that come besides.
 const USUAL_SENDERS: usize = 10;
-const MORE_SENDERS: usize = 7;
+const MORE_SENDERS: usize = 14;
