Read and write concurrently on connections between nodes

Cause: the task of a link awaited its write inside a branch of its `select!`. With a full send buffer it polled neither the request to close the silent connection nor the reading side, and the write had no limit. Evidence: event 221 138 times in 28 s with silent_ms from 1,298 to 28,863, no event 223, 224 or 226. Ruled out: silence that isn't noticed (221), a connection that can't be opened (224, and the proxy's count of connections).

Change: reading and writing are separate futures of the one task, on both ends. A connection that its node has replaced is closed at once, and one without a first frame after 2 s. Silence is judged by bytes, received or acknowledged, so that a large frame on a slow link doesn't look silent.

Why it works: nothing that a silent peer does or leaves undone can keep the task from the request to close.

--- a/src/transport/sidecar/links.rs
+++ b/src/transport/sidecar/links.rs
@@ -65,6 +65,13 @@
     written: bool,
 }
 
+/// Current connection of a link.
+#[derive(Debug)]
+struct Connection {
+    out: mpsc::UnboundedSender<Frame>,
+    activity: frames::Activity,
+}
+
 /// Last report of a node.
 #[derive(Debug, Clone)]
 pub struct Report {
@@ -84,7 +91,7 @@
     pub domain: RefCell<String>,
     address: SocketAddr,
     hello: Hello,
-    out: RefCell<Option<mpsc::UnboundedSender<Frame>>>,
+    connection: RefCell<Option<Connection>>,
     pending: RefCell<BTreeMap<Seq, Pending>>,
     relays: RefCell<BTreeMap<Seq, oneshot::Sender<Option<StoreResponse>>>>,
     incarnation: Cell<Option<u64>>,
@@ -94,7 +101,6 @@
     items_handler: ItemsHandler,
     /// Calls sent minus calls ended since the last report.
     since_report: Cell<i32>,
-    last_received: Cell<Instant>,
     pinged_at: Cell<Option<Instant>>,
     lost_at: Cell<Option<Instant>>,
     close_connection: Notify,
@@ -128,7 +134,7 @@
             domain: RefCell::new(domain.to_owned()),
             address,
             hello,
-            out: RefCell::new(None),
+            connection: RefCell::new(None),
             pending: RefCell::new(BTreeMap::new()),
             relays: RefCell::new(BTreeMap::new()),
             incarnation: Cell::new(None),
@@ -137,7 +143,6 @@
             memory: RefCell::default(),
             items_handler,
             since_report: Cell::new(0),
-            last_received: Cell::new(now),
             pinged_at: Cell::new(None),
             lost_at: Cell::new(Some(now)),
             close_connection: Notify::new(),
@@ -151,7 +156,7 @@
     /// Returns whether the link is connected.
     #[must_use]
     pub fn is_connected(&self) -> bool {
-        self.out.borrow().is_some()
+        self.connection.borrow().is_some()
     }
 
     /// Returns when the connection was lost, if the link is not connected.
@@ -200,9 +205,9 @@
 
     /// Sends a frame that expects no reply, if connected.
     pub fn send(&self, frame: Frame) {
-        if let Some(out) = &*self.out.borrow() {
+        if let Some(connection) = &*self.connection.borrow() {
             // The receiver is dropped only when the connection ends, which `run` handles.
-            let _sent = out.send(frame);
+            let _sent = connection.out.send(frame);
         }
     }
 
@@ -243,15 +248,17 @@
         received.ok()?.ok()?
     }
 
-    /// Pings a silent node and closes the connection if it doesn't reply; to be called every
-    /// [`SILENCE_CHECK_INTERVAL`].
+    /// Pings a silent node and closes the connection if there is no sign of it afterwards; to be called
+    /// every [`SILENCE_CHECK_INTERVAL`].
     pub fn check_silence(&self, now: Instant) {
-        if !self.is_connected() {
+        let connection = self.connection.borrow();
+        let Some(active) = connection.as_ref().map(|c| c.activity.last()) else {
             return;
-        }
-        if let Some(at) = self.pinged_at.get() {
+        };
+        drop(connection);
+        if let Some(at) = self.pinged_at.get().filter(|at| *at >= active) {
             if now.since(at) > PONG_TIMEOUT {
-                tracing::warn!(event = 221, node = %self.node, silent_ms = now.since(self.last_received.get()).as_millis(), "closing a silent connection to a node");
+                tracing::warn!(event = 221, node = %self.node, silent_ms = now.since(active).as_millis(), "closing a silent connection to a node");
                 self.close_connection.notify_one();
             }
             return;
@@ -261,7 +268,7 @@
         } else {
             BUSY_PING_AFTER
         };
-        if now.since(self.last_received.get()) > ping_after {
+        if now.since(active) > ping_after {
             self.pinged_at.set(Some(now));
             self.send(Frame::Ping);
         }
@@ -399,7 +406,7 @@
                 if let Err(e) = exchange(&link, io).await {
                     tracing::info!(event = 223, node = %link.node, error = %e, calls = link.pending.borrow().len(), "lost connection to a node");
                 }
-                *link.out.borrow_mut() = None;
+                *link.connection.borrow_mut() = None;
                 link.pinged_at.set(None);
                 link.lost_at.set(Some(Instant::now()));
                 link.relays.borrow_mut().clear();
@@ -448,6 +455,10 @@
     Ok(io)
 }
 
+/// Exchanges frames over a connection until it fails or is closed.
+///
+/// Reading and writing don't wait for each other: a write to a node that doesn't read blocks, and the
+/// frames of that node must be received meanwhile, or both nodes could wait for each other.
 async fn exchange(link: &Link, io: (FrameReader, FrameWriter)) -> std::io::Result<()> {
     let (mut read, mut write) = io;
     let (out, mut queued) = mpsc::unbounded_channel();
@@ -459,30 +470,36 @@
     if !pending.is_empty() {
         let _sent = out.send(Frame::Resume(pending));
     }
-    link.last_received.set(Instant::now());
     link.lost_at.set(None);
-    *link.out.borrow_mut() = Some(out);
+    *link.connection.borrow_mut() = Some(Connection {
+        out,
+        activity: write.activity(),
+    });
     tracing::info!(event = 226, node = %link.node, "connected to a node");
-    loop {
-        tokio::select! {
-            biased;
-            bytes = read.next() => {
-                let bytes = bytes.ok_or(std::io::ErrorKind::UnexpectedEof)??;
-                link.last_received.set(Instant::now());
-                link.pinged_at.set(None);
-                link.receive(frames::decode(&bytes)?);
-            }
-            frame = queued.recv() => {
-                let mut next = frame;
-                while let Some(frame) = next {
-                    if link.mark_written(&frame) {
-                        write.add(&frame)?;
-                    }
-                    next = queued.try_recv().ok();
+    let reading = async {
+        loop {
+            let bytes = read.next().await;
+            let bytes = bytes.ok_or(std::io::ErrorKind::UnexpectedEof)??;
+            link.receive(frames::decode(&bytes)?);
+        }
+    };
+    let writing = async {
+        while let Some(frame) = queued.recv().await {
+            let mut next = Some(frame);
+            while let Some(frame) = next {
+                if link.mark_written(&frame) {
+                    write.add(&frame)?;
                 }
-                write.flush().await?;
+                next = queued.try_recv().ok();
             }
-            () = link.close_connection.notified() => return Err(std::io::ErrorKind::TimedOut.into()),
+            write.flush().await?;
         }
+        Ok(())
+    };
+    tokio::select! {
+        biased;
+        ended = reading => ended,
+        ended = writing => ended,
+        () = link.close_connection.notified() => Err(std::io::ErrorKind::TimedOut.into()),
     }
 }
--- a/src/transport/sidecar/mod.rs
+++ b/src/transport/sidecar/mod.rs
@@ -12,3 +12,4 @@
 pub mod peer_server;
 pub mod socket;
 pub mod store;
+pub mod writing;
--- a/src/transport/sidecar/peer_server.rs
+++ b/src/transport/sidecar/peer_server.rs
@@ -11,6 +11,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
+use std::convert::Infallible;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -18,7 +19,7 @@
 
 use futures::StreamExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::{task, time};
 
 use crate::protocol::mesh::{
@@ -28,12 +29,15 @@
 use crate::state::clock::{self, Instant};
 use crate::state::routes::Repeat;
 use crate::transport::sidecar::call_delay::CallDelay;
-use crate::transport::sidecar::frames;
+use crate::transport::sidecar::frames::{self, FrameReader, FrameWriter};
 
 /// Time that a node has to reconnect before its calls are cancelled, except those that have started
 /// and may not be repeated.
 const RECONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Maximum time to exchange the first frames; the other node gives an attempt up earlier.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Maximum number of outcomes retained per process of a node.
 const MAX_RETAINED_OUTCOMES: usize = 128;
 
@@ -130,6 +134,14 @@
     fn relay(&self, request: StoreRequest) -> Pin<Box<dyn Future<Output = Option<StoreResponse>>>>;
 }
 
+/// Current connection of a session. Dropping it ends the task that serves the connection, even one
+/// that waits for a silent node to read.
+#[derive(Debug)]
+struct Connection {
+    out: mpsc::UnboundedSender<Frame>,
+    _open: oneshot::Sender<Infallible>,
+}
+
 /// Session of one process of another node.
 #[derive(Debug, Default)]
 struct Session {
@@ -140,7 +152,7 @@
     last_call: Option<Instant>,
     /// Load that was sent last, and when.
     sent_load: Option<(Load, Instant)>,
-    out: Option<mpsc::UnboundedSender<Frame>>,
+    connection: Option<Connection>,
     running: HashMap<Seq, RunningCall>,
     retained: VecDeque<(Seq, Outcome)>,
     /// Highest sequence number whose outcome was evicted.
@@ -150,7 +162,8 @@
 
 impl Session {
     fn send(&self, frame: Frame) -> bool {
-        self.out.as_ref().is_some_and(|out| out.send(frame).is_ok())
+        let connection = self.connection.as_ref();
+        connection.is_some_and(|c| c.out.send(frame).is_ok())
     }
 
     fn finish(&mut self, seq: Seq, repeat: Repeat, outcome: Outcome) {
@@ -191,7 +204,7 @@
     /// Ends the current connection and cancels the calls that may be cancelled.
     fn disconnect(&mut self) {
         self.epoch += 1;
-        self.out = None;
+        self.connection = None;
         self.running.retain(|_, running| !running.cancel());
     }
 }
@@ -308,7 +321,7 @@
 
     /// Registers a connection as the current one of the process that opened it; returns the session
     /// of the process and the number of the connection.
-    fn register(&self, hello: &Hello, out: mpsc::UnboundedSender<Frame>) -> (SharedSession, u64) {
+    fn register(&self, hello: &Hello, connection: Connection) -> (SharedSession, u64) {
         let mut sessions = self.sessions.borrow_mut();
         let node_sessions = sessions.entry(hello.node.clone()).or_default();
         let known = node_sessions
@@ -320,7 +333,7 @@
         };
         for (incarnation, other) in &*node_sessions {
             let mut other = other.borrow_mut();
-            if other.out.is_some() || !other.running.is_empty() {
+            if other.connection.is_some() || !other.running.is_empty() {
                 tracing::info!(event = 235, node = %hello.node, incarnation, successor = hello.incarnation, calls = other.running.len(), "another process of a node connected; cancelling repeatable and unstarted calls of the earlier one");
             }
             other.disconnect();
@@ -334,60 +347,78 @@
         hello.domain.clone_into(&mut state.domain);
         let load = self.handler.load();
         // The receiver isn't dropped before the connection ends.
-        let _sent = out.send(Frame::About(self.handler.backend_info()));
-        let _sent = out.send(Frame::Load(load));
+        let _sent = connection
+            .out
+            .send(Frame::About(self.handler.backend_info()));
+        let _sent = connection.out.send(Frame::Load(load));
         state.sent_load = Some((load, Instant::now()));
-        state.out = Some(out);
+        state.connection = Some(connection);
         let epoch = state.epoch;
         drop(state);
         (session, epoch)
     }
 
+    /// Serves a connection until it fails or another one takes its place. Reading and writing don't
+    /// wait for each other, as in a link.
     async fn serve(self: Rc<Self>, io: TcpStream) -> std::io::Result<()> {
         let (mut read, mut write) = frames::split(io)?;
-        let first = read.next().await;
-        let first = first.ok_or(std::io::ErrorKind::UnexpectedEof)??;
-        let Frame::Hello(hello) = frames::decode(&first)? else {
-            return Err(std::io::Error::other("expected a hello frame"));
-        };
-        write.add(&Frame::Hello(self.hello.clone()))?;
-        write.flush().await?;
+        let greeting = time::timeout(HELLO_TIMEOUT, self.greet(&mut read, &mut write)).await;
+        let hello = greeting.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
         let (out, mut queued) = mpsc::unbounded_channel();
-        let (session, epoch) = self.register(&hello, out);
-        let done = async {
+        let (open, replaced) = oneshot::channel();
+        let connection = Connection { out, _open: open };
+        let (session, epoch) = self.register(&hello, connection);
+        let reading = async {
             loop {
-                tokio::select! {
-                    biased;
-                    bytes = read.next() => {
-                        let bytes = bytes.ok_or(std::io::ErrorKind::UnexpectedEof)??;
-                        let current = session.borrow().epoch == epoch;
-                        if !current {
-                            return Ok(());
-                        }
-                        self.receive(&session, frames::decode(&bytes)?);
-                    }
-                    frame = queued.recv() => {
-                        let Some(mut frame) = frame else { return Ok(()) };
-                        loop {
-                            write.add(&frame)?;
-                            match queued.try_recv() {
-                                Ok(next) => frame = next,
-                                Err(_) => break,
-                            }
-                        }
-                        write.flush().await?;
-                    }
+                let bytes = read.next().await;
+                let bytes = bytes.ok_or(std::io::ErrorKind::UnexpectedEof)??;
+                let current = session.borrow().epoch == epoch;
+                if !current {
+                    return Ok(());
                 }
+                self.receive(&session, frames::decode(&bytes)?);
             }
-        }
-        .await;
+        };
+        let writing = async {
+            while let Some(frame) = queued.recv().await {
+                let mut next = Some(frame);
+                while let Some(frame) = next {
+                    write.add(&frame)?;
+                    next = queued.try_recv().ok();
+                }
+                write.flush().await?;
+            }
+            Ok(())
+        };
+        let done = tokio::select! {
+            biased;
+            ended = reading => ended,
+            ended = writing => ended,
+            _ = replaced => Ok(()),
+        };
         if session.borrow().epoch == epoch {
-            session.borrow_mut().out = None;
+            session.borrow_mut().connection = None;
             task::spawn_local(cancel_orphans(session, epoch));
         }
         done
     }
 
+    /// Exchanges the first frames of a connection.
+    async fn greet(
+        &self,
+        read: &mut FrameReader,
+        write: &mut FrameWriter,
+    ) -> std::io::Result<Hello> {
+        let first = read.next().await;
+        let first = first.ok_or(std::io::ErrorKind::UnexpectedEof)??;
+        let Frame::Hello(hello) = frames::decode(&first)? else {
+            return Err(std::io::Error::other("expected a hello frame"));
+        };
+        write.add(&Frame::Hello(self.hello.clone()))?;
+        write.flush().await?;
+        Ok(hello)
+    }
+
     fn receive(&self, session: &SharedSession, frame: Frame) {
         match frame {
             Frame::Call(seq, mut call) => {
--- a/tests/sidecar/links.rs
+++ b/tests/sidecar/links.rs
@@ -21,9 +21,10 @@
 use tokio::sync::Notify;
 use tokio::{io, runtime, task, time};
 
-/// Handler that responds to each call after the time in its `left_ms`.
+/// Handler that responds to each call after the time in its `left_ms`, or after `run_time` if it is set.
 #[derive(Default)]
 pub struct DelayHandler {
+    pub run_time: Cell<Option<Duration>>,
     pub started_calls: Cell<usize>,
     pub completed_calls: Rc<Cell<usize>>,
 }
@@ -34,8 +35,10 @@
         let completed_calls = Rc::clone(&self.completed_calls);
         let started = Rc::new(Cell::new(true));
         let repeat = call.repeat;
+        let left = Duration::from_millis(call.left_ms.into());
+        let run_time = self.run_time.get().unwrap_or(left);
         let outcome = Box::pin(async move {
-            time::sleep(Duration::from_millis(call.left_ms.into())).await;
+            time::sleep(run_time).await;
             completed_calls.set(completed_calls.get() + 1);
             Outcome::Answered(Response {
                 status: 200,
@@ -180,7 +183,11 @@
     }
 }
 
-fn serve(handler: &Rc<DelayHandler>, listener: TcpListener, incarnation: u64) -> task::AbortHandle {
+pub fn serve(
+    handler: &Rc<DelayHandler>,
+    listener: TcpListener,
+    incarnation: u64,
+) -> task::AbortHandle {
     let handler = Rc::clone(handler) as Rc<dyn Handler>;
     let peers = PeerServer::new(handler, hello("b", incarnation));
     task::spawn_local(peers.accept(listener)).abort_handle()
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -14,6 +14,7 @@
 mod endless;
 mod failure_rate;
 mod forwarders;
+mod full_buffers;
 mod grant_manager;
 mod http;
 mod incarnations;
