Disconnect callers that don't read their response

Cause: the task of a caller's connection waited without a limit for room in the send buffer, with the response and whatever else it held; a caller that never reads keeps them for good.

Change: the write fails if no room becomes free for the idle time of the configuration, and for 30 s on the listeners for heartbeats, readiness and metrics. A caller that reads slowly gets all of it.

Measured: caller_that_does_not_read_is_disconnected failed before (connection still open after 1 s, idle time 0.4 s); it and slow_caller_gets_its_whole_response pass.

--- a/src/transport/sidecar/caller.rs
+++ b/src/transport/sidecar/caller.rs
@@ -20,6 +20,7 @@
 use crate::protocol::http;
 use crate::state::clock::Instant;
 use crate::state::routes;
+use crate::transport::sidecar::writing;
 
 /// Maximum number of requests of one connection that run concurrently.
 const MAX_PIPELINED: usize = 8;
@@ -285,7 +286,7 @@
 
 async fn serve_connection(io: TcpStream, handler: &dyn Handler) -> std::io::Result<()> {
     io.set_nodelay(true)?;
-    let (read, mut write) = io.into_split();
+    let (read, write) = io.into_split();
     let mut reader = Reader {
         io: read,
         buffer: BytesMut::new(),
@@ -320,7 +321,9 @@
                 let last_response = running.is_empty() && deferred.is_none();
                 let close = close || (last_response && handler.is_draining());
                 let bytes = http::write_response(response.status, &response.headers, &response.body, close);
-                write.write_all(&bytes).await?;
+                // A caller that doesn't read its response is idle.
+                let stall_limit = reader.limits.idle_time;
+                writing::write_all(write.as_ref(), &bytes, stall_limit, || ()).await?;
                 reader.since = Instant::now();
                 if close {
                     return close_gracefully(reader, write).await;
--- a/src/transport/sidecar/http_server.rs
+++ b/src/transport/sidecar/http_server.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::{task, time};
 
 use crate::protocol::http;
+use crate::transport::sidecar::writing;
 
 /// Maximum size of a request head, in bytes.
 const MAX_HEAD: usize = 16 * 1024;
@@ -19,7 +20,7 @@
 /// a few KiB.
 const MAX_BODY: usize = 256 * 1024;
 
-/// Maximum time without received bytes before a connection is closed.
+/// Maximum time without received bytes, or without room for a response, before a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Delay before the next accept after a failed one.
@@ -62,9 +63,8 @@
             Some(Ok(request)) => request,
             Some(Err(e)) => {
                 tracing::warn!(event = 256, error = %e, kind, "rejected a malformed request");
-                return io
-                    .write_all(&http::write_response(400, &[], &[], true))
-                    .await;
+                let response = http::write_response(400, &[], &[], true);
+                return writing::write_all(&io, &response, IDLE_TIMEOUT, || ()).await;
             }
             None => return Ok(()),
         };
@@ -74,8 +74,8 @@
         if content.first() == Some(&b'{') {
             headers.push(http::Header::new("Content-Type", "application/json"));
         }
-        io.write_all(&http::write_response(status, &headers, &content, !keep))
-            .await?;
+        let response = http::write_response(status, &headers, &content, !keep);
+        writing::write_all(&io, &response, IDLE_TIMEOUT, || ()).await?;
         if !keep {
             return Ok(());
         }
--- a/tests/sidecar/caller.rs
+++ b/tests/sidecar/caller.rs
@@ -17,6 +17,8 @@
     started: Cell<usize>,
     completed: Rc<Cell<usize>>,
     bodies: RefCell<Vec<Vec<u8>>>,
+    /// Number of bytes appended to each response body.
+    padding: Cell<usize>,
     draining: Cell<bool>,
     terminating: Cell<bool>,
     stage_changed: Rc<Notify>,
@@ -27,12 +29,13 @@
         self.started.set(self.started.get() + 1);
         self.bodies.borrow_mut().push(request.body);
         let completed = Rc::clone(&self.completed);
+        let padding = vec![b' '; self.padding.get()];
         let wait = request.head.target.trim_start_matches('/').parse().unwrap();
         Box::pin(async move {
             time::sleep(Duration::from_millis(wait)).await;
             completed.set(completed.get() + 1);
             Response {
-                body: wait.to_string().into_bytes(),
+                body: [wait.to_string().into_bytes(), padding].concat(),
                 ..Response::empty(200)
             }
         })
@@ -307,3 +310,38 @@
         assert_eq!(bodies(&read_to_end(&mut io).await), ["30"]);
     });
 }
+
+/// Response that exceeds what the buffers of both ends of a connection hold, in bytes.
+const LARGE_RESPONSE: usize = 16 << 20;
+
+/// Guards against keeping a connection whose caller never reads its response, with the response.
+#[test]
+fn caller_that_does_not_read_is_disconnected() {
+    run(|fixture| async move {
+        fixture.handler.padding.set(LARGE_RESPONSE);
+        let mut io = fixture.connect().await;
+        io.write_all(b"GET /1 HTTP/1.1\r\n\r\n").await.unwrap();
+        time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(fixture.open.get(), 1);
+        time::sleep(Duration::from_secs(1)).await;
+        assert_eq!(fixture.open.get(), 0);
+    });
+}
+
+/// Guards against disconnecting a caller that reads slowly, but goes on.
+#[test]
+fn slow_caller_gets_its_whole_response() {
+    run(|fixture| async move {
+        fixture.handler.padding.set(LARGE_RESPONSE);
+        let mut io = fixture.connect().await;
+        io.write_all(b"GET /1 HTTP/1.1\r\nConnection: close\r\n\r\n")
+            .await
+            .unwrap();
+        let (mut part, mut received) = (vec![0; 256 * 1024], 0);
+        while let n @ 1.. = io.read(&mut part).await.unwrap() {
+            received += n;
+            time::sleep(Duration::from_millis(10)).await;
+        }
+        assert!(received > LARGE_RESPONSE, "{received}");
+    });
+}
