Stop granting keys and register again when the node's entry is lost

Cause: a process whose entry was removed or overwritten went on renewing its lease and granting keys, and never wrote the entry again, while planners take a missing entry as proof that all its grants have expired. An entry overwritten by another writer isn't bound to the lease any more, so it would outlive its node.

Change: keys are granted only while the replica of the store has the entry at the revision at which this process wrote it. Otherwise the node registers again (event 330). A node that was deregistered on shutdown doesn't.

It doesn't make up for keys that were revoked before the loss is noticed; the conditional removal does.

--- a/src/coordination/sidecar/grant_manager.rs
+++ b/src/coordination/sidecar/grant_manager.rs
@@ -11,7 +11,6 @@
 use crate::coordination::sidecar::dispatcher::Dispatcher;
 use crate::coordination::sidecar::local_backend::Backend;
 use crate::coordination::sidecar::registration::Registration;
-use crate::coordination::sidecar::replication::Replicator;
 use crate::coordination::sidecar::tables::Tables;
 use crate::protocol::adapter::{GrantSet, Heartbeat, Hold, RangeGrant, Released};
 use crate::state::clock::Instant;
@@ -44,7 +43,6 @@
     max_hold: Duration,
     dispatcher: Rc<Dispatcher>,
     tables: Rc<Tables>,
-    replicator: Rc<Replicator>,
     registration: Rc<Registration>,
     started: Instant,
     /// Time at which all grants of this process have expired.
@@ -68,15 +66,14 @@
         max_hold: Duration,
         dispatcher: Rc<Dispatcher>,
         tables: Rc<Tables>,
-        replicator: Rc<Replicator>,
         registration: Rc<Registration>,
     ) -> Rc<Self> {
         let (table, registered) = (Rc::clone(&tables), Rc::clone(&registration));
-        let (known, local) = (Rc::clone(&replicator), Rc::downgrade(&dispatcher));
+        let local = Rc::downgrade(&dispatcher);
         dispatcher.set_expected_keys(Box::new(move |key| {
             let backend = local.upgrade().and_then(|dispatcher| dispatcher.backend());
             let Some(backend) = backend else { return false };
-            let lease = registered.remaining(known.revision(), Instant::now());
+            let lease = registered.remaining(Instant::now());
             let table = table.get(&backend.service).filter(|_| lease.is_some());
             let slice = table.as_ref().and_then(|t| t.assignments.slice_of(key));
             let mine = |h: &Holder| *h == backend.holder;
@@ -90,7 +87,6 @@
             max_hold,
             dispatcher,
             tables,
-            replicator,
             registration,
             started: Instant::now(),
             last_expiry: Cell::new(None),
@@ -139,9 +135,7 @@
     ) -> Option<(GrantSet, Vec<(Key, Key)>)> {
         let now = Instant::now();
         let table = self.tables.get(&backend.service)?;
-        let lease = self
-            .registration
-            .remaining(self.replicator.revision(), now)?;
+        let lease = self.registration.remaining(now)?;
         let unresolved = self.unresolved.borrow().clone();
         let resolved = is_write_resolved(unresolved.as_ref(), &backend.service, table.revision);
         if self.revoking.get() || !resolved {
@@ -201,11 +195,7 @@
             return;
         }
         let now = Instant::now();
-        if self
-            .registration
-            .remaining(self.replicator.revision(), now)
-            .is_none()
-        {
+        if self.registration.remaining(now).is_none() {
             return;
         }
         self.resolve_change().await;
--- a/src/coordination/sidecar/membership.rs
+++ b/src/coordination/sidecar/membership.rs
@@ -60,6 +60,12 @@
         }
     }
 
+    /// Returns the address of this node.
+    #[must_use]
+    pub fn node(&self) -> &str {
+        &self.hello.node
+    }
+
     /// Sets the handler of items that other nodes send.
     pub fn set_items_handler(&self, handler: ItemsHandler) {
         *self.items_handler.borrow_mut() = handler;
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -148,14 +148,13 @@
             domain: settings.domain.clone(),
         };
         let departures = Departures::new(&address, Rc::clone(&store));
-        let registration = Rc::new(Registration::new(Rc::clone(&store), entry));
+        let registration = Registration::new(Rc::clone(&store), Rc::clone(&replicator), entry);
         let planner = Rc::new(Planner::new(
             &address,
             Rc::clone(&store),
             Rc::clone(&dispatcher),
             Rc::clone(&membership),
             Rc::clone(&tables),
-            Rc::clone(&replicator),
             Rc::clone(&registration),
         ));
         let grant_manager = GrantManager::new(
@@ -163,7 +162,6 @@
             settings.bounds.max_hold,
             Rc::clone(&dispatcher),
             Rc::clone(&tables),
-            Rc::clone(&replicator),
             Rc::clone(&registration),
         );
         let peer_handler = Rc::new(PeerHandler {
--- a/src/coordination/sidecar/planner.rs
+++ b/src/coordination/sidecar/planner.rs
@@ -15,7 +15,6 @@
 use crate::coordination::sidecar::membership::MembershipView;
 use crate::coordination::sidecar::plan::{self, Change, Member};
 use crate::coordination::sidecar::registration::Registration;
-use crate::coordination::sidecar::replication::Replicator;
 use crate::coordination::sidecar::tables::Tables;
 use crate::protocol::mesh::{Frame, Health, HolderRates, Load};
 use crate::state::clock::Instant;
@@ -56,7 +55,6 @@
     dispatcher: Rc<Dispatcher>,
     membership: Rc<MembershipView>,
     tables: Rc<Tables>,
-    replicator: Rc<Replicator>,
     registration: Rc<Registration>,
     rate_reports: RefCell<HashMap<Holder, (KeyRateReport, Instant)>>,
     started: Instant,
@@ -73,7 +71,6 @@
         dispatcher: Rc<Dispatcher>,
         membership: Rc<MembershipView>,
         tables: Rc<Tables>,
-        replicator: Rc<Replicator>,
         registration: Rc<Registration>,
     ) -> Self {
         Self {
@@ -82,7 +79,6 @@
             dispatcher,
             membership,
             tables,
-            replicator,
             registration,
             rate_reports: RefCell::new(HashMap::new()),
             started: Instant::now(),
@@ -116,9 +112,7 @@
         }
         self.record_rates(rates);
         let starting = now.since(self.started) < STARTUP_DELAY;
-        let known = self.replicator.revision();
-        if starting || rank > REPORT_RECEIVERS || self.registration.remaining(known, now).is_none()
-        {
+        if starting || rank > REPORT_RECEIVERS || self.registration.remaining(now).is_none() {
             return;
         }
         let mut all = vec![(Some(backend.holder.clone()), self.dispatcher.load())];
--- a/src/coordination/sidecar/registration.rs
+++ b/src/coordination/sidecar/registration.rs
@@ -4,6 +4,9 @@
 //! other node may take the keys of the local backend server away, because such a change is
 //! conditional on the absence of the entry. So the node may grant keys until the time its last renewal
 //! was sent plus the duration of the lease, by its own clock.
+//!
+//! That holds only while the entry is there as this process wrote it. If the replica of the store shows
+//! that it was removed or overwritten, nothing is granted until the node has registered again.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -12,6 +15,7 @@
 use tokio::time;
 
 use crate::coordination::sidecar::backoff::Backoff;
+use crate::coordination::sidecar::replication::Replicator;
 use crate::coordination::sidecar::tables;
 use crate::protocol::adapter::{Commit, LeaseId, StoreCall, StoreReply};
 use crate::protocol::ownership::NodeEntry;
@@ -44,19 +48,24 @@
 #[derive(Debug)]
 pub struct Registration {
     store: Rc<StoreClient>,
+    replicator: Rc<Replicator>,
     entry: NodeEntry,
     lease: Cell<Option<Lease>>,
+    /// Set on shutdown; the node doesn't register again.
+    ended: Cell<bool>,
 }
 
 impl Registration {
     /// Creates a registration without a lease.
     #[must_use]
-    pub fn new(store: Rc<StoreClient>, entry: NodeEntry) -> Self {
-        Self {
+    pub fn new(store: Rc<StoreClient>, replicator: Rc<Replicator>, entry: NodeEntry) -> Rc<Self> {
+        Rc::new(Self {
             store,
+            replicator,
             entry,
             lease: Cell::new(None),
-        }
+            ended: Cell::new(false),
+        })
     }
 
     /// Returns the store key of a node's entry.
@@ -66,18 +75,34 @@
     }
 
     /// Returns the remaining time for which keys may be granted. It is `None` if the lease has expired,
-    /// or if the copy of the store, at revision `known`, is older than this node's entry.
+    /// or if the replica of the store doesn't have the entry that this process has written: it is older
+    /// than the entry, or the entry is lost.
     #[must_use]
-    pub fn remaining(&self, known: u64, now: Instant) -> Option<Duration> {
-        let lease = self.lease.get().filter(|l| known >= l.entry_revision)?;
+    pub fn remaining(&self, now: Instant) -> Option<Duration> {
+        let lease = self.lease.get()?;
+        if self.replicated_revision() != Some(lease.entry_revision) {
+            return None;
+        }
         let remaining = (lease.expiry - EXPIRY_MARGIN).since(now);
         (remaining > Duration::ZERO).then_some(remaining)
     }
 
-    /// Keeps the node registered until the task is dropped.
+    /// Returns the revision of the node's entry in the replica of the store.
+    fn replicated_revision(&self) -> Option<u64> {
+        let key = Self::entry_key(&self.entry.address);
+        self.replicator.item_revision(&key)
+    }
+
+    /// Returns whether the entry that was written under a lease was removed or overwritten since.
+    fn is_entry_lost(&self, lease: &Lease) -> bool {
+        let known = self.replicator.revision() >= lease.entry_revision;
+        known && self.replicated_revision() != Some(lease.entry_revision)
+    }
+
+    /// Keeps the node registered until the task is dropped or the node is deregistered.
     pub async fn run(&self) {
         let mut backoff = Backoff::default();
-        loop {
+        while !self.ended.get() {
             match self.register().await {
                 Ok(()) => {
                     backoff.reset();
@@ -147,14 +172,24 @@
         Ok(present.map_or(0, |i| i.revision))
     }
 
-    /// Renews the lease until it has expired.
+    /// Renews the lease until it has expired or the node's entry is lost.
     async fn renew(&self) {
         let mut interval = RENEWAL_INTERVAL;
         while let Some(lease) = self.lease.get() {
-            time::sleep(interval).await;
+            if self.is_entry_lost(&lease) {
+                tracing::warn!(event = 330, revision = lease.entry_revision, found = ?self.replicated_revision(), "the node's entry was removed or overwritten; registering again");
+                self.lease.set(None);
+                return;
+            }
+            tokio::select! {
+                () = time::sleep(interval) => {}
+                () = self.replicator.own_entry_changed.notified() => continue,
+            }
             interval = RENEWAL_INTERVAL;
             let sent = Instant::now();
             match self.store.call(&StoreCall::Renew(lease.id)).await {
+                // The node may have been deregistered meanwhile.
+                Ok(StoreReply::Lease { .. }) if self.lease.get().is_none() => {}
                 Ok(StoreReply::Lease { ttl, .. }) => {
                     let expiry = sent + ttl;
                     self.lease.set(Some(Lease { expiry, ..lease }));
@@ -185,6 +220,7 @@
     /// The store may execute the removal late, when the next process of this node has an entry of its
     /// own, so it is conditional on the revision of this process's entry.
     pub async fn deregister(&self) {
+        self.ended.set(true);
         let Some(lease) = self.lease.take() else {
             return;
         };
--- a/src/coordination/sidecar/replication.rs
+++ b/src/coordination/sidecar/replication.rs
@@ -44,6 +44,8 @@
     pending: Cell<Option<PendingUpdate>>,
     /// Notified when there is an update to forward.
     pub update_ready: Notify,
+    /// Notified when the entry of this node was written or removed.
+    pub own_entry_changed: Notify,
 }
 
 impl Replicator {
@@ -65,6 +67,7 @@
             domain: domain.to_owned(),
             pending: Cell::new(None),
             update_ready: Notify::new(),
+            own_entry_changed: Notify::new(),
         })
     }
 
@@ -74,6 +77,12 @@
         self.replica.borrow().revision()
     }
 
+    /// Returns the revision of an item.
+    #[must_use]
+    pub fn item_revision(&self, key: &str) -> Option<u64> {
+        self.replica.borrow().item_revision(key)
+    }
+
     /// Returns the revision since which changes are requested from other nodes.
     #[must_use]
     pub fn request_revision(&self) -> u64 {
@@ -130,7 +139,12 @@
     }
 
     fn apply_changes(&self, changes: Vec<Change>) {
+        let own = format!("{}{}", tables::NODES, self.membership.node());
         for change in changes {
+            let (Change::Put(Item { key, .. }) | Change::Removed(key)) = &change;
+            if *key == own {
+                self.own_entry_changed.notify_one();
+            }
             match change {
                 Change::Put(item) if item.key.starts_with(tables::NODES) => self.add_node(&item),
                 Change::Put(item) => self.tables.apply_item(&item),
