Make the record of a departure conditional on the one that it replaces

Cause: the record was written without a condition. A write that the store executes late could replace the record of the backend server that has departed since; after the next restart a late heartbeat brings that one back into use (rule DRAIN).

Change: a write expects the revision of the last known record, and keeps that of a later departure (event 380).

--- a/src/coordination/sidecar/departures.rs
+++ b/src/coordination/sidecar/departures.rs
@@ -14,7 +14,7 @@
 use tokio::time;
 
 use crate::coordination::sidecar::backoff::Backoff;
-use crate::protocol::adapter::{Commit, StoreCall, StoreReply};
+use crate::protocol::adapter::{Commit, Item, StoreCall, StoreReply};
 use crate::state::clock::Instant;
 use crate::state::keyspace::Holder;
 use crate::transport::sidecar::store::{self, StoreClient};
@@ -37,6 +37,9 @@
 /// Maximum wait of one heartbeat, below its timeout of one second.
 const HEARTBEAT_WAIT: Duration = Duration::from_millis(800);
 
+/// Maximum number of attempts at one write, each on a newer record.
+const MAX_ATTEMPTS: usize = 3;
+
 /// Incarnation of a backend server that has departed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -53,6 +56,8 @@
     last: RefCell<Option<Departed>>,
     /// Whether the record of `last` is in the store.
     written: Cell<bool>,
+    /// Revision of the last known record in the store, 0 if there is none.
+    revision: Cell<u64>,
     /// Held while the record is written.
     writing: Mutex<()>,
     started: Instant,
@@ -69,6 +74,7 @@
             key: format!("{PREFIX}{node}"),
             last: RefCell::new(None),
             written: Cell::new(false),
+            revision: Cell::new(0),
             writing: Mutex::new(()),
             started: Instant::now(),
             loaded: Cell::new(false),
@@ -110,14 +116,18 @@
         let StoreReply::Page { items, .. } = self.store.call(&call).await? else {
             return Err(store::Error::Refused);
         };
-        let Some(item) = items.into_iter().find(|i| i.key == self.key) else {
-            return Ok(None);
-        };
-        match serde_json::from_slice(&item.value) {
-            Ok(departed) => Ok(Some(departed)),
+        Ok(self.decode(&items))
+    }
+
+    /// Returns the record among items of the store, and stores its revision for the next write.
+    fn decode(&self, items: &[Item]) -> Option<Departed> {
+        let item = items.iter().find(|i| i.key == self.key);
+        self.revision.set(item.map_or(0, |i| i.revision));
+        match serde_json::from_slice(&item?.value) {
+            Ok(departed) => Some(departed),
             Err(e) => {
                 tracing::warn!(event = 377, key = %self.key, error = %e, "ignored a departure record that can't be decoded");
-                Ok(None)
+                None
             }
         }
     }
@@ -175,20 +185,37 @@
         tracing::warn!(event = 379, backend = %departed.backend, born = departed.born, error, "can't record a departure in the store yet");
     }
 
+    /// Writes a record in place of the last known one.
+    ///
+    /// The store may execute a write late, when the next process of this node has recorded a later
+    /// departure, so it is conditional on the record that it replaces.
     async fn write(&self, departed: &Departed) -> Result<(), store::Error> {
         let call = StoreCall::Grant { ttl: RECORD_TTL };
         let StoreReply::Lease { id: Some(id), .. } = self.store.call(&call).await? else {
             return Err(store::Error::Refused);
         };
         let value = serde_json::to_vec(departed).expect("a departure is serializable");
-        let call = StoreCall::Commit(Commit {
-            expect: Vec::new(),
-            put: vec![(self.key.clone(), value, Some(id))],
-            delete: Vec::new(),
-        });
-        match self.store.call(&call).await? {
-            StoreReply::Committed { .. } => Ok(()),
-            _ => Err(store::Error::Refused),
+        for _ in 0..MAX_ATTEMPTS {
+            let call = StoreCall::Commit(Commit {
+                expect: vec![(self.key.clone(), self.revision.get())],
+                put: vec![(self.key.clone(), value.clone(), Some(id))],
+                delete: Vec::new(),
+            });
+            match self.store.call(&call).await? {
+                StoreReply::Committed { revision } => {
+                    self.revision.set(revision);
+                    return Ok(());
+                }
+                StoreReply::Conflict { items } => {
+                    let other = self.decode(&items);
+                    if let Some(other) = other.filter(|d| d.born > departed.born) {
+                        tracing::info!(event = 380, backend = %departed.backend, born = departed.born, later = other.born, "kept the record of a later departure");
+                        return Ok(());
+                    }
+                }
+                _ => return Err(store::Error::Refused),
+            }
         }
+        Err(store::Error::Refused)
     }
 }
