Count a call to the store as refused only if every attempt was

Cause: a call that was refused directly and then relayed without an answer counted as refused, and so did one without an answer whose relayed attempt was refused. "Refused" means that it certainly had no effect: a revocation of keys that the store may still execute was then forgotten, and the keys granted again (rule OWNER).

Change: the client tries the selected nodes itself and keeps an attempt without an answer in mind. A node passes the store's refusal of a relayed call on in place of no response, so that it counts as certain; which status that is stays with the adapter. Event 313 tells of a relayed call without an answer.

--- a/src/coordination/sidecar/membership.rs
+++ b/src/coordination/sidecar/membership.rs
@@ -9,7 +9,7 @@
 use tokio::sync::Notify;
 
 use crate::coordination::sidecar::reports;
-use crate::protocol::mesh::{Hello, StoreRequest, StoreResponse};
+use crate::protocol::mesh::Hello;
 use crate::protocol::ownership::NodeEntry;
 use crate::state::clock::Instant;
 use crate::transport::sidecar::links::{ItemsHandler, Link, Report};
@@ -21,7 +21,7 @@
 const MAX_RELAYS: usize = 2;
 
 /// Timeout of a relayed call.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(1200);
+pub const RELAY_TIMEOUT: Duration = Duration::from_millis(1200);
 
 #[derive(Debug)]
 struct Peer {
@@ -195,8 +195,9 @@
         of_service.collect()
     }
 
-    /// Relays a store call through other nodes, until one of them returns a response.
-    pub async fn relay(&self, request: StoreRequest) -> Option<StoreResponse> {
+    /// Returns the connections through which a store call may be relayed, in the order of preference.
+    #[must_use]
+    pub fn relays(&self) -> Vec<Rc<Link>> {
         // In a large fleet, reports from other failure domains are too rare to rely on.
         let fresh = |l: &Rc<Link>| {
             reports::is_small_fleet(self.size()) || *l.domain.borrow() == self.hello.domain
@@ -207,12 +208,8 @@
         // Start at a random node, so that one that the store refuses isn't tried first every time.
         let start = rand::random_range(0..up.len().max(1));
         up.rotate_left(start);
-        for link in up.into_iter().take(MAX_RELAYS) {
-            if let Some(response) = link.relay(request.clone(), RELAY_TIMEOUT).await {
-                return Some(response);
-            }
-        }
-        None
+        up.truncate(MAX_RELAYS);
+        up
     }
 }
 
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -18,7 +18,7 @@
 use crate::coordination::sidecar::grant_manager::GrantManager;
 use crate::coordination::sidecar::heartbeats::HeartbeatHandler;
 use crate::coordination::sidecar::ingress::{CallerHandler, Dependencies, Ingress, ShutdownStage};
-use crate::coordination::sidecar::membership::MembershipView;
+use crate::coordination::sidecar::membership::{self, MembershipView};
 use crate::coordination::sidecar::peer_handler::{self, PeerHandler};
 use crate::coordination::sidecar::planner::{self, Planner};
 use crate::coordination::sidecar::registration::Registration;
@@ -39,7 +39,7 @@
 use crate::transport::sidecar::links::{self, Link};
 use crate::transport::sidecar::peer_server::{Handler, PeerServer};
 use crate::transport::sidecar::socket;
-use crate::transport::sidecar::store::StoreClient;
+use crate::transport::sidecar::store::{self, StoreClient};
 
 /// Interval of the periodic checks of the dispatcher, the grant manager and the catch-up.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -237,10 +237,10 @@
                 self.metrics_handler(),
             ));
         }
-        let relays = Rc::clone(&self.membership);
-        self.store.set_relay(Box::new(move |request| {
-            let membership = Rc::clone(&relays);
-            Box::pin(async move { membership.relay(request).await })
+        let membership = Rc::clone(&self.membership);
+        self.store.set_relays(Box::new(move || {
+            let links = membership.relays().into_iter();
+            links.map(relay_through).collect()
         }));
         let handler = Rc::new(CallerHandler(Rc::clone(&self.ingress)));
         let open = Rc::clone(&self.connections);
@@ -517,6 +517,14 @@
     }
 }
 
+/// Returns the function that relays store calls through another node.
+fn relay_through(link: Rc<Link>) -> store::Relay {
+    Box::new(move |request| {
+        let link = Rc::clone(&link);
+        Box::pin(async move { link.relay(request, membership::RELAY_TIMEOUT).await })
+    })
+}
+
 /// Connection to a node with newer state, and whether it is in this node's failure domain.
 type Ahead<'a> = (&'a Rc<Link>, bool);
 
--- a/src/coordination/sidecar/peer_handler.rs
+++ b/src/coordination/sidecar/peer_handler.rs
@@ -102,8 +102,9 @@
         let store = Rc::clone(&self.store);
         Box::pin(async move {
             let response = store.call_direct(&request, RELAY_TIMEOUT).await;
-            // A 503 or 429 concerns this node's own call, so it is no response for the other node.
-            response.ok().filter(|r| r.status != 503 && r.status != 429)
+            response
+                .inspect_err(|e| tracing::info!(event = 313, target = %request.target, error = %e, "no answer to a relayed call to the store"))
+                .ok()
         })
     }
 }
--- a/src/transport/sidecar/store.rs
+++ b/src/transport/sidecar/store.rs
@@ -3,7 +3,7 @@
 //! A call that the store refuses or doesn't answer is made once more through another node if one is
 //! available, because the store sometimes refuses individual hosts. Any further retry of an
 //! unanswered call is up to the calling module: commits are conditional, so a repeated commit can't
-//! take effect twice.
+//! take effect twice. A call counts as refused only if no attempt at it was left without an answer.
 
 use std::cell::{Cell, RefCell};
 use std::fmt;
@@ -70,18 +70,21 @@
 
 impl std::error::Error for Error {}
 
-/// Future of a relayed call.
+/// Future of a relayed call; `None` if the other node returns no response.
 pub type RelayFuture = Pin<Box<dyn Future<Output = Option<StoreResponse>>>>;
 
 /// Function that relays a call through another node.
-pub type RelayFn = Box<dyn Fn(StoreRequest) -> RelayFuture>;
+pub type Relay = Box<dyn Fn(StoreRequest) -> RelayFuture>;
+
+/// Function that selects the nodes through which a call may be relayed.
+pub type RelaysFn = Box<dyn Fn() -> Vec<Relay>>;
 
 /// Client of the store.
 pub struct StoreClient {
     adapter: Rc<dyn Adapter>,
     address: Cell<SocketAddr>,
     idle: RefCell<Vec<(Socket, Instant)>>,
-    relay: RefCell<Option<RelayFn>>,
+    relays: RefCell<Option<RelaysFn>>,
     last_failure: Cell<Option<Instant>>,
     reachable: Cell<bool>,
     /// Notified when the store answers again after failed calls.
@@ -106,7 +109,7 @@
             adapter,
             address: Cell::new(address),
             idle: RefCell::new(Vec::new()),
-            relay: RefCell::new(None),
+            relays: RefCell::new(None),
             last_failure: Cell::new(None),
             reachable: Cell::new(true),
             recovered: Notify::new(),
@@ -121,9 +124,9 @@
         }
     }
 
-    /// Sets the function that relays calls through other nodes.
-    pub fn set_relay(&self, relay: RelayFn) {
-        *self.relay.borrow_mut() = Some(relay);
+    /// Sets the function that selects the nodes through which calls are relayed.
+    pub fn set_relays(&self, relays: RelaysFn) {
+        *self.relays.borrow_mut() = Some(relays);
     }
 
     /// Returns the time of the last direct call that failed.
@@ -164,14 +167,34 @@
         if direct.is_ok() || is_watch {
             return direct;
         }
-        let relayed = self.relay.borrow().as_ref().map(|relay| relay(request));
-        let Some(relayed) = relayed else {
-            return direct;
-        };
-        match relayed.await {
-            Some(response) => self.decode(call, &response),
-            None => direct,
+        self.call_relayed(call, &request, direct).await
+    }
+
+    /// Makes a call through other nodes, until the store answers one of them. `result` is that of the
+    /// attempts so far: the call is refused only if each attempt is.
+    async fn call_relayed(
+        &self,
+        call: &StoreCall,
+        request: &StoreRequest,
+        mut result: Result<StoreReply, Error>,
+    ) -> Result<StoreReply, Error> {
+        let relays = self.relays.borrow().as_ref().map(|relays| relays());
+        for relay in relays.unwrap_or_default() {
+            let attempt = match relay(request.clone()).await {
+                Some(response) => self.decode(call, &response),
+                None => Err(Error::NoAnswer(io::ErrorKind::TimedOut)),
+            };
+            match attempt {
+                Err(Error::Refused) => {}
+                Err(Error::NoAnswer(kind)) => {
+                    if matches!(result, Err(Error::Refused)) {
+                        result = Err(Error::NoAnswer(kind));
+                    }
+                }
+                answered => return answered,
+            }
         }
+        result
     }
 
     fn count_call(&self, kind: &str, outcome: &str) {
