Ignore the entry of a node under another key than its own

Cause: an entry was taken for the node that it names, whatever its key. One odd entry of another writer under another key kept a lost node listed, so that its keys were never reassigned, or made all nodes connect to an address that is nobody's. Reported by operators of similar systems as an odd entry among those of the instances.

None ends a process or keeps it from following others: decoding is bounded in depth, and each item is decoded on its own.

Change: an entry counts only under the key of the address that it names, with a port other than 0 (event 325).

An odd value in place of a table leaves the last valid one in force, but the table can't change any more until a person removes that value: open.

--- a/src/coordination/sidecar/replication.rs
+++ b/src/coordination/sidecar/replication.rs
@@ -16,7 +16,7 @@
 use crate::coordination::sidecar::watch::WatchHandler;
 use crate::protocol::adapter::{Event, Item};
 use crate::protocol::mesh::Items;
-use crate::protocol::ownership::NodeEntry;
+use crate::protocol::ownership;
 use crate::transport::sidecar::store::StoreClient;
 
 /// Number of nodes that watch the store.
@@ -146,8 +146,10 @@
                 self.own_entry_changed.notify_one();
             }
             match change {
-                Change::Put(item) if item.key.starts_with(tables::NODES) => self.add_node(&item),
-                Change::Put(item) => self.tables.apply_item(&item),
+                Change::Put(item) => match item.key.strip_prefix(tables::NODES) {
+                    Some(address) => self.add_node(address, &item),
+                    None => self.tables.apply_item(&item),
+                },
                 Change::Removed(key) => {
                     if let Some(address) = key.strip_prefix(tables::NODES) {
                         self.membership.mark_removed(address);
@@ -157,11 +159,11 @@
         }
     }
 
-    fn add_node(&self, item: &Item) {
-        match serde_json::from_slice::<NodeEntry>(&item.value) {
+    fn add_node(&self, address: &str, item: &Item) {
+        match ownership::decode_entry(address, &item.value) {
             Ok(entry) => self.membership.add(&entry),
             Err(e) => {
-                tracing::warn!(event = 325, key = %item.key, error = %e, "ignored a node entry that can't be decoded");
+                tracing::warn!(event = 325, key = %item.key, revision = item.revision, error = %e, "ignored a node entry that can't be decoded");
             }
         }
     }
--- a/src/protocol/ownership.rs
+++ b/src/protocol/ownership.rs
@@ -1,5 +1,7 @@
 //! Stored form of assignment tables and node entries in the platform's store.
 
+use std::net::SocketAddr;
+
 use crate::protocol::adapter::DecodeError;
 use crate::state::keyspace;
 
@@ -148,3 +150,20 @@
     /// Failure domain of the node.
     pub domain: String,
 }
+
+/// Decodes the entry of the node at an address.
+///
+/// # Errors
+///
+/// Returns an error if the value is not an entry, or not one of a node that listens at this address.
+pub fn decode_entry(address: &str, value: &[u8]) -> Result<NodeEntry, DecodeError> {
+    let entry: NodeEntry = serde_json::from_slice(value).map_err(|e| DecodeError(e.to_string()))?;
+    let listens = address.parse::<SocketAddr>().is_ok_and(|a| a.port() != 0);
+    if entry.address != address || !listens {
+        return Err(DecodeError(format!(
+            "the entry of {address:?} names {:?}",
+            entry.address
+        )));
+    }
+    Ok(entry)
+}
