Refuse heartbeats of an unknown service or from the future

Cause: a heartbeat with the address of the local backend server and a later start took that server's place, also when its service is named nowhere or its start lies ages ahead. Such a heartbeat of another writer took all keys away from the living server, whose own heartbeats then counted as those of an earlier life until the process ended.

Measured: mesh odd_entries::odd_heartbeats_are_refused failed without either check (200 in place of 400), and passes; odd_entries_of_nodes_are_ignored (processes that watch, and one that starts) passed before and after.

--- a/src/coordination/sidecar/heartbeats.rs
+++ b/src/coordination/sidecar/heartbeats.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use tokio::task;
 
@@ -24,6 +24,9 @@
 /// Maximum warm-up time that is accepted from a backend server.
 const MAX_WARMUP: Duration = Duration::from_mins(1);
 
+/// Maximum difference between the clocks of a backend server and its node.
+const MAX_CLOCK_SKEW: Duration = Duration::from_hours(24);
+
 /// Handler of heartbeats and leave notices.
 #[derive(Debug)]
 pub struct HeartbeatHandler {
@@ -31,6 +34,8 @@
     pub node: String,
     /// Address of the local backend server.
     pub address: SocketAddr,
+    /// Service of the local backend server according to the settings.
+    pub service: String,
     /// Codec of heartbeats and their replies.
     pub adapter: Rc<dyn Adapter>,
     /// Active configuration.
@@ -97,6 +102,12 @@
         if address.ok() != Some(self.address) {
             return Some((400, "not the backend server on this host"));
         }
+        if !self.is_known_service(&heartbeat.service) {
+            return Some((400, "of a service that isn't configured"));
+        }
+        if heartbeat.born > latest_start() {
+            return Some((400, "started in the future"));
+        }
         let current = self.dispatcher.backend()?;
         let same =
             current.holder.backend == heartbeat.backend && current.holder.born == heartbeat.born;
@@ -109,6 +120,12 @@
         None
     }
 
+    /// Returns whether a service is that of this host or one of the active configuration.
+    fn is_known_service(&self, name: &str) -> bool {
+        let routes = self.configuration.get();
+        name == self.service || routes.is_some_and(|r| r.service(name).is_some())
+    }
+
     fn describe(&self, heartbeat: &Heartbeat) -> Backend {
         let now = Instant::now();
         let holder = Holder {
@@ -149,3 +166,10 @@
         }
     }
 }
+
+/// Returns the latest time at which a backend server can have started, in Unix milliseconds.
+fn latest_start() -> u64 {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let latest = now.unwrap_or_default() + MAX_CLOCK_SKEW;
+    u64::try_from(latest.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -299,6 +299,7 @@
         let heartbeats = Rc::new(HeartbeatHandler {
             node: self.settings.listen.announced.to_string(),
             address: self.settings.backend,
+            service: self.settings.service.clone(),
             adapter: Rc::clone(adapter),
             configuration: Rc::clone(&self.configuration),
             dispatcher: Rc::clone(&self.dispatcher),
