Don't pass on an unsigned status that promises "not run"

Cause: a response with the identifier of its request, a status of 429 or 503 and neither the mark of a refusal nor the backend server's signature was passed on to the caller, who takes it as the promise that the request hasn't run. Only unsigned successes were refused.

Looked for: copies of a refusal with no, an earlier or an unknown identifier, twice, with a body, in chunks, of another status, after an interim response; before, instead of and after the own response; requests that may and may not be repeated; replies between nodes repeated or cut at any byte. None reports a request as not run that ran: connections close after a refusal, and one without an identifier counts only as the first response of a new connection. Responses that break off at any byte, with 14 framings, closed or reset, on new and kept connections, and those of the store: none counts as whole, but one that ends with its connection by its framing.

Change: such a status needs the signature; otherwise the outcome is unknown (event 554). Which statuses promise that is the adapter's to say.

--- a/src/protocol/adapter.rs
+++ b/src/protocol/adapter.rs
@@ -318,6 +318,9 @@
     /// Decodes the metadata of a backend server's response.
     fn decode_marks(&self, head: &http::ResponseHead) -> Marks;
 
+    /// Returns whether callers take a status as the promise that their request hasn't run.
+    fn promises_not_run(&self, status: u16) -> bool;
+
     /// Decodes what a backend server says of itself in a response.
     fn decode_signals(&self, headers: &[http::Header]) -> Signals;
 
--- a/src/transport/sidecar/backend.rs
+++ b/src/transport/sidecar/backend.rs
@@ -223,7 +223,9 @@
             }));
         }
         let encoded = http::header_value(&head.headers, "content-encoding").is_some();
-        if encoded || (head.status < 300 && !marks.signed) {
+        // Without the signature, a status tells nothing about whether the request has run.
+        let needs_signature = head.status < 300 || self.adapter.promises_not_run(head.status);
+        if encoded || (needs_signature && !marks.signed) {
             tracing::warn!(
                 event = 554,
                 id = request.id,
--- a/tests/sidecar/adapter.rs
+++ b/tests/sidecar/adapter.rs
@@ -42,6 +42,10 @@
         }
     }
 
+    fn promises_not_run(&self, status: u16) -> bool {
+        matches!(status, 429 | 503)
+    }
+
     fn decode_signals(&self, headers: &[Header]) -> Signals {
         let limit = header_value(headers, "limit").map_or(RateLimit::Unlimited, |text| {
             let rate = text.parse();
--- a/tests/sidecar/backend.rs
+++ b/tests/sidecar/backend.rs
@@ -53,15 +53,19 @@
     Ok((response.status, String::from_utf8(response.body).unwrap()))
 }
 
-fn run_script(
-    scripts: &'static [&'static [&'static str]],
-    repeats: &[Repeat],
-) -> Vec<Result<(u16, String), SendError>> {
+pub fn block_on<F: Future>(test: F) -> F::Output {
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .unwrap();
-    task::LocalSet::new().block_on(&runtime, async {
+    task::LocalSet::new().block_on(&runtime, test)
+}
+
+fn run_script(
+    scripts: &'static [&'static [&'static str]],
+    repeats: &[Repeat],
+) -> Vec<Result<(u16, String), SendError>> {
+    block_on(async {
         let address = scripted(scripts).await;
         let pool = Pool::new(Rc::new(Plain));
         let mut all = Vec::new();
@@ -175,11 +179,7 @@
 /// Guards against reporting an unknown outcome for a refused connection.
 #[test]
 fn refused_connection_is_not_sent() {
-    let runtime = runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    let got = task::LocalSet::new().block_on(&runtime, async {
+    let got = block_on(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         drop(listener);
