Test each end of a blocked connection by itself

Cause: nodes_that_write_at_the_same_time_do_not_block_each_other passed with the waits put back as they were, once its calls were encoded fast: the system's buffers on loopback (33 MB to receive, 4 MB to send) held the responses, so neither node ever waited for the other. Its earlier failure came at least in part from the time of encoding. So it proved nothing.

Change: it is replaced by two stricter tests, one for each end, in which the other direction is blocked for certain: frames must be received within 1 s while the own write waits.

--- a/tests/sidecar/full_buffers.rs
+++ b/tests/sidecar/full_buffers.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use filbertflow::protocol::mesh::{Call, Frame, Load, Outcome};
+use filbertflow::protocol::mesh::{Call, Frame, Load};
 use filbertflow::state::clock::Instant;
 use filbertflow::state::routes::Repeat;
 use filbertflow::transport::sidecar::frames::{self, FrameReader, FrameWriter};
@@ -57,14 +57,14 @@
 }
 
 /// Starts a node with a small receive buffer, which responds to calls after [`RUN_TIME`].
-fn start_node() -> SocketAddr {
+fn start_node() -> (SocketAddr, Rc<DelayHandler>) {
     let handler = Rc::new(DelayHandler::default());
     handler.run_time.set(Some(RUN_TIME));
     handler.echoes_target.set(true);
     let listener = listen();
     let address = listener.local_addr().unwrap();
     serve(&handler, listener, 1);
-    address
+    (address, handler)
 }
 
 /// Starts a link that checks for silence, and waits for the first report of its node.
@@ -123,18 +123,53 @@
     });
 }
 
-/// Guards against two nodes that both wait for the other one to read, because each of them stops
-/// reading while it writes.
+/// Time within which a frame must be received while the other direction is blocked.
+const RECEIVE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Guards against a link that doesn't read while it waits for its node to read: if both ends do so, they
+/// wait for each other for good.
+#[test]
+fn link_receives_while_its_send_buffer_is_full() {
+    run(|_fixture| async move {
+        let listener = listen();
+        let address = listener.local_addr().unwrap();
+        let accepted = task::spawn_local(async move { accept(&listener).await });
+        let link = start_link(address).await;
+        let (_read, mut write) = accepted.await.unwrap();
+        let _flight = link.call(large_call()).unwrap();
+        time::sleep(Duration::from_millis(200)).await;
+        let load = Load {
+            slots: 5,
+            ..Load::default()
+        };
+        write.add(&Frame::Load(load)).unwrap();
+        write.flush().await.unwrap();
+        let end = Instant::now() + RECEIVE_LIMIT;
+        while link.report().is_none_or(|r| r.load.slots != 5) {
+            assert!(Instant::now() < end, "the link doesn't read");
+            time::sleep(Duration::from_millis(5)).await;
+        }
+    });
+}
+
+/// Guards against a node that takes no further calls while it waits for a caller to read.
 #[test]
-fn nodes_that_write_at_the_same_time_do_not_block_each_other() {
+fn node_receives_while_its_send_buffer_is_full() {
     run(|_fixture| async move {
-        let link = start_link(start_node()).await;
-        let calls = (0..4).map(|_| link.call(large_call()).unwrap());
-        let outcomes = futures::future::join_all(calls.map(links::InFlight::outcome));
-        let outcomes = time::timeout(Duration::from_secs(15), outcomes).await;
-        let outcomes = outcomes.expect("the nodes wait for each other");
-        for outcome in outcomes {
-            assert!(matches!(outcome, Outcome::Answered(r) if r.headers[0].value.len() == LARGE));
+        let (node, handler) = start_node();
+        let (_read, mut write) = connect(node, 1).await;
+        let first = Box::new(large_call());
+        write.add(&Frame::Call(1, first)).unwrap();
+        write.flush().await.unwrap();
+        time::sleep(10 * RUN_TIME).await;
+        assert_eq!(handler.completed_calls.get(), 1);
+        let next = Box::new(call(Repeat::Once, LEFT_MS));
+        write.add(&Frame::Call(2, next)).unwrap();
+        write.flush().await.unwrap();
+        let end = Instant::now() + RECEIVE_LIMIT;
+        while handler.started_calls.get() < 2 {
+            assert!(Instant::now() < end, "the node doesn't read");
+            time::sleep(Duration::from_millis(5)).await;
         }
     });
 }
@@ -144,7 +179,7 @@
 #[test]
 fn replaced_connection_with_a_full_send_buffer_is_closed() {
     run(|_fixture| async move {
-        let node = start_node();
+        let (node, _handler) = start_node();
         let (_read, mut write) = connect(node, 1).await;
         let wanted = Box::new(large_call());
         write.add(&Frame::Call(1, wanted)).unwrap();
@@ -169,7 +204,7 @@
 #[test]
 fn connection_without_a_first_frame_is_closed() {
     run(|_fixture| async move {
-        let mut io = TcpStream::connect(start_node()).await.unwrap();
+        let mut io = TcpStream::connect(start_node().0).await.unwrap();
         let ended = time::timeout(SILENCE_LIMIT, io.read_u8()).await;
         assert!(matches!(ended, Ok(Err(_))), "the connection is kept");
     });
