Share the scripted node of the buffer and reply tests

Cause: a second reading of the change found the accept of a scripted node, the framing of raw frames and the answered outcome written twice, in tests/sidecar/full_buffers.rs, replies.rs and links.rs.

Change: replies.rs calls those of full_buffers.rs and links.rs.

--- a/tests/sidecar/full_buffers.rs
+++ b/tests/sidecar/full_buffers.rs
@@ -84,12 +84,12 @@
     link
 }
 
-/// Accepts a connection of a link and exchanges the first frames.
-async fn accept(listener: &TcpListener) -> (FrameReader, FrameWriter) {
+/// Accepts a connection of a link and exchanges the first frames, as the process `incarnation` of node `b`.
+pub async fn accept(listener: &TcpListener, incarnation: u64) -> (FrameReader, FrameWriter) {
     let (io, _) = listener.accept().await.unwrap();
     let (mut read, mut write) = frames::split(io).unwrap();
     read.next().await.unwrap().unwrap();
-    write.add(&Frame::Hello(hello("b", 1))).unwrap();
+    write.add(&Frame::Hello(hello("b", incarnation))).unwrap();
     write.add(&Frame::Load(Load::default())).unwrap();
     write.flush().await.unwrap();
     (read, write)
@@ -112,8 +112,8 @@
         let listener = listen();
         let address = listener.local_addr().unwrap();
         let accepted = task::spawn_local(async move {
-            let silent = accept(&listener).await;
-            let _next = accept(&listener).await;
+            let silent = accept(&listener, 1).await;
+            let _next = accept(&listener, 1).await;
             drop(silent);
         });
         let link = start_link(address).await;
@@ -133,7 +133,7 @@
     run(|_fixture| async move {
         let listener = listen();
         let address = listener.local_addr().unwrap();
-        let accepted = task::spawn_local(async move { accept(&listener).await });
+        let accepted = task::spawn_local(async move { accept(&listener, 1).await });
         let link = start_link(address).await;
         let (_read, mut write) = accepted.await.unwrap();
         let _flight = link.call(large_call()).unwrap();
@@ -220,8 +220,7 @@
             let (io, _) = listener.accept().await.unwrap();
             let frames = [Frame::Hello(hello("b", 1)), Frame::Load(Load::default())];
             for frame in frames {
-                let bytes = postcard::to_allocvec(&frame).unwrap();
-                send(&io, &prefixed(bytes.len(), &bytes)).await;
+                send(&io, &encode(&frame)).await;
             }
             // The first parts of a frame of a megabyte.
             send(&io, &prefixed(1 << 20, &[])).await;
@@ -237,16 +236,24 @@
     });
 }
 
-async fn send(io: &TcpStream, bytes: &[u8]) {
+/// Writes bytes to a connection without a codec.
+pub async fn send(io: &TcpStream, bytes: &[u8]) {
     let sent = writing::write_all(io, bytes, SILENCE_LIMIT, || ()).await;
     sent.unwrap();
 }
 
+/// Returns bytes behind a prefix that announces `length` of them.
 fn prefixed(length: usize, bytes: &[u8]) -> Vec<u8> {
     let length = u32::try_from(length).unwrap();
     [&length.to_be_bytes(), bytes].concat()
 }
 
+/// Returns a frame as written to a connection.
+pub fn encode(frame: &Frame) -> Vec<u8> {
+    let bytes = postcard::to_allocvec(frame).unwrap();
+    prefixed(bytes.len(), &bytes)
+}
+
 /// Returns the result of a write of a large body, and how often the peer's host made room for it, if
 /// the peer reads `parts` parts.
 async fn write_to(parts: usize) -> (io::Result<()>, usize) {
--- a/tests/sidecar/links.rs
+++ b/tests/sidecar/links.rs
@@ -206,7 +206,7 @@
     task::LocalSet::new().block_on(&runtime, async { test(Fixture::start().await).await });
 }
 
-fn answered() -> Outcome {
+pub fn answered() -> Outcome {
     Outcome::Answered(Response {
         status: 200,
         headers: Vec::new(),
--- a/tests/sidecar/replies.rs
+++ b/tests/sidecar/replies.rs
@@ -3,28 +3,23 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use filbertflow::protocol::mesh::{Cause, Failure, Frame, Load, Outcome, Response, Seq};
+use filbertflow::protocol::mesh::{Cause, Failure, Frame, Load, Outcome, Seq};
 use filbertflow::state::routes::Repeat;
-use filbertflow::transport::sidecar::frames::{self, FrameReader, FrameWriter};
+use filbertflow::transport::sidecar::frames::{self, FrameReader};
 use filbertflow::transport::sidecar::links::Link;
-use filbertflow::transport::sidecar::writing;
 use futures::StreamExt;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::{task, time};
 
-use crate::links::{call, hello, run};
+use crate::full_buffers::{accept, encode, send};
+use crate::links::{answered, call, hello, run};
 
 const LIMIT: Duration = Duration::from_secs(2);
 
-fn answered(seq: Seq) -> Frame {
-    let response = Response {
-        status: 200,
-        headers: Vec::new(),
-        body: b"whole".to_vec(),
-    };
-    Frame::Reply(seq, Box::new(Outcome::Answered(response)))
+fn reply(seq: Seq) -> Frame {
+    Frame::Reply(seq, Box::new(answered()))
 }
 
 fn refused(seq: Seq) -> Frame {
@@ -32,16 +27,6 @@
     Frame::Reply(seq, Box::new(Outcome::NotRun(failure)))
 }
 
-async fn accept(listener: &TcpListener, incarnation: u64) -> (FrameReader, FrameWriter) {
-    let (io, _) = listener.accept().await.unwrap();
-    let (mut read, mut write) = frames::split(io).unwrap();
-    read.next().await.unwrap().unwrap();
-    write.add(&Frame::Hello(hello("b", incarnation))).unwrap();
-    write.add(&Frame::Load(Load::default())).unwrap();
-    write.flush().await.unwrap();
-    (read, write)
-}
-
 /// Returns the sequence number of the next call.
 async fn next_call(read: &mut FrameReader) -> Seq {
     loop {
@@ -80,7 +65,7 @@
                 write.add(&refused(first)).unwrap();
                 write.flush().await.unwrap();
                 let second = next_call(&mut read).await;
-                for frame in [refused(first), refused(first), answered(second)] {
+                for frame in [refused(first), refused(first), reply(second)] {
                     write.add(&frame).unwrap();
                 }
                 write.flush().await.unwrap();
@@ -98,7 +83,7 @@
 /// the whole one, and against reporting the call as not run.
 #[test]
 fn cut_reply_leaves_the_outcome_unknown() {
-    let whole = postcard::to_allocvec(&answered(1)).unwrap().len() + 4;
+    let whole = postcard::to_allocvec(&reply(1)).unwrap().len() + 4;
     run(|_fixture| async move {
         for cut in 0..whole {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -109,7 +94,7 @@
                     send(&io, &encode(&frame)).await;
                 }
                 let seq = read_call(&mut io).await;
-                send(&io, &encode(&answered(seq))[..cut]).await;
+                send(&io, &encode(&reply(seq))[..cut]).await;
                 drop(io);
                 let _restarted = accept(&listener, 2).await;
                 time::sleep(LIMIT).await;
@@ -135,14 +120,3 @@
         }
     }
 }
-
-fn encode(frame: &Frame) -> Vec<u8> {
-    let bytes = postcard::to_allocvec(frame).unwrap();
-    let length = u32::try_from(bytes.len()).unwrap();
-    [&length.to_be_bytes()[..], &bytes].concat()
-}
-
-async fn send(io: &TcpStream, bytes: &[u8]) {
-    let sent = writing::write_all(io, bytes, LIMIT, || ()).await;
-    sent.unwrap();
-}
