Log the era of the store

Cause: the logs of a restored store show revisions that are ignored (event 328) and histories that are gone (339), but not whether the store lost them or the replica was ahead (hypotheses 1 and 2 of docs/incidents/restored-store.md). Change: the adapter decodes Store-Era; a process logs the first era (316), a new one (314) and a response that doesn't tell it (315); events 338 and 339 have the era. Nothing acts by it yet.

--- a/src/coordination/sidecar/watch.rs
+++ b/src/coordination/sidecar/watch.rs
@@ -74,6 +74,7 @@
             event = 338,
             prefix,
             as_of,
+            era = store.era().0,
             items = items.len(),
             "read all items from the store"
         );
@@ -107,6 +108,7 @@
                         event = 339,
                         prefix,
                         as_of,
+                        era = store.era().0,
                         "the store has compacted the requested history; reading all items again"
                     );
                     break;
--- a/src/protocol/adapter.rs
+++ b/src/protocol/adapter.rs
@@ -10,6 +10,7 @@
 use crate::protocol::mesh;
 use crate::state::keyspace;
 use crate::state::routes;
+use crate::state::store_revision::Era;
 
 /// Terms of a request, as set by its caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -350,6 +351,13 @@
     /// Returns an error if the configuration is invalid.
     fn decode_config(&self, value: &[u8]) -> Result<routes::RouteTable, DecodeError>;
 
+    /// Decodes the era of the store from a response's header; `None` if the header is absent.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the header isn't a number.
+    fn decode_store_era(&self, headers: &[http::Header]) -> Result<Option<Era>, DecodeError>;
+
     /// Encodes a call to the store.
     fn encode_store_call(&self, call: &StoreCall) -> mesh::StoreRequest;
 
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -8,6 +8,7 @@
 use crate::state::key_rates;
 use crate::state::keyspace;
 use crate::state::routes;
+use crate::state::store_revision::Era;
 
 /// Maximum size of a frame, in bytes; above the body limit of all configurations in use.
 pub const MAX_FRAME: usize = 80 << 20;
@@ -394,4 +395,6 @@
     pub status: u16,
     /// Body.
     pub body: Vec<u8>,
+    /// Era of the store that responded; `None` if the response doesn't tell.
+    pub era: Option<Era>,
 }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -15,4 +15,5 @@
 pub mod settings;
 pub mod sidecar_settings;
 pub mod sketch;
+pub mod store_revision;
 pub mod timing;
--- a/src/transport/sidecar/store.rs
+++ b/src/transport/sidecar/store.rs
@@ -22,6 +22,7 @@
 use crate::protocol::http;
 use crate::protocol::mesh::{StoreRequest, StoreResponse};
 use crate::state::clock::Instant;
+use crate::state::store_revision::Era;
 use crate::transport::sidecar::socket::{ReadError, Socket};
 
 /// Maximum time to open a connection to the store.
@@ -86,6 +87,9 @@
     idle: RefCell<Vec<(Socket, Instant)>>,
     relays: RefCell<Option<RelaysFn>>,
     last_failure: Cell<Option<Instant>>,
+    era: Cell<Option<Era>>,
+    /// Whether the last response had no readable era although earlier ones had one.
+    era_missing: Cell<bool>,
     reachable: Cell<bool>,
     /// Notified when the store answers again after failed calls.
     pub recovered: Notify,
@@ -111,6 +115,8 @@
             idle: RefCell::new(Vec::new()),
             relays: RefCell::new(None),
             last_failure: Cell::new(None),
+            era: Cell::new(None),
+            era_missing: Cell::new(false),
             reachable: Cell::new(true),
             recovered: Notify::new(),
             calls,
@@ -218,7 +224,34 @@
         }
     }
 
+    /// Returns the newest known era of the store.
+    #[must_use]
+    pub fn era(&self) -> Era {
+        self.era.get().unwrap_or_default()
+    }
+
+    /// Learns the era of a response.
+    fn learn_era(&self, era: Era) {
+        let before = self.era.get();
+        if before.is_some_and(|known| known >= era) {
+            return;
+        }
+        self.era.set(Some(era));
+        match before {
+            None => tracing::info!(event = 316, era = era.0, "the store has told its era"),
+            Some(before) => tracing::warn!(
+                event = 314,
+                before = before.0,
+                era = era.0,
+                "the store was restored from an older copy"
+            ),
+        }
+    }
+
     fn decode(&self, call: &StoreCall, response: &StoreResponse) -> Result<StoreReply, Error> {
+        if let Some(era) = response.era {
+            self.learn_era(era);
+        }
         match self.adapter.decode_store_reply(call, response) {
             Ok(StoreReply::Refused) => Err(Error::Refused),
             Ok(reply) => Ok(reply),
@@ -263,8 +296,37 @@
         if head.keep_alive && idle.len() < MAX_IDLE {
             idle.push((socket, Instant::now()));
         }
+        let era = self.decode_era(&head);
         let status = head.status;
-        Ok(StoreResponse { status, body })
+        Ok(StoreResponse { status, body, era })
+    }
+
+    /// Decodes the era of a response. A header that is absent or unreadable tells nothing.
+    fn decode_era(&self, head: &http::ResponseHead) -> Option<Era> {
+        let era = self.adapter.decode_store_era(&head.headers);
+        let known = self.era.get();
+        match era {
+            Ok(Some(era)) => {
+                self.era_missing.set(false);
+                return Some(era);
+            }
+            Ok(None) => {
+                if known.is_some() && !self.era_missing.replace(true) {
+                    tracing::warn!(
+                        event = 315,
+                        known = known.unwrap_or_default().0,
+                        error = "absent",
+                        "a response of the store doesn't tell its era"
+                    );
+                }
+            }
+            Err(e) => {
+                if !self.era_missing.replace(true) {
+                    tracing::warn!(event = 315, known = known.unwrap_or_default().0, error = %e, "a response of the store doesn't tell its era");
+                }
+            }
+        }
+        None
     }
 
     fn take_idle(&self) -> Option<Socket> {
--- a/tests/sidecar/adapter.rs
+++ b/tests/sidecar/adapter.rs
@@ -9,6 +9,7 @@
 use filbertflow::protocol::http::{Header, RequestHead, ResponseHead, header_value};
 use filbertflow::protocol::mesh::{RateLimit, StoreRequest, StoreResponse};
 use filbertflow::state::routes::RouteTable;
+use filbertflow::state::store_revision::Era;
 
 /// Adapter whose backend servers sign with `sig` and refuse with `refused`.
 #[derive(Debug)]
@@ -81,6 +82,10 @@
         Err(DecodeError("no configuration here".to_owned()))
     }
 
+    fn decode_store_era(&self, _headers: &[Header]) -> Result<Option<Era>, DecodeError> {
+        Ok(None)
+    }
+
     fn encode_store_call(&self, _call: &StoreCall) -> StoreRequest {
         StoreRequest {
             method: "GET".to_owned(),
--- a/tests/sidecar/links.rs
+++ b/tests/sidecar/links.rs
@@ -94,7 +94,11 @@
             if method == "slow" {
                 time::sleep(Duration::from_millis(150)).await;
             }
-            Some(StoreResponse { status: 200, body })
+            Some(StoreResponse {
+                status: 200,
+                body,
+                era: None,
+            })
         })
     }
 }
