--- a/src/coordination/sidecar/catchup.rs
+++ b/src/coordination/sidecar/catchup.rs
@@ -38,25 +38,25 @@
     ReadStore,
 }
 
-/// Catch-up with other nodes for one kind of state.
+/// Catch-up with other nodes for one kind of state, whose versions have type `V`.
 #[derive(Debug)]
-pub struct CatchUp {
+pub struct CatchUp<V> {
     max_delay: Duration,
     due: Option<Instant>,
-    request: Option<OutstandingRequest>,
+    request: Option<OutstandingRequest<V>>,
     failures: u32,
 }
 
 /// Outstanding request.
 #[derive(Debug)]
-struct OutstandingRequest {
+struct OutstandingRequest<V> {
     node: String,
     sent_at: Instant,
     /// Revision or version of this node when the request was sent.
-    known: u64,
+    known: V,
 }
 
-impl CatchUp {
+impl<V: Copy + Ord> CatchUp<V> {
     /// Creates a catch-up without a request. The first request after a change is delayed by a random
     /// part of `max_delay`, so that more nodes have the new state by then and can respond.
     #[must_use]
@@ -74,7 +74,7 @@
     /// and the source.
     pub fn next_action<'a>(
         &mut self,
-        known: u64,
+        known: V,
         sources: &[Source<'a>],
         now: Instant,
         random: f64,
--- a/src/coordination/sidecar/configuration.rs
+++ b/src/coordination/sidecar/configuration.rs
@@ -12,6 +12,7 @@
 use crate::protocol::compression;
 use crate::protocol::mesh::{Items, StoredItem};
 use crate::state::routes::{RouteTable, Version};
+use crate::state::store_revision::Revision;
 
 /// Active configuration and its encoded form.
 #[derive(Debug)]
@@ -59,8 +60,8 @@
     pub fn compressed_item(&self) -> Items {
         Items {
             whole: false,
-            since: 0,
-            as_of: 0,
+            since: Revision::default(),
+            as_of: Revision::default(),
             items: self.stored_item.borrow().iter().cloned().collect(),
         }
     }
--- /dev/null
+++ b/src/coordination/sidecar/confirmation.rs
@@ -0,0 +1,203 @@
+//! Confirmation of an assignment table in a new era of the store.
+//!
+//! A restored store returns a table that may lack the newest changes, or none. The nodes of the service
+//! go on granting by the last table that they know, and tell the nodes of the lowest ranks what their
+//! backend servers may hold. Once every node has made its claim, one of them writes the table that
+//! follows from all claims. A node counts as heard if it has written its entry in the new era, so that
+//! from then on the absence of an entry proves again that nothing is granted there. A node that makes no
+//! claim and has no entry is waited for until the leases of the earlier era have ended.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::coordination::sidecar::configuration::Configuration;
+use crate::coordination::sidecar::dispatcher::Dispatcher;
+use crate::coordination::sidecar::grant_manager::GrantManager;
+use crate::coordination::sidecar::membership::MembershipView;
+use crate::coordination::sidecar::registration::{LEASE, Registration};
+use crate::coordination::sidecar::replication::Replicator;
+use crate::coordination::sidecar::tables::Tables;
+use crate::protocol::mesh::{Claim, Frame};
+use crate::state::clock::Instant;
+use crate::state::keyspace::{AssignmentTable, ClaimedSlices};
+use crate::state::store_revision::{Era, Revision};
+use crate::transport::sidecar::store::StoreClient;
+
+/// Time after the beginning of an era in which a node may still grant keys under a lease of the earlier
+/// one, with a margin for clock drift.
+const OLD_LEASE_TIME: Duration = LEASE.saturating_add(Duration::from_secs(1));
+
+/// Number of other nodes, the lowest-ranked ones, to which a node sends its claim.
+const CLAIM_RECEIVERS: usize = 2;
+
+/// Time for which a node leaves the confirmation to each node of a lower rank.
+const RANK_DELAY: Duration = Duration::from_millis(1200);
+
+/// Parts of a node that a confirmation uses.
+#[derive(Debug)]
+pub struct Dependencies {
+    /// Address of this node.
+    pub node: String,
+    /// Service of this node's host.
+    pub service: String,
+    /// Platform's store.
+    pub store: Rc<StoreClient>,
+    /// Active configuration, which tells whether a service has keys.
+    pub configuration: Rc<Configuration>,
+    /// Dispatcher, which knows the local backend server.
+    pub dispatcher: Rc<Dispatcher>,
+    /// Known nodes.
+    pub membership: Rc<MembershipView>,
+    /// Assignment tables.
+    pub tables: Rc<Tables>,
+    /// Replicated items, which include the nodes' entries.
+    pub replicator: Rc<Replicator>,
+    /// Registration of this node.
+    pub registration: Rc<Registration>,
+    /// Manager of the grants to the local backend server.
+    pub grant_manager: Rc<GrantManager>,
+}
+
+/// Confirmation of the table of this node's service.
+#[derive(Debug)]
+pub struct Confirmation {
+    parts: Dependencies,
+    /// Newest claim of each node.
+    claims: RefCell<HashMap<String, Claim>>,
+    /// Time since which the table is not confirmed.
+    needed_since: Cell<Option<Instant>>,
+    /// Nodes for which the last attempt waited.
+    awaited: RefCell<Vec<String>>,
+}
+
+impl Confirmation {
+    /// Creates a confirmation without claims.
+    #[must_use]
+    pub fn new(parts: Dependencies) -> Rc<Self> {
+        Rc::new(Self {
+            parts,
+            claims: RefCell::default(),
+            needed_since: Cell::new(None),
+            awaited: RefCell::default(),
+        })
+    }
+
+    /// Stores the claim of a node.
+    pub fn record(&self, claim: Claim) {
+        self.parts.store.learn_era(claim.era);
+        self.claims.borrow_mut().insert(claim.node.clone(), claim);
+    }
+
+    /// Returns the service of this node if it has keys and its table is not confirmed.
+    #[must_use]
+    pub fn pending_service(&self) -> Option<String> {
+        let backend = self.parts.dispatcher.backend();
+        let service = backend.map_or_else(|| self.parts.service.clone(), |b| b.service);
+        let routes = self.parts.configuration.get()?;
+        let keyed = routes.service(&service).is_some_and(|s| s.keyed);
+        let pending = keyed && !self.parts.tables.is_confirmed(&service);
+        if !pending {
+            self.needed_since.set(None);
+        }
+        pending.then_some(service)
+    }
+
+    /// Sends this node's claim, and confirms the table if that is up to this node and all are heard.
+    /// `may_write` is whether the node knows the others well enough.
+    pub async fn tick(&self, service: &str, may_write: bool) {
+        let parts = &self.parts;
+        let era = parts.store.era();
+        let now = Instant::now();
+        let mut loads = parts.membership.service_reports(service);
+        loads.sort_by(|a, b| a.0.node.cmp(&b.0.node));
+        let rank = loads.iter().filter(|(l, _)| l.node < parts.node).count();
+        if let Some(claim) = parts.grant_manager.claim(service, era) {
+            for (link, _) in loads.iter().take(CLAIM_RECEIVERS) {
+                link.send(Frame::Claim(Box::new(claim.clone())));
+            }
+            self.record(claim);
+        }
+        let since = self.needed_since.get().unwrap_or(now);
+        self.needed_since.set(Some(since));
+        let delay = RANK_DELAY.saturating_mul(u32::try_from(rank).unwrap_or(u32::MAX));
+        let may_write = may_write && rank <= CLAIM_RECEIVERS && now.since(since) >= delay;
+        // The content of the earlier era doesn't tell who has an entry.
+        if !may_write || parts.replicator.revision().era != era {
+            return;
+        }
+        let base = parts.tables.route(service);
+        let unheard = self.unheard(service, base.as_ref().map(|t| &*t.assignments), now);
+        if unheard.is_empty() {
+            self.confirm(service, era).await;
+        } else if *self.awaited.borrow() != unheard {
+            tracing::info!(event = 466, service, era = era.0, nodes = ?unheard, "waiting for what nodes may hold before the table is confirmed");
+            *self.awaited.borrow_mut() = unheard;
+        }
+    }
+
+    /// Returns the nodes whose claims are missing.
+    fn unheard(&self, service: &str, base: Option<&AssignmentTable>, now: Instant) -> Vec<String> {
+        let parts = &self.parts;
+        let holders = base.map(AssignmentTable::holders).unwrap_or_default();
+        let mut nodes: BTreeSet<String> = holders.into_iter().map(|h| h.node.clone()).collect();
+        nodes.extend(parts.membership.nodes_of(service));
+        nodes.insert(parts.node.clone());
+        let has_settled = now.since(parts.store.era_since()) >= OLD_LEASE_TIME;
+        let claims = self.claims.borrow();
+        let is_missing = |node: &String| {
+            let entry = parts
+                .replicator
+                .item_revision(&Registration::entry_key(node));
+            is_missing(claims.get(node), entry, parts.store.era(), has_settled)
+        };
+        nodes.into_iter().filter(is_missing).collect()
+    }
+
+    async fn confirm(&self, service: &str, era: Era) {
+        let base = self.parts.tables.route(service);
+        let known = self.parts.tables.get(service);
+        let revision = known.map_or(Revision::default(), |t| t.revision);
+        let claims: Vec<Claim> = {
+            let mut claims = self.claims.borrow_mut();
+            claims.retain(|_, c| c.era == era && c.service == service);
+            claims.values().cloned().collect()
+        };
+        let claimed: Vec<_> = claims
+            .iter()
+            .map(|c| ClaimedSlices {
+                slices: &c.slices,
+                is_newest: !c.table.is_none() && c.table >= revision,
+            })
+            .collect();
+        let base = base.map_or_else(Rc::default, |t| t.assignments);
+        let table = base.confirm(era, &claimed);
+        match self.parts.tables.write_confirmed(service, &table).await {
+            Ok(true) => {
+                tracing::warn!(event = 465, service, era = era.0, base = %revision, claims = claims.len(), slices = table.slices.len(), "confirmed the assignment of keys in a new era of the store");
+                self.claims.borrow_mut().clear();
+                self.awaited.borrow_mut().clear();
+            }
+            Ok(false) => {}
+            Err(e) => {
+                tracing::warn!(event = 467, service, era = era.0, error = %e, "can't confirm the assignment of keys yet");
+            }
+        }
+    }
+}
+
+/// Returns whether a node may hold keys that its claim doesn't tell. `entry` is the revision of its entry
+/// in the store, and `has_settled` is whether all leases of earlier eras have ended.
+#[must_use]
+pub fn is_missing(
+    claim: Option<&Claim>,
+    entry: Option<Revision>,
+    era: Era,
+    has_settled: bool,
+) -> bool {
+    match entry {
+        Some(entry) => claim.is_none_or(|c| Revision::new(c.era, c.entry) != entry),
+        None => !has_settled || claim.is_some_and(|c| c.era > era),
+    }
+}
--- a/src/coordination/sidecar/departures.rs
+++ b/src/coordination/sidecar/departures.rs
@@ -4,7 +4,7 @@
 //! heartbeat from a new one; without a record, a restarted process would take it for a live backend
 //! server. So a departure is recorded in the store before it is acknowledged, and a new process loads
 //! the record before it accepts its first heartbeat. While the store doesn't respond, writing the record
-//! is retried.
+//! is retried. A restored store may have lost the record, which is written again then.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -17,6 +17,7 @@
 use crate::protocol::adapter::{Commit, Item, StoreCall, StoreReply};
 use crate::state::clock::Instant;
 use crate::state::keyspace::Holder;
+use crate::state::store_revision::{Era, Revision};
 use crate::transport::sidecar::store::{self, StoreClient};
 
 /// Prefix of the records in the store. It is outside the prefix that all nodes replicate, since only
@@ -54,10 +55,12 @@
     store: Rc<StoreClient>,
     key: String,
     last: RefCell<Option<Departed>>,
-    /// Whether the record of `last` is in the store.
-    written: Cell<bool>,
-    /// Revision of the last known record in the store, 0 if there is none.
-    revision: Cell<u64>,
+    /// Time at which `last` became known.
+    departed_at: Cell<Instant>,
+    /// Era in which the record of `last` is in the store.
+    written: Cell<Option<Era>>,
+    /// Revision of the last known record in the store, none if there is none.
+    revision: Cell<Revision>,
     /// Held while the record is written.
     writing: Mutex<()>,
     started: Instant,
@@ -73,8 +76,9 @@
             store,
             key: format!("{PREFIX}{node}"),
             last: RefCell::new(None),
-            written: Cell::new(false),
-            revision: Cell::new(0),
+            departed_at: Cell::new(Instant::now()),
+            written: Cell::new(None),
+            revision: Cell::default(),
             writing: Mutex::new(()),
             started: Instant::now(),
             loaded: Cell::new(false),
@@ -94,7 +98,8 @@
                     // A departure that this process has recorded meanwhile is newer.
                     let mut last = self.last.borrow_mut();
                     if last.is_none() {
-                        self.written.set(found.is_some());
+                        let era = self.revision.get().era;
+                        self.written.set(found.is_some().then_some(era));
                         *last = found;
                     }
                     self.loaded.set(true);
@@ -113,16 +118,18 @@
             prefix: self.key.clone(),
             after: None,
         };
-        let StoreReply::Page { items, .. } = self.store.call(&call).await? else {
+        let answer = self.store.call(&call).await?;
+        let StoreReply::Page { items, .. } = answer.reply else {
             return Err(store::Error::Refused);
         };
-        Ok(self.decode(&items))
+        Ok(self.decode(&items, answer.era))
     }
 
     /// Returns the record among items of the store, and stores its revision for the next write.
-    fn decode(&self, items: &[Item]) -> Option<Departed> {
+    fn decode(&self, items: &[Item], era: Era) -> Option<Departed> {
         let item = items.iter().find(|i| i.key == self.key);
-        self.revision.set(item.map_or(0, |i| i.revision));
+        self.revision
+            .set(Revision::new(era, item.map_or(0, |i| i.revision)));
         match serde_json::from_slice(&item?.value) {
             Ok(departed) => Some(departed),
             Err(e) => {
@@ -155,7 +162,25 @@
     /// Returns whether the departure of an incarnation is recorded in the store.
     #[must_use]
     pub fn is_recorded(&self, holder: &Holder) -> bool {
-        self.written.get() && self.has_left(holder)
+        self.is_written() && self.has_left(holder)
+    }
+
+    fn is_written(&self) -> bool {
+        self.written.get() == Some(self.store.era())
+    }
+
+    /// Returns the last departure if the store has lost its record while that still matters. `node` is
+    /// the address of this node.
+    #[must_use]
+    pub fn lost_record(&self, node: &str) -> Option<Holder> {
+        let departed = self.last.borrow().clone()?;
+        let is_recent = Instant::now().since(self.departed_at.get()) < RECORD_TTL;
+        let was_written = self.written.get().is_some();
+        (is_recent && was_written && !self.is_written()).then(|| Holder {
+            node: node.to_owned(),
+            backend: departed.backend,
+            born: departed.born,
+        })
     }
 
     /// Records a departure in the store unless it is recorded already; takes at most `RECORD_TIMEOUT`.
@@ -166,15 +191,16 @@
         };
         if !self.has_left(holder) {
             *self.last.borrow_mut() = Some(departed.clone());
-            self.written.set(false);
+            self.departed_at.set(Instant::now());
+            self.written.set(None);
         }
         let write = async {
             let _writing = self.writing.lock().await;
             if self.is_recorded(holder) {
                 return Ok(());
             }
-            self.write(&departed).await?;
-            self.written.set(self.has_left(holder));
+            let era = self.write(&departed).await?;
+            self.written.set(self.has_left(holder).then_some(era));
             Ok::<_, store::Error>(())
         };
         let error = match time::timeout(RECORD_TIMEOUT, write).await {
@@ -189,28 +215,38 @@
     ///
     /// The store may execute a write late, when the next process of this node has recorded a later
     /// departure, so it is conditional on the record that it replaces.
-    async fn write(&self, departed: &Departed) -> Result<(), store::Error> {
+    async fn write(&self, departed: &Departed) -> Result<Era, store::Error> {
         let call = StoreCall::Grant { ttl: RECORD_TTL };
-        let StoreReply::Lease { id: Some(id), .. } = self.store.call(&call).await? else {
+        let answer = self.store.call(&call).await?;
+        let StoreReply::Lease { id: Some(id), .. } = answer.reply else {
             return Err(store::Error::Refused);
         };
+        let era = answer.era;
         let value = serde_json::to_vec(departed).expect("a departure is serializable");
         for _ in 0..MAX_ATTEMPTS {
+            if self.revision.get().era != era {
+                self.fetch().await?;
+            }
             let call = StoreCall::Commit(Commit {
-                expect: vec![(self.key.clone(), self.revision.get())],
+                expect: vec![(self.key.clone(), self.revision.get().number)],
                 put: vec![(self.key.clone(), value.clone(), Some(id))],
                 delete: Vec::new(),
             });
-            match self.store.call(&call).await? {
+            let answer = self.store.call(&call).await?;
+            if answer.era != era {
+                // The lease may be lost.
+                return Err(store::Error::Outdated(era));
+            }
+            match answer.reply {
                 StoreReply::Committed { revision } => {
-                    self.revision.set(revision);
-                    return Ok(());
+                    self.revision.set(Revision::new(era, revision));
+                    return Ok(era);
                 }
                 StoreReply::Conflict { items } => {
-                    let other = self.decode(&items);
+                    let other = self.decode(&items, era);
                     if let Some(other) = other.filter(|d| d.born > departed.born) {
                         tracing::info!(event = 380, backend = %departed.backend, born = departed.born, later = other.born, "kept the record of a later departure");
-                        return Ok(());
+                        return Ok(era);
                     }
                 }
                 _ => return Err(store::Error::Refused),
--- a/src/coordination/sidecar/grant_manager.rs
+++ b/src/coordination/sidecar/grant_manager.rs
@@ -11,10 +11,12 @@
 use crate::coordination::sidecar::dispatcher::Dispatcher;
 use crate::coordination::sidecar::local_backend::Backend;
 use crate::coordination::sidecar::registration::Registration;
-use crate::coordination::sidecar::tables::Tables;
+use crate::coordination::sidecar::tables::{Table, Tables};
 use crate::protocol::adapter::{GrantSet, Heartbeat, Hold, RangeGrant, Released};
+use crate::protocol::mesh::Claim;
 use crate::state::clock::Instant;
 use crate::state::keyspace::{AssignmentTable, Holder, Key, Slice};
+use crate::state::store_revision::{Era, Revision};
 
 /// Duration of the grant in a heartbeat's reply; about three heartbeat intervals.
 const GRANT_DURATION: Duration = Duration::from_secs(3);
@@ -55,7 +57,9 @@
     revoking: Cell<bool>,
     /// Service and base table revision of a change without a reply, which may still take effect.
     /// Nothing is granted by this table revision.
-    unresolved: RefCell<Option<(String, u64)>>,
+    unresolved: RefCell<Option<(String, Revision)>>,
+    /// Ranges that the last heartbeat has reported as held.
+    reported: RefCell<Option<(Holder, Vec<Hold>)>>,
 }
 
 impl GrantManager {
@@ -95,6 +99,7 @@
             updating: Cell::new(false),
             revoking: Cell::new(false),
             unresolved: RefCell::new(None),
+            reported: RefCell::new(None),
         })
     }
 
@@ -120,6 +125,8 @@
         self.released
             .borrow_mut()
             .extend(heartbeat.released.iter().cloned());
+        let reported = (backend.holder.clone(), heartbeat.holds.clone());
+        *self.reported.borrow_mut() = Some(reported);
         let reply = self.reply(heartbeat, backend);
         let (grants, next) = reply.unzip();
         let mut withheld = self.withheld.borrow_mut();
@@ -135,11 +142,11 @@
     ) -> Option<(GrantSet, Vec<(Key, Key)>)> {
         let now = Instant::now();
         let table = self.tables.get(&backend.service)?;
-        let lease = self.registration.remaining(now)?;
+        let lease = self.registration.remaining_in(table.revision.era, now)?;
         let unresolved = self.unresolved.borrow().clone();
         let resolved = is_write_resolved(unresolved.as_ref(), &backend.service, table.revision);
         if self.revoking.get() || !resolved {
-            tracing::warn!(event = 455, backend = %backend.holder.backend, revision = table.revision, "nothing is granted while a revocation is pending");
+            tracing::warn!(event = 455, backend = %backend.holder.backend, revision = %table.revision, "nothing is granted while a revocation is pending");
             return None;
         }
         let grants = GrantSet {
@@ -162,6 +169,56 @@
         Some((grants, moving))
     }
 
+    /// Returns what the backend server may hold in a new era of the store. Returns `None` if the node has
+    /// no entry there yet, or doesn't know what an earlier process has granted.
+    ///
+    /// From then on nothing else is granted before the table is confirmed: no table of an earlier era is
+    /// applied any more, and none is changed.
+    #[must_use]
+    pub fn claim(&self, service: &str, era: Era) -> Option<Claim> {
+        let now = Instant::now();
+        let entry = self.registration.entry_number()?;
+        let leased = |t: &Table| {
+            let remaining = self.registration.remaining_in(t.revision.era, now);
+            remaining.is_some()
+        };
+        let table = self.tables.get(service).filter(leased);
+        let slices = match &table {
+            Some(table) => {
+                let local = |s: &&Slice| s.holder.as_ref().is_some_and(|h| h.node == self.node);
+                let slices = table.assignments.slices.iter().filter(local);
+                slices.cloned().collect()
+            }
+            None => self.reported_slices()?,
+        };
+        Some(Claim {
+            era,
+            service: service.to_owned(),
+            node: self.node.clone(),
+            entry,
+            table: table.map_or(Revision::default(), |t| t.revision),
+            slices,
+        })
+    }
+
+    /// Returns the ranges that the backend server has reported as held. Returns `None` if it has not
+    /// reported since the start of this process, and may still hold what an earlier one has granted.
+    fn reported_slices(&self) -> Option<Vec<Slice>> {
+        let reported = self.reported.borrow();
+        let Some((holder, holds)) = &*reported else {
+            return self.all_expired().then(Vec::new);
+        };
+        let slice = |hold: &Hold| Slice {
+            from: hold.from,
+            to: hold.to,
+            token: hold.token,
+            holder: Some(holder.clone()),
+            target: None,
+            handover: String::new(),
+        };
+        Some(holds.iter().map(slice).collect())
+    }
+
     /// Records the ranges that the backend server has freed in the table.
     pub async fn record_release(&self, free: FreeRanges, backend: &Backend) {
         if free.is_empty() || self.updating.replace(true) {
@@ -202,6 +259,9 @@
         let current = self.dispatcher.backend();
         let expired = self.all_expired();
         for service in self.tables.services() {
+            if !self.tables.is_confirmed(&service) {
+                continue;
+            }
             let Some(table) = self.tables.get(&service) else {
                 continue;
             };
@@ -257,7 +317,7 @@
                 }
             }
             Err(e) => {
-                tracing::warn!(event = 456, service, revision, error = %e, "can't supersede a change without a reply yet");
+                tracing::warn!(event = 456, service, revision = %revision, error = %e, "can't supersede a change without a reply yet");
             }
         }
     }
@@ -357,7 +417,11 @@
 /// Returns whether a service's table at `revision` can no longer be replaced by a write without a
 /// reply. `unresolved` is the service of such a write and the table revision that it is based on.
 #[must_use]
-pub fn is_write_resolved(unresolved: Option<&(String, u64)>, service: &str, revision: u64) -> bool {
+pub fn is_write_resolved(
+    unresolved: Option<&(String, Revision)>,
+    service: &str,
+    revision: Revision,
+) -> bool {
     unresolved.is_none_or(|(name, at)| name != service || *at != revision)
 }
 
--- a/src/coordination/sidecar/ingress.rs
+++ b/src/coordination/sidecar/ingress.rs
@@ -301,7 +301,8 @@
             first = false;
             trace.dispatches += 1;
             target.destination.name().clone_into(&mut trace.node);
-            (trace.table_revision, trace.report_ms) = (target.table_revision, target.report_ms);
+            (trace.table_revision, trace.report_ms) =
+                (target.table_revision.number, target.report_ms);
             if context.key.is_none() {
                 tried.insert(target.destination.name().to_owned());
             }
--- a/src/coordination/sidecar/membership.rs
+++ b/src/coordination/sidecar/membership.rs
@@ -26,6 +26,8 @@
 #[derive(Debug)]
 struct Peer {
     link: Rc<Link>,
+    /// Service of the node's host; empty if its entry doesn't tell.
+    service: String,
     /// Whether the node has an entry in the store.
     listed: bool,
 }
@@ -100,9 +102,10 @@
             let hello = self.hello.clone();
             let handler = self.items_handler.borrow().clone();
             let link = Link::start(address, &entry.domain, hello, Rc::clone(&self.report_changed), handler);
-            Peer { link, listed: true }
+            Peer { link, service: String::new(), listed: true }
         });
         peer.listed = true;
+        entry.service.clone_into(&mut peer.service);
         entry.domain.clone_into(&mut peer.link.domain.borrow_mut());
     }
 
@@ -152,6 +155,15 @@
         peers.get(address).map(|p| Rc::clone(&p.link))
     }
 
+    /// Returns the nodes whose hosts have a backend server of a service, or don't tell.
+    #[must_use]
+    pub fn nodes_of(&self, service: &str) -> Vec<String> {
+        let peers = self.peers.borrow();
+        let of_service = |p: &Peer| p.service.is_empty() || p.service == service;
+        let nodes = peers.iter().filter(|(_, p)| of_service(p));
+        nodes.map(|(address, _)| address.clone()).collect()
+    }
+
     /// Returns whether a node has an entry.
     #[must_use]
     pub fn is_listed(&self, address: &str) -> bool {
--- a/src/coordination/sidecar/mod.rs
+++ b/src/coordination/sidecar/mod.rs
@@ -14,6 +14,7 @@
 pub mod backoff;
 pub mod catchup;
 pub mod configuration;
+pub mod confirmation;
 pub mod departures;
 pub mod dispatcher;
 pub mod failure_rate;
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -12,6 +12,7 @@
 use crate::coordination::sidecar::backoff::Backoff;
 use crate::coordination::sidecar::catchup::{Action, CatchUp, Source};
 use crate::coordination::sidecar::configuration::Configuration;
+use crate::coordination::sidecar::confirmation::{self, Confirmation};
 use crate::coordination::sidecar::departures::Departures;
 use crate::coordination::sidecar::dispatcher::Dispatcher;
 use crate::coordination::sidecar::forwarders;
@@ -109,16 +110,10 @@
         adapter: &Rc<dyn Adapter>,
         metrics: &Metrics,
     ) -> Rc<Self> {
-        let address = settings.listen.announced.to_string();
-        let incarnation = rand::random();
-        let hello = Hello {
-            node: address.clone(),
-            incarnation,
-            domain: settings.domain.clone(),
-        };
+        let (hello, entry) = identify(settings);
+        let address = hello.node.clone();
         let state_changed = Rc::new(Notify::new());
-        let calls = metrics.store_calls.clone();
-        let store = Rc::new(StoreClient::new(Rc::clone(adapter), settings.store, calls));
+        let store = store_client(settings, adapter, metrics);
         let configuration = Rc::new(Configuration::new(
             Rc::clone(adapter),
             Rc::clone(&state_changed),
@@ -142,31 +137,40 @@
             Rc::clone(&state_changed),
             metrics.clone(),
         );
-        let entry = NodeEntry {
-            address: address.clone(),
-            incarnation,
-            domain: settings.domain.clone(),
-        };
         let departures = Departures::new(&address, Rc::clone(&store));
         let registration = Registration::new(Rc::clone(&store), Rc::clone(&replicator), entry);
-        let planner = Rc::new(Planner::new(
+        let grant_manager = GrantManager::new(
             &address,
-            Rc::clone(&store),
+            settings.bounds.max_hold,
             Rc::clone(&dispatcher),
-            Rc::clone(&membership),
             Rc::clone(&tables),
             Rc::clone(&registration),
-        ));
-        let grant_manager = GrantManager::new(
+        );
+        let confirmation = Confirmation::new(confirmation::Dependencies {
+            node: address.clone(),
+            service: settings.service.clone(),
+            store: Rc::clone(&store),
+            configuration: Rc::clone(&configuration),
+            dispatcher: Rc::clone(&dispatcher),
+            membership: Rc::clone(&membership),
+            tables: Rc::clone(&tables),
+            replicator: Rc::clone(&replicator),
+            registration: Rc::clone(&registration),
+            grant_manager: Rc::clone(&grant_manager),
+        });
+        let planner = Rc::new(Planner::new(
             &address,
-            settings.bounds.max_hold,
+            Rc::clone(&store),
             Rc::clone(&dispatcher),
+            Rc::clone(&membership),
             Rc::clone(&tables),
             Rc::clone(&registration),
-        );
+            Rc::clone(&confirmation),
+        ));
         let peer_handler = Rc::new(PeerHandler {
             dispatcher: Rc::clone(&dispatcher),
             planner: Rc::clone(&planner),
+            confirmation,
             store: Rc::clone(&store),
             configuration: Rc::clone(&configuration),
             replicator: Rc::clone(&replicator),
@@ -394,14 +398,21 @@
         loop {
             let backend = self.dispatcher.backend();
             let leaving = backend.filter(|b| b.draining_since.is_some());
-            match leaving.filter(|b| !self.departures.is_recorded(&b.holder)) {
+            let unrecorded = leaving
+                .map(|b| b.holder)
+                .filter(|h| !self.departures.is_recorded(h))
+                .or_else(|| self.departures.lost_record(self.membership.node()));
+            match unrecorded {
                 None => {
                     backoff = Backoff::default();
-                    self.state_changed.notified().await;
+                    tokio::select! {
+                        () = self.state_changed.notified() => {}
+                        () = self.store.era_changed.notified() => {}
+                    }
                 }
-                Some(backend) => {
-                    self.departures.record(&backend.holder).await;
-                    if !self.departures.is_recorded(&backend.holder) {
+                Some(holder) => {
+                    self.departures.record(&holder).await;
+                    if !self.departures.is_recorded(&holder) {
                         backoff.wait(&self.store).await;
                     }
                 }
@@ -434,10 +445,12 @@
                     .map(|(link, _)| (*link, *link.domain.borrow() == self.settings.domain))
                     .collect()
             };
+            let newest_era = loads.iter().map(|(_, load)| load.items.era).max();
+            self.store.learn_era(newest_era.unwrap_or_default());
             let (version, known) = (self.configuration.version(), self.replicator.revision());
             let newer = ahead(&|load| load.config > version);
             let (request, reread) = (Frame::WantConfig, &self.reread_config);
-            request_newer(&mut config, version.0, &newer, request, reread);
+            request_newer(&mut config, version, &newer, request, reread);
             let newer = ahead(&|load| load.items > known);
             let request = Frame::Want(self.replicator.request_revision());
             let reread = &self.reread_items;
@@ -518,6 +531,31 @@
     }
 }
 
+fn store_client(
+    settings: &SidecarSettings,
+    adapter: &Rc<dyn Adapter>,
+    metrics: &Metrics,
+) -> Rc<StoreClient> {
+    let calls = metrics.store_calls.clone();
+    Rc::new(StoreClient::new(Rc::clone(adapter), settings.store, calls))
+}
+
+/// Returns the identity of this process for other nodes, and its entry in the store.
+fn identify(settings: &SidecarSettings) -> (Hello, NodeEntry) {
+    let hello = Hello {
+        node: settings.listen.announced.to_string(),
+        incarnation: rand::random(),
+        domain: settings.domain.clone(),
+    };
+    let entry = NodeEntry {
+        address: hello.node.clone(),
+        incarnation: hello.incarnation,
+        domain: hello.domain.clone(),
+        service: settings.service.clone(),
+    };
+    (hello, entry)
+}
+
 /// Returns the function that relays store calls through another node.
 fn relay_through(link: Rc<Link>) -> store::Relay {
     Box::new(move |request| {
@@ -531,9 +569,9 @@
 
 /// Performs the next action of a catch-up: sends `request` to one of the nodes that are ahead, or
 /// triggers a read of the store.
-fn request_newer(
-    catch_up: &mut CatchUp,
-    known: u64,
+fn request_newer<V: Copy + Ord>(
+    catch_up: &mut CatchUp<V>,
+    known: V,
     ahead: &[Ahead<'_>],
     request: Frame,
     reread: &Notify,
--- a/src/coordination/sidecar/peer_handler.rs
+++ b/src/coordination/sidecar/peer_handler.rs
@@ -7,14 +7,16 @@
 use std::time::Duration;
 
 use crate::coordination::sidecar::configuration::Configuration;
+use crate::coordination::sidecar::confirmation::Confirmation;
 use crate::coordination::sidecar::dispatcher::Dispatcher;
 use crate::coordination::sidecar::planner::Planner;
 use crate::coordination::sidecar::replication::Replicator;
 use crate::protocol::mesh::{
-    BackendInfo, Call, HolderRates, Items, Load, Reminder, StoreRequest, StoreResponse,
+    BackendInfo, Call, Claim, HolderRates, Items, Load, Reminder, StoreRequest, StoreResponse,
 };
 use crate::state::clock::Instant;
 use crate::state::decayed_average::DecayedAverage;
+use crate::state::store_revision::Revision;
 use crate::transport::sidecar::peer_server::{Handler, Job};
 use crate::transport::sidecar::store::StoreClient;
 
@@ -40,6 +42,8 @@
     pub dispatcher: Rc<Dispatcher>,
     /// Planner, which receives key rates.
     pub planner: Rc<Planner>,
+    /// Confirmation of the service's table, which receives claims.
+    pub confirmation: Rc<Confirmation>,
     /// Store, for relayed calls.
     pub store: Rc<StoreClient>,
     /// Active configuration.
@@ -77,7 +81,7 @@
         Self::load(self)
     }
 
-    fn items(&self, after: u64) -> Items {
+    fn items(&self, after: Revision) -> Items {
         self.replicator.changes_since(after)
     }
 
@@ -94,6 +98,10 @@
         self.planner.record_rates(rates);
     }
 
+    fn receive_claim(&self, claim: Claim) {
+        self.confirmation.record(claim);
+    }
+
     fn recall(&self, reminder: Reminder) {
         self.dispatcher.recall(reminder);
     }
--- a/src/coordination/sidecar/planner.rs
+++ b/src/coordination/sidecar/planner.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::coordination::sidecar::confirmation::Confirmation;
 use crate::coordination::sidecar::dispatcher::Dispatcher;
 use crate::coordination::sidecar::failure_rate;
 use crate::coordination::sidecar::membership::MembershipView;
@@ -56,6 +57,7 @@
     membership: Rc<MembershipView>,
     tables: Rc<Tables>,
     registration: Rc<Registration>,
+    confirmation: Rc<Confirmation>,
     rate_reports: RefCell<HashMap<Holder, (KeyRateReport, Instant)>>,
     started: Instant,
     /// Time since which a change is needed that no node has made.
@@ -72,6 +74,7 @@
         membership: Rc<MembershipView>,
         tables: Rc<Tables>,
         registration: Rc<Registration>,
+        confirmation: Rc<Confirmation>,
     ) -> Self {
         Self {
             node: node.to_owned(),
@@ -80,6 +83,7 @@
             membership,
             tables,
             registration,
+            confirmation,
             rate_reports: RefCell::new(HashMap::new()),
             started: Instant::now(),
             needed_since: Cell::new(None),
@@ -96,6 +100,11 @@
 
     /// Reports the local key rates, and makes the changes to the assignment table that are needed now.
     pub async fn tick(&self) {
+        if let Some(service) = self.confirmation.pending_service() {
+            let known = Instant::now().since(self.started) >= STARTUP_DELAY;
+            self.confirmation.tick(&service, known).await;
+            return;
+        }
         let Some(backend) = self.dispatcher.backend().filter(|b| b.keyed) else {
             return;
         };
--- a/src/coordination/sidecar/registration.rs
+++ b/src/coordination/sidecar/registration.rs
@@ -7,6 +7,10 @@
 //!
 //! That holds only while the entry is there as this process wrote it. If the replica of the store shows
 //! that it was removed or overwritten, nothing is granted until the node has registered again.
+//!
+//! A restored store may have lost the entry and the lease. Until a table is confirmed for the new era, no
+//! node takes keys away there before all leases of the earlier one have ended. So the node may grant keys
+//! until its old lease ends, and has registered again by then.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -18,8 +22,9 @@
 use crate::coordination::sidecar::replication::Replicator;
 use crate::coordination::sidecar::tables;
 use crate::protocol::adapter::{Commit, LeaseId, StoreCall, StoreReply};
-use crate::protocol::ownership::NodeEntry;
+use crate::protocol::ownership::{self, NodeEntry};
 use crate::state::clock::Instant;
+use crate::state::store_revision::{Era, Revision};
 use crate::transport::sidecar::store::{self, StoreClient};
 
 /// Duration of a node's lease. The keys of a lost host are unavailable for this time, and keys stay
@@ -41,7 +46,25 @@
     id: LeaseId,
     expiry: Instant,
     /// Revision at which the node's entry was written.
-    entry_revision: u64,
+    entry_revision: Revision,
+}
+
+impl Lease {
+    fn remaining(&self, now: Instant) -> Option<Duration> {
+        let remaining = (self.expiry - EXPIRY_MARGIN).since(now);
+        (remaining > Duration::ZERO).then_some(remaining)
+    }
+}
+
+/// What is known of this process's entry after the store was restored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Restored {
+    /// The replica isn't of the present era yet.
+    Unknown,
+    /// The store has the entry, at this revision.
+    Present(Revision),
+    /// The store has no entry, or that of another process.
+    Lost,
 }
 
 /// Registration of this node under a lease.
@@ -51,6 +74,8 @@
     replicator: Rc<Replicator>,
     entry: NodeEntry,
     lease: Cell<Option<Lease>>,
+    /// First era since which the node has had a lease without a break.
+    leased_since: Cell<Era>,
     /// Set on shutdown; the node doesn't register again.
     ended: Cell<bool>,
 }
@@ -64,6 +89,7 @@
             replicator,
             entry,
             lease: Cell::new(None),
+            leased_since: Cell::default(),
             ended: Cell::new(false),
         })
     }
@@ -80,19 +106,56 @@
     #[must_use]
     pub fn remaining(&self, now: Instant) -> Option<Duration> {
         let lease = self.lease.get()?;
-        if self.replicated_revision() != Some(lease.entry_revision) {
+        if !self.is_of_earlier_era(&lease)
+            && self.replicated_revision() != Some(lease.entry_revision)
+        {
             return None;
         }
-        let remaining = (lease.expiry - EXPIRY_MARGIN).since(now);
-        (remaining > Duration::ZERO).then_some(remaining)
+        lease.remaining(now)
+    }
+
+    /// Returns the remaining time for which keys may be granted by a table that was confirmed in `era`.
+    /// In a later era that takes a lease that has not ended since, because others wait for its end only
+    /// once.
+    #[must_use]
+    pub fn remaining_in(&self, era: Era, now: Instant) -> Option<Duration> {
+        self.remaining(now)
+            .filter(|_| self.leased_since.get() <= era)
+    }
+
+    /// Returns the number of the revision at which this process has written its entry in the present era,
+    /// as far as the replica shows it.
+    #[must_use]
+    pub fn entry_number(&self) -> Option<u64> {
+        let written = self.lease.get()?.entry_revision;
+        let known = self.replicated_revision() == Some(written);
+        (known && written.era == self.store.era()).then_some(written.number)
+    }
+
+    fn is_of_earlier_era(&self, lease: &Lease) -> bool {
+        lease.entry_revision.era < self.store.era()
     }
 
     /// Returns the revision of the node's entry in the replica of the store.
-    fn replicated_revision(&self) -> Option<u64> {
+    fn replicated_revision(&self) -> Option<Revision> {
         let key = Self::entry_key(&self.entry.address);
         self.replicator.item_revision(&key)
     }
 
+    /// Returns what the replica shows of this process's entry in the present era.
+    fn restored_entry(&self) -> Restored {
+        if self.replicator.revision().era != self.store.era() {
+            return Restored::Unknown;
+        }
+        let key = Self::entry_key(&self.entry.address);
+        let value = self.replicator.value(&key).unwrap_or_default();
+        let found = ownership::decode_entry(&self.entry.address, &value);
+        match (found, self.replicated_revision()) {
+            (Ok(entry), Some(revision)) if entry == self.entry => Restored::Present(revision),
+            _ => Restored::Lost,
+        }
+    }
+
     /// Returns whether the entry that was written under a lease was removed or overwritten since.
     fn is_entry_lost(&self, lease: &Lease) -> bool {
         let known = self.replicator.revision() >= lease.entry_revision;
@@ -119,9 +182,11 @@
     async fn register(&self) -> Result<(), store::Error> {
         let sent = Instant::now();
         let call = StoreCall::Grant { ttl: LEASE };
-        let StoreReply::Lease { id: Some(id), ttl } = self.store.call(&call).await? else {
+        let answer = self.store.call(&call).await?;
+        let StoreReply::Lease { id: Some(id), ttl } = answer.reply else {
             return Err(store::Error::Refused);
         };
+        let era = answer.era;
         let expiry = sent + ttl;
         let key = Self::entry_key(&self.entry.address);
         let value = serde_json::to_vec(&self.entry).expect("a node entry is serializable");
@@ -133,9 +198,18 @@
                 put: vec![(key.clone(), value.clone(), Some(id))],
                 delete: Vec::new(),
             });
-            match self.store.call(&call).await? {
+            let answer = self.store.call(&call).await?;
+            if answer.era != era {
+                // The lease may be lost.
+                return Err(store::Error::Outdated(era));
+            }
+            match answer.reply {
                 StoreReply::Committed { revision } => {
-                    let entry_revision = revision;
+                    let entry_revision = Revision::new(era, revision);
+                    let before = self.lease.get().and_then(|l| l.remaining(Instant::now()));
+                    if before.is_none() {
+                        self.leased_since.set(era);
+                    }
                     self.lease.set(Some(Lease {
                         id,
                         expiry,
@@ -145,6 +219,7 @@
                         event = 332,
                         lease = id.0,
                         revision,
+                        era = era.0,
                         "registered with the store"
                     );
                     return Ok(());
@@ -165,7 +240,7 @@
             prefix: key.to_owned(),
             after: None,
         };
-        let StoreReply::Page { items, .. } = self.store.call(&call).await? else {
+        let StoreReply::Page { items, .. } = self.store.call(&call).await?.reply else {
             return Err(store::Error::Refused);
         };
         let present = items.iter().find(|i| i.key == key);
@@ -176,24 +251,57 @@
     async fn renew(&self) {
         let mut interval = RENEWAL_INTERVAL;
         while let Some(lease) = self.lease.get() {
-            if self.is_entry_lost(&lease) {
-                tracing::warn!(event = 330, revision = lease.entry_revision, found = ?self.replicated_revision(), "the node's entry was removed or overwritten; registering again");
+            if self.is_of_earlier_era(&lease) {
+                match self.restored_entry() {
+                    Restored::Unknown | Restored::Present(_) => {}
+                    Restored::Lost => {
+                        tracing::warn!(event = 319, revision = %lease.entry_revision, "the store has lost the node's entry; registering again");
+                        return;
+                    }
+                }
+            } else if self.is_entry_lost(&lease) {
+                tracing::warn!(event = 330, revision = %lease.entry_revision, found = ?self.replicated_revision(), "the node's entry was removed or overwritten; registering again");
                 self.lease.set(None);
                 return;
             }
             tokio::select! {
                 () = time::sleep(interval) => {}
-                () = self.replicator.own_entry_changed.notified() => continue,
+                () = self.replicator.own_entry_changed.notified() => {
+                    // The replica has the entry in a new era; the lease is renewed there at once.
+                    if !matches!(self.restored_entry(), Restored::Present(_))
+                        || !self.is_of_earlier_era(&lease)
+                    {
+                        continue;
+                    }
+                }
             }
             interval = RENEWAL_INTERVAL;
             let sent = Instant::now();
-            match self.store.call(&StoreCall::Renew(lease.id)).await {
+            let answer = self.store.call(&StoreCall::Renew(lease.id)).await;
+            let era = answer.as_ref().map_or(Era::default(), |a| a.era);
+            match answer.map(|a| a.reply) {
                 // The node may have been deregistered meanwhile.
                 Ok(StoreReply::Lease { .. }) if self.lease.get().is_none() => {}
-                Ok(StoreReply::Lease { ttl, .. }) => {
+                Ok(StoreReply::Lease { ttl, .. }) if lease.entry_revision.era == era => {
                     let expiry = sent + ttl;
                     self.lease.set(Some(Lease { expiry, ..lease }));
                 }
+                Ok(StoreReply::Lease { ttl, .. }) => {
+                    // The lease of the copy goes on, and protects the entry if that is there too.
+                    if let Restored::Present(entry_revision) = self.restored_entry() {
+                        let expiry = sent + ttl;
+                        self.lease.set(Some(Lease {
+                            expiry,
+                            entry_revision,
+                            ..lease
+                        }));
+                        tracing::info!(event = 320, lease = lease.id.0, revision = %entry_revision, "the node's entry is in the restored store");
+                    }
+                }
+                Ok(StoreReply::Missing) if lease.entry_revision.era < era => {
+                    tracing::warn!(event = 319, revision = %lease.entry_revision, "the store has lost the node's lease; registering again");
+                    return;
+                }
                 Ok(StoreReply::Missing) => {
                     tracing::warn!(
                         event = 333,
@@ -224,16 +332,21 @@
         let Some(lease) = self.lease.take() else {
             return;
         };
+        if self.is_of_earlier_era(&lease) {
+            // The revision may belong to another entry by now.
+            tracing::info!(event = 340, revision = %lease.entry_revision, reply = "none", "the node's entry is no longer the one that this process has written");
+            return;
+        }
         let key = Self::entry_key(&self.entry.address);
         let call = StoreCall::Commit(Commit {
-            expect: vec![(key.clone(), lease.entry_revision)],
+            expect: vec![(key.clone(), lease.entry_revision.number)],
             put: Vec::new(),
             delete: vec![key],
         });
-        match self.store.call(&call).await {
+        match self.store.call(&call).await.map(|a| a.reply) {
             Ok(StoreReply::Committed { .. }) => {}
             Ok(reply) => {
-                tracing::info!(event = 340, revision = lease.entry_revision, reply = ?reply, "the node's entry is no longer the one that this process has written");
+                tracing::info!(event = 340, revision = %lease.entry_revision, reply = ?reply, "the node's entry is no longer the one that this process has written");
             }
             Err(e) => {
                 tracing::info!(event = 336, error = %e, "can't remove the node's entry; it expires with its lease");
--- a/src/coordination/sidecar/replica.rs
+++ b/src/coordination/sidecar/replica.rs
@@ -5,6 +5,9 @@
 //! be late. Each update says which revisions it covers, so that a late one can't restore an item that
 //! was removed meanwhile.
 //!
+//! Revisions are ordered within an era of the store. The first update of a later era is a complete set
+//! of items and replaces all that was known of the earlier one.
+//!
 //! This module does no input or output, so that a test can simulate concurrent updates.
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
@@ -13,6 +16,7 @@
 use crate::protocol::adapter::{Event, Item};
 use crate::protocol::mesh::{Items, StoredItem};
 use crate::protocol::ownership;
+use crate::state::store_revision::{Era, Revision};
 
 /// Maximum number of removals in the history; a node that is further behind gets all items.
 const MAX_REMOVALS: usize = 64;
@@ -36,6 +40,8 @@
 /// Replica of the store's items at one revision.
 #[derive(Debug, Default)]
 pub struct Replica {
+    /// Era of all revisions below.
+    era: Era,
     items: BTreeMap<String, (u64, Vec<u8>)>,
     removed: VecDeque<(u64, String)>,
     /// Newest revision whose removals are no longer in the history.
@@ -51,27 +57,43 @@
 }
 
 impl Replica {
-    /// Returns the revision up to which all changes are known, or 0 if there are none.
+    /// Returns the revision up to which all changes are known, if there is one.
     #[must_use]
-    pub fn revision(&self) -> u64 {
-        self.revision
+    pub fn revision(&self) -> Revision {
+        Revision::new(self.era, self.revision)
     }
 
-    /// Returns the revision since which changes are to be requested, or 0 for all items.
+    /// Returns the revision since which changes are to be requested, or none for all items.
     #[must_use]
-    pub fn request_revision(&self) -> u64 {
-        if self.needs_all { 0 } else { self.revision }
+    pub fn request_revision(&self) -> Revision {
+        if self.needs_all {
+            Revision::default()
+        } else {
+            self.revision()
+        }
     }
 
     /// Returns the revision of an item.
     #[must_use]
-    pub fn item_revision(&self, key: &str) -> Option<u64> {
-        self.items.get(key).map(|(revision, _)| *revision)
+    pub fn item_revision(&self, key: &str) -> Option<Revision> {
+        let (number, _) = self.items.get(key)?;
+        Some(Revision::new(self.era, *number))
+    }
+
+    /// Returns the value of an item.
+    #[must_use]
+    pub fn value(&self, key: &str) -> Option<&[u8]> {
+        self.items.get(key).map(|(_, value)| value.as_slice())
     }
 
     /// Returns the changes since a revision, or all items if the history doesn't cover it.
     #[must_use]
-    pub fn changes_since(&self, since: u64) -> Items {
+    pub fn changes_since(&self, after: Revision) -> Items {
+        let since = if after.era == self.era {
+            after.number
+        } else {
+            0
+        };
         let within = |&(from, to): &(u64, u64)| from < since && since < to;
         let whole = since == 0 || since < self.history_start || self.gaps.iter().any(within);
         let present = self.items.iter().filter(|(_, (r, _))| whole || *r > since);
@@ -100,8 +122,8 @@
         items.sort_by_key(|i| i.revision);
         Items {
             whole,
-            since,
-            as_of: self.revision,
+            since: after,
+            as_of: self.revision(),
             items,
         }
     }
@@ -140,17 +162,22 @@
     ///
     /// Newer items of later pages are skipped; the next update brings them. A replica with one would
     /// have content that is newer than the revision it reports to other nodes.
-    pub fn apply_snapshot(&mut self, items: &[Item], as_of: u64) -> Vec<Change> {
-        if as_of < self.revision {
+    pub fn apply_snapshot(&mut self, items: &[Item], as_of: Revision) -> Vec<Change> {
+        if as_of < self.revision() {
             tracing::info!(
                 event = 328,
-                as_of,
-                newest = self.revision,
+                as_of = as_of.number,
+                era = as_of.era.0,
+                newest = %self.revision(),
                 "ignored items that are older than the replica"
             );
             return Vec::new();
         }
-        let listed: HashSet<&str> = items.iter().map(|i| i.key.as_str()).collect();
+        let begins = self.begin_era(as_of.era);
+        let as_of = as_of.number;
+        // The value of an item that is skipped below may be one that the store has lost.
+        let kept = items.iter().filter(|i| !begins || i.revision <= as_of);
+        let listed: HashSet<&str> = kept.map(|i| i.key.as_str()).collect();
         let mut changes = self.retain_listed(&listed, as_of);
         for item in items.iter().filter(|i| i.revision <= as_of) {
             changes.extend(self.put(&item.key, item.value.clone(), item.revision));
@@ -163,8 +190,11 @@
         changes
     }
 
-    /// Applies changes of a watch, in the order of their revisions.
-    pub fn apply_events(&mut self, events: &[Event]) -> Vec<Change> {
+    /// Applies changes of a watch, in the order of their revisions. Those of another era are ignored.
+    pub fn apply_events(&mut self, events: &[Event], era: Era) -> Vec<Change> {
+        if era != self.era {
+            return Vec::new();
+        }
         // All changes of one commit have the same revision.
         let base = self.revision;
         let mut changes = Vec::new();
@@ -184,11 +214,12 @@
 
     /// Applies changes or all items from another node.
     pub fn apply_remote(&mut self, items: Items) -> Vec<Change> {
-        let base = self.revision;
-        let gap = !items.whole && items.since > base;
-        if items.as_of <= base || gap {
+        let known = self.revision();
+        let gap = !items.whole && (items.as_of.era != self.era || items.since > known);
+        if items.as_of <= known || gap {
             return Vec::new();
         }
+        let base = known.number;
         let mut received = Vec::new();
         for item in items.items {
             if item.revision <= base && !items.whole {
@@ -201,7 +232,7 @@
                     let Some(value) = self.decode_value(&key, value, item.base) else {
                         // This replica doesn't have the base of the delta. Unless the response is late, all
                         // items have to be requested.
-                        self.needs_all = items.since == base;
+                        self.needs_all = items.since == known;
                         return Vec::new();
                     };
                     Some(value)
@@ -210,10 +241,12 @@
             received.push((key, value, item.revision));
         }
         self.needs_all = false;
+        self.begin_era(items.as_of.era);
+        let as_of = items.as_of.number;
         let mut changes = Vec::new();
         if items.whole {
             let listed: HashSet<&str> = received.iter().map(|(key, ..)| key.as_str()).collect();
-            changes = self.retain_listed(&listed, items.as_of);
+            changes = self.retain_listed(&listed, as_of);
         }
         for (key, value, revision) in received {
             changes.extend(match value {
@@ -222,12 +255,34 @@
             });
         }
         if items.whole {
-            self.skip_to(items.as_of);
+            self.skip_to(as_of);
         }
-        self.revision = items.as_of;
+        self.revision = as_of;
         changes
     }
 
+    /// Begins an era if it is later, and returns whether it is. The items stay until a complete set
+    /// replaces them, but their revisions mean nothing any more.
+    fn begin_era(&mut self, era: Era) -> bool {
+        if era <= self.era {
+            return false;
+        }
+        tracing::info!(
+            event = 318,
+            before = %self.revision(),
+            era = era.0,
+            items = self.items.len(),
+            "the replica begins a new era"
+        );
+        let items = std::mem::take(&mut self.items);
+        *self = Self {
+            era,
+            items: items.into_iter().map(|(k, (_, v))| (k, (0, v))).collect(),
+            ..Self::default()
+        };
+        true
+    }
+
     /// Advances to a revision without knowledge of each change in between.
     fn skip_to(&mut self, to: u64) {
         self.gaps.push_back((self.revision, to));
@@ -252,8 +307,9 @@
 
     fn put(&mut self, key: &str, value: Vec<u8>, revision: u64) -> Option<Change> {
         if self
-            .item_revision(key)
-            .is_some_and(|known| known >= revision)
+            .items
+            .get(key)
+            .is_some_and(|(known, _)| *known >= revision)
         {
             return None;
         }
@@ -265,6 +321,8 @@
         let before = self
             .items
             .insert(item.key.clone(), (revision, item.value.clone()));
+        // Values of an earlier era have no revision that another node could refer to.
+        let before = before.filter(|(revision, _)| *revision > 0);
         if let Some(before) = before.filter(|_| key.starts_with(tables::TABLES)) {
             let earlier = self.earlier.entry(item.key.clone()).or_default();
             earlier.push_back(before);
@@ -277,8 +335,9 @@
 
     fn remove(&mut self, key: &str, revision: u64) -> Option<Change> {
         if self
-            .item_revision(key)
-            .is_some_and(|known| known > revision)
+            .items
+            .get(key)
+            .is_some_and(|(known, _)| *known > revision)
         {
             return None;
         }
--- a/src/coordination/sidecar/replication.rs
+++ b/src/coordination/sidecar/replication.rs
@@ -17,6 +17,7 @@
 use crate::protocol::adapter::{Event, Item};
 use crate::protocol::mesh::Items;
 use crate::protocol::ownership;
+use crate::state::store_revision::{Era, Revision};
 use crate::transport::sidecar::store::StoreClient;
 
 /// Number of nodes that watch the store.
@@ -26,7 +27,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PendingUpdate {
     /// Revision before the update.
-    pub since: u64,
+    pub since: Revision,
     /// Whether it came from the store; otherwise from a node of another failure domain.
     pub from_store: bool,
 }
@@ -73,19 +74,25 @@
 
     /// Returns the revision up to which all changes are known.
     #[must_use]
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.replica.borrow().revision()
     }
 
     /// Returns the revision of an item.
     #[must_use]
-    pub fn item_revision(&self, key: &str) -> Option<u64> {
+    pub fn item_revision(&self, key: &str) -> Option<Revision> {
         self.replica.borrow().item_revision(key)
     }
 
+    /// Returns the value of an item.
+    #[must_use]
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        self.replica.borrow().value(key).map(<[u8]>::to_vec)
+    }
+
     /// Returns the revision since which changes are requested from other nodes.
     #[must_use]
-    pub fn request_revision(&self) -> u64 {
+    pub fn request_revision(&self) -> Revision {
         self.replica.borrow().request_revision()
     }
 
@@ -95,8 +102,8 @@
     }
 
     /// Queues the changes since a revision for forwarding, if there are any.
-    fn queue_update(&self, since: u64, from_store: bool) {
-        if self.revision() == since || since == 0 {
+    fn queue_update(&self, since: Revision, from_store: bool) {
+        if self.revision() == since || since.is_none() {
             return;
         }
         let before = self.pending.get();
@@ -115,13 +122,14 @@
 
     /// Returns the changes since a revision.
     #[must_use]
-    pub fn changes_since(&self, revision: u64) -> Items {
+    pub fn changes_since(&self, revision: Revision) -> Items {
         self.replica.borrow().changes_since(revision)
     }
 
     /// Applies items from a node of the given failure domain.
     pub fn apply_remote(&self, domain: &str, items: Items) {
-        if items.as_of > 0 {
+        if !items.as_of.is_none() {
+            self.store.learn_era(items.as_of.era);
             let since = self.revision();
             let changes = self.replica.borrow_mut().apply_remote(items);
             self.apply_changes(changes);
@@ -140,6 +148,7 @@
 
     fn apply_changes(&self, changes: Vec<Change>) {
         let own = format!("{}{}", tables::NODES, self.membership.node());
+        let era = self.revision().era;
         for change in changes {
             let (Change::Put(Item { key, .. }) | Change::Removed(key)) = &change;
             if *key == own {
@@ -148,11 +157,13 @@
             match change {
                 Change::Put(item) => match item.key.strip_prefix(tables::NODES) {
                     Some(address) => self.add_node(address, &item),
-                    None => self.tables.apply_item(&item),
+                    None => self.tables.apply_item(&item, era),
                 },
                 Change::Removed(key) => {
                     if let Some(address) = key.strip_prefix(tables::NODES) {
                         self.membership.mark_removed(address);
+                    } else {
+                        self.tables.apply_removal(&key);
                     }
                 }
             }
@@ -170,19 +181,19 @@
 }
 
 impl WatchHandler for Replicator {
-    fn apply_snapshot(&self, items: &[Item], as_of: u64) {
+    fn apply_snapshot(&self, items: &[Item], as_of: Revision) {
         let changes = self.replica.borrow_mut().apply_snapshot(items, as_of);
         self.apply_changes(changes);
     }
 
-    fn apply_events(&self, events: &[Event]) {
+    fn apply_events(&self, events: &[Event], era: Era) {
         let since = self.revision();
-        let changes = self.replica.borrow_mut().apply_events(events);
+        let changes = self.replica.borrow_mut().apply_events(events, era);
         self.apply_changes(changes);
         self.queue_update(since, true);
     }
 
-    fn revision(&self) -> Option<u64> {
+    fn revision(&self) -> Option<Revision> {
         Some(Self::revision(self))
     }
 
@@ -199,13 +210,13 @@
 }
 
 impl WatchHandler for ConfigWatchHandler {
-    fn apply_snapshot(&self, items: &[Item], _as_of: u64) {
+    fn apply_snapshot(&self, items: &[Item], _as_of: Revision) {
         for item in items {
             self.replicator.configuration.apply_item(item);
         }
     }
 
-    fn apply_events(&self, events: &[Event]) {
+    fn apply_events(&self, events: &[Event], _era: Era) {
         for event in events {
             if let Event::Put(item) = event {
                 self.replicator.configuration.apply_item(item);
@@ -213,7 +224,7 @@
         }
     }
 
-    fn revision(&self) -> Option<u64> {
+    fn revision(&self) -> Option<Revision> {
         None
     }
 
--- a/src/coordination/sidecar/tables.rs
+++ b/src/coordination/sidecar/tables.rs
@@ -1,4 +1,8 @@
 //! Assignment tables: this node's copies, and changes to them in the store.
+//!
+//! A table is confirmed if it names the era in which the store has it. One that a restored store returns
+//! is not: it may lack the newest changes. The node keeps the last confirmed table then, by which keys
+//! are granted and requests are routed, and changes nothing until the table is confirmed again.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -9,6 +13,7 @@
 use crate::protocol::adapter::{Commit, Item, StoreCall, StoreReply};
 use crate::protocol::ownership;
 use crate::state::keyspace::AssignmentTable;
+use crate::state::store_revision::{Era, Revision};
 use crate::transport::sidecar::store::{self, StoreClient};
 
 /// Prefix of all replicated keys of this product in the store.
@@ -26,17 +31,26 @@
 /// Assignment table and the revision of its last change.
 #[derive(Debug, Clone)]
 pub struct Table {
-    /// Revision in the store; 0 if there is no table yet.
-    pub revision: u64,
+    /// Revision in the store; none if there is no table yet.
+    pub revision: Revision,
     /// Holders of all keys.
     pub assignments: Rc<AssignmentTable>,
 }
 
+/// Copies of a service's table.
+#[derive(Debug, Default)]
+struct Copies {
+    /// Newest confirmed table, of the present era or an earlier one.
+    confirmed: Option<Table>,
+    /// Table that the store has, if it isn't confirmed.
+    unconfirmed: Option<Table>,
+}
+
 /// Assignment tables by service.
 #[derive(Debug)]
 pub struct Tables {
     store: Rc<StoreClient>,
-    all: RefCell<HashMap<String, Table>>,
+    all: RefCell<HashMap<String, Copies>>,
     /// Notified of each change.
     pub changed: Notify,
 }
@@ -52,10 +66,29 @@
         }
     }
 
-    /// Returns the table of a service.
+    /// Returns the newest confirmed table of a service, which may be of an earlier era.
     #[must_use]
     pub fn get(&self, service: &str) -> Option<Table> {
-        self.all.borrow().get(service).cloned()
+        self.all.borrow().get(service)?.confirmed.clone()
+    }
+
+    /// Returns the table by which requests are routed: the confirmed one, or else what the store has.
+    #[must_use]
+    pub fn route(&self, service: &str) -> Option<Table> {
+        let all = self.all.borrow();
+        let copies = all.get(service)?;
+        copies
+            .confirmed
+            .as_ref()
+            .or(copies.unconfirmed.as_ref())
+            .cloned()
+    }
+
+    /// Returns whether a service's table is confirmed in the present era.
+    #[must_use]
+    pub fn is_confirmed(&self, service: &str) -> bool {
+        self.get(service)
+            .is_some_and(|t| t.revision.era == self.store.era())
     }
 
     /// Returns the names of the services with tables.
@@ -64,38 +97,67 @@
         self.all.borrow().keys().cloned().collect()
     }
 
-    /// Applies an item of the store, unless a newer table is known.
-    pub fn apply_item(&self, item: &Item) {
+    /// Applies an item that the store has in an era, unless a newer table is known.
+    pub fn apply_item(&self, item: &Item, era: Era) {
         let Some(service) = item.key.strip_prefix(TABLES) else {
             return;
         };
         match ownership::decode_table(&item.value) {
-            Ok(assignments) => self.set(service, item.revision, Rc::new(assignments)),
+            Ok(assignments) => {
+                let revision = Revision::new(era, item.revision);
+                self.set(service, revision, Rc::new(assignments));
+            }
             Err(e) => {
                 tracing::error!(event = 441, service, revision = item.revision, error = %e, "ignored an assignment table that can't be decoded");
             }
         }
     }
 
-    fn set(&self, service: &str, revision: u64, assignments: Rc<AssignmentTable>) {
+    /// Applies the removal of an item.
+    pub fn apply_removal(&self, key: &str) {
+        let service = key.strip_prefix(TABLES);
+        let mut all = self.all.borrow_mut();
+        if let Some(copies) = service.and_then(|service| all.get_mut(service)) {
+            copies.unconfirmed = None;
+        }
+    }
+
+    fn set(&self, service: &str, revision: Revision, assignments: Rc<AssignmentTable>) {
+        // Claims for the present era are made by the tables that were known when it began.
+        if revision.era < self.store.era() {
+            tracing::info!(event = 444, service, %revision, "ignored an assignment table of an earlier era");
+            return;
+        }
         let mut all = self.all.borrow_mut();
-        if all.get(service).is_some_and(|t| t.revision >= revision) {
+        let copies = all.entry(service.to_owned()).or_default();
+        let known = [&copies.confirmed, &copies.unconfirmed]
+            .into_iter()
+            .flatten();
+        if known.map(|t| t.revision).max() >= Some(revision) {
             return;
         }
-        tracing::info!(
-            event = 442,
-            service,
+        let slices = assignments.slices.len();
+        let confirmed = assignments.era == revision.era;
+        let era = assignments.era;
+        let table = Table {
             revision,
-            slices = assignments.slices.len(),
-            "an assignment table changed"
-        );
-        all.insert(
-            service.to_owned(),
-            Table {
-                revision,
-                assignments,
-            },
-        );
+            assignments,
+        };
+        if confirmed {
+            tracing::info!(
+                event = 442,
+                service,
+                revision = revision.number,
+                era = revision.era.0,
+                slices,
+                "an assignment table changed"
+            );
+            copies.confirmed = Some(table);
+            copies.unconfirmed = None;
+        } else {
+            tracing::warn!(event = 445, service, %revision, confirmed = era.0, slices, "the store has an assignment table of an earlier era; keys are granted by the last known one until it is confirmed");
+            copies.unconfirmed = Some(table);
+        }
         drop(all);
         self.changed.notify_waiters();
     }
@@ -105,16 +167,18 @@
             prefix: format!("{TABLES}{service}"),
             after: None,
         };
-        if let StoreReply::Page { items, .. } = self.store.call(&call).await? {
+        let answer = self.store.call(&call).await?;
+        if let StoreReply::Page { items, .. } = answer.reply {
             let name = format!("{TABLES}{service}");
             for item in items.iter().filter(|i| i.key == name) {
-                self.apply_item(item);
+                self.apply_item(item, answer.era);
             }
         }
         Ok(())
     }
 
-    /// Changes a table by compare-and-swap and returns whether it was changed.
+    /// Changes a table by compare-and-swap and returns whether it was changed. A table that isn't
+    /// confirmed in the present era isn't changed.
     ///
     /// `change` returns `None` if the table needs no change. `guard` holds further conditions on the
     /// store's items, as keys and expected revisions.
@@ -128,36 +192,20 @@
         guard: &[(String, u64)],
         change: impl Fn(&AssignmentTable) -> Option<AssignmentTable>,
     ) -> Result<bool, store::Error> {
-        let name = format!("{TABLES}{service}");
         for _ in 0..MAX_ATTEMPTS {
-            let (revision, base) = match self.get(service) {
-                Some(table) => (table.revision, table.assignments),
-                None => (0, Rc::new(AssignmentTable::default())),
+            let Some(table) = self.get(service) else {
+                return Ok(false);
             };
-            let Some(next) = change(&base) else {
+            if table.revision.era != self.store.era() {
+                return Ok(false);
+            }
+            let Some(next) = change(&table.assignments) else {
                 return Ok(false);
             };
-            let mut expect = vec![(name.clone(), revision)];
-            expect.extend_from_slice(guard);
-            let call = StoreCall::Commit(Commit {
-                expect,
-                put: vec![(name.clone(), ownership::encode_table(&next), None)],
-                delete: Vec::new(),
-            });
-            match self.store.call(&call).await {
-                Ok(StoreReply::Committed { revision }) => {
-                    self.set(service, revision, Rc::new(next));
-                    return Ok(true);
-                }
-                Ok(reply) => {
-                    let current = match &reply {
-                        StoreReply::Conflict { items } => items.iter().find(|i| i.key == name),
-                        _ => None,
-                    };
-                    match current {
-                        Some(item) => self.apply_item(item),
-                        None => self.refresh(service).await?,
-                    }
+            let revision = table.revision;
+            match self.write(service, revision, guard, &next).await {
+                Ok(true) => return Ok(true),
+                Ok(false) => {
                     let changed_meanwhile =
                         self.get(service).is_some_and(|t| t.revision != revision);
                     if !changed_meanwhile {
@@ -167,7 +215,7 @@
                 }
                 Err(e) if e.is_refused() => return Err(e),
                 Err(e) => {
-                    tracing::warn!(event = 443, service, revision, error = %e, "no reply to a change of an assignment table; reading the table");
+                    tracing::warn!(event = 443, service, revision = revision.number, error = %e, "no reply to a change of an assignment table; reading the table");
                     self.refresh(service).await?;
                     if self.get(service).is_some_and(|t| *t.assignments == next) {
                         return Ok(true);
@@ -178,4 +226,69 @@
         }
         Ok(false)
     }
+
+    /// Writes the table that is confirmed for the present era over the unconfirmed one that the store
+    /// has, and returns whether that was done.
+    ///
+    /// # Errors
+    ///
+    /// Returns the store's error. Unless the store refused the call, the table may still be written.
+    pub async fn write_confirmed(
+        &self,
+        service: &str,
+        table: &AssignmentTable,
+    ) -> Result<bool, store::Error> {
+        let unconfirmed = {
+            let all = self.all.borrow();
+            let copies = all.get(service);
+            copies.and_then(|c| c.unconfirmed.as_ref().map(|t| t.revision))
+        };
+        let none = Revision::new(table.era, 0);
+        self.write(service, unconfirmed.unwrap_or(none), &[], table)
+            .await
+    }
+
+    /// Writes a table in place of the one at a revision. Returns whether it was written; otherwise the
+    /// present table is read.
+    async fn write(
+        &self,
+        service: &str,
+        revision: Revision,
+        guard: &[(String, u64)],
+        table: &AssignmentTable,
+    ) -> Result<bool, store::Error> {
+        let name = format!("{TABLES}{service}");
+        let mut expect = vec![(name.clone(), revision.number)];
+        expect.extend_from_slice(guard);
+        let call = StoreCall::Commit(Commit {
+            expect,
+            put: vec![(name.clone(), ownership::encode_table(table), None)],
+            delete: Vec::new(),
+        });
+        let answer = self.store.call(&call).await?;
+        match &answer.reply {
+            StoreReply::Committed { revision: number } => {
+                let written = Revision::new(answer.era, *number);
+                self.set(service, written, Rc::new(table.clone()));
+                // A restored store may have had a table with this revision; what it has now is
+                // unconfirmed.
+                if answer.era == revision.era {
+                    Ok(true)
+                } else {
+                    Err(store::Error::Outdated(revision.era))
+                }
+            }
+            reply => {
+                let current = match reply {
+                    StoreReply::Conflict { items } => items.iter().find(|i| i.key == name),
+                    _ => None,
+                };
+                match current {
+                    Some(item) => self.apply_item(item, answer.era),
+                    None => self.refresh(service).await?,
+                }
+                Ok(false)
+            }
+        }
+    }
 }
--- a/src/coordination/sidecar/targets.rs
+++ b/src/coordination/sidecar/targets.rs
@@ -20,6 +20,7 @@
 use crate::state::clock::Instant;
 use crate::state::keyspace::Key;
 use crate::state::routes::RouteId;
+use crate::state::store_revision::Revision;
 use crate::transport::sidecar::links::Link;
 
 /// Share of its total time for which a request waits for a key without a holder.
@@ -52,7 +53,7 @@
     /// Destination.
     pub destination: Destination,
     /// Revision of the assignment table, 0 if none was used.
-    pub table_revision: u64,
+    pub table_revision: Revision,
     /// Age of the load report, in milliseconds.
     pub report_ms: u128,
 }
@@ -75,7 +76,7 @@
         at.map_or(0, |at| Instant::now().since(at).as_millis())
     }
 
-    fn into_target(self, table_revision: u64) -> Target {
+    fn into_target(self, table_revision: Revision) -> Target {
         let report_ms = self.report_ms();
         Target {
             destination: self,
@@ -162,8 +163,10 @@
             if !delay_retry
                 && let Some(destination) = node.as_deref().and_then(|n| self.connected(n))
             {
-                let table = self.tables.get(&context.service);
-                return Some(destination.into_target(table.map_or(0, |t| t.revision)));
+                let table = self.tables.route(&context.service);
+                return Some(
+                    destination.into_target(table.map_or(Revision::default(), |t| t.revision)),
+                );
             }
             let left = end.left();
             if left.is_zero() {
@@ -180,7 +183,7 @@
     /// Returns the route and the fencing token that identify a key's range under its present
     /// holder.
     fn range_id(&self, context: &RequestContext, key: Key) -> (RouteId, u64) {
-        let table = self.tables.get(&context.service);
+        let table = self.tables.route(&context.service);
         let slice = table.as_ref().and_then(|t| t.assignments.slice_of(key));
         (context.route.id, slice.map_or(0, |s| s.token))
     }
@@ -212,7 +215,7 @@
 
     /// Returns the node of the holder of a key.
     fn holder_node(&self, service: &str, key: Key, last_cause: Cause) -> Option<String> {
-        let table = self.tables.get(service)?;
+        let table = self.tables.route(service)?;
         let slice = table.assignments.slice_of(key)?;
         // After the holder has released the key, the target of the move takes it over.
         let holder = match &slice.target {
@@ -240,7 +243,7 @@
         loop {
             let report_changed = self.membership.report_changed.notified();
             if let Some(destination) = self.select_by_load(context, tried) {
-                return Some(destination.into_target(0));
+                return Some(destination.into_target(Revision::default()));
             }
             if !tried.is_empty() || time::timeout(end.left(), report_changed).await.is_err() {
                 return None;
--- a/src/coordination/sidecar/watch.rs
+++ b/src/coordination/sidecar/watch.rs
@@ -1,4 +1,6 @@
 //! Reads all items below a prefix of the store and then watches it for changes.
+//!
+//! The history of a watch belongs to one era of the store, so all items are read again in a new one.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,7 +11,8 @@
 use crate::coordination::sidecar::backoff::Backoff;
 use crate::protocol::adapter::{Event, Item, StoreCall, StoreReply};
 use crate::state::clock::Instant;
-use crate::transport::sidecar::store::{self, StoreClient};
+use crate::state::store_revision::{Era, Revision};
+use crate::transport::sidecar::store::{self, Answer, StoreClient};
 
 /// Maximum wait of a watch call, which also bounds a call on a dead connection. A random part is
 /// subtracted, so that the calls of several nodes don't end together.
@@ -29,14 +32,14 @@
 /// Receiver of the items and changes below a prefix of the store.
 pub trait WatchHandler {
     /// Applies all items, which were read at revision `as_of` or later.
-    fn apply_snapshot(&self, items: &[Item], as_of: u64);
+    fn apply_snapshot(&self, items: &[Item], as_of: Revision);
 
-    /// Applies changes in the order of their revisions.
-    fn apply_events(&self, events: &[Event]);
+    /// Applies changes of an era in the order of their revisions.
+    fn apply_events(&self, events: &[Event], era: Era);
 
     /// Returns the revision up to which all changes are known, if the handler learns of changes from
     /// other nodes too.
-    fn revision(&self) -> Option<u64>;
+    fn revision(&self) -> Option<Revision>;
 
     /// Returns whether this node is currently a watcher of the store.
     fn is_watcher(&self) -> bool;
@@ -50,6 +53,7 @@
     reread: Rc<Notify>,
 ) {
     let mut backoff = Backoff::default();
+    let mut compactions = Backoff::default();
     let mut known = false;
     let start = Instant::now();
     loop {
@@ -73,8 +77,8 @@
         tracing::info!(
             event = 338,
             prefix,
-            as_of,
-            era = store.era().0,
+            as_of = as_of.number,
+            era = as_of.era.0,
             items = items.len(),
             "read all items from the store"
         );
@@ -86,19 +90,30 @@
                     () = reread.notified() => break,
                 }
             }
+            let after = handler.revision().unwrap_or_default().max(as_of);
+            if after.era < store.era() {
+                break;
+            }
             let call = StoreCall::Watch {
                 prefix: prefix.clone(),
-                after: handler.revision().unwrap_or(0).max(as_of),
+                after: after.number,
                 wait: MAX_WATCH_WAIT.mul_f64(0.6 + 0.4 * rand::random::<f64>()),
             };
             let reply = tokio::select! {
                 reply = store.call(&call) => reply,
                 () = reread.notified() => break,
+                () = store.era_changed.notified() => continue,
             };
             match reply {
-                Ok(StoreReply::Events { events, as_of: to }) => {
-                    handler.apply_events(&events);
-                    as_of = to.max(as_of);
+                // The events may follow a change of the earlier era that the store has lost.
+                Ok(Answer { era, .. }) if era != after.era => break,
+                Ok(Answer {
+                    reply: StoreReply::Events { events, as_of: to },
+                    era,
+                }) => {
+                    compactions.reset();
+                    handler.apply_events(&events, era);
+                    as_of = Revision::new(era, to).max(as_of);
                     if !events.is_empty() {
                         time::sleep(MAX_BATCH_DELAY.mul_f64(rand::random())).await;
                     }
@@ -107,14 +122,16 @@
                     tracing::info!(
                         event = 339,
                         prefix,
-                        as_of,
-                        era = store.era().0,
+                        as_of = after.number,
+                        era = after.era.0,
                         "the store has compacted the requested history; reading all items again"
                     );
+                    // The history may be gone again at once, if the revisions are not those of the store.
+                    compactions.wait(&store).await;
                     break;
                 }
                 Err(e) => {
-                    tracing::info!(event = 326, prefix, as_of, error = %e, "a watch call failed");
+                    tracing::info!(event = 326, prefix, as_of = after.number, error = %e, "a watch call failed");
                     backoff.wait(&store).await;
                     if handler.is_watcher() {
                         break;
@@ -125,7 +142,7 @@
     }
 }
 
-async fn read(store: &StoreClient, prefix: &str) -> Result<(Vec<Item>, u64), store::Error> {
+async fn read(store: &StoreClient, prefix: &str) -> Result<(Vec<Item>, Revision), store::Error> {
     let mut all = Vec::new();
     let mut first = None;
     loop {
@@ -133,12 +150,17 @@
             prefix: prefix.to_owned(),
             after: all.last().map(|i: &Item| i.key.clone()),
         };
-        let StoreReply::Page { items, more, as_of } = store.call(&call).await? else {
+        let answer = store.call(&call).await?;
+        let StoreReply::Page { items, more, as_of } = answer.reply else {
             return Err(store::Error::Refused);
         };
+        let as_of = Revision::new(answer.era, as_of);
         // The pages are not one snapshot: the watch starts at the revision of the first page, so
         // that no change is missed.
         let start = *first.get_or_insert(as_of);
+        if start.era != as_of.era {
+            return Err(store::Error::Outdated(start.era));
+        }
         let end = items.is_empty() || !more;
         all.extend(items);
         if end {
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -8,7 +8,7 @@
 use crate::state::key_rates;
 use crate::state::keyspace;
 use crate::state::routes;
-use crate::state::store_revision::Era;
+use crate::state::store_revision::{Era, Revision};
 
 /// Maximum size of a frame, in bytes; above the body limit of all configurations in use.
 pub const MAX_FRAME: usize = 80 << 20;
@@ -35,7 +35,7 @@
     /// Reports the load and state of the sender.
     Load(Load),
     /// Requests the store items that changed after a revision.
-    Want(u64),
+    Want(Revision),
     /// Requests the latest configuration.
     WantConfig,
     /// Replicated store items.
@@ -53,6 +53,8 @@
     /// Reminds the receiver of what its local backend server has said of itself, in case that it was
     /// restarted.
     Remind(Box<Reminder>),
+    /// Keys that the sender's backend server may hold, for the nodes that confirm a table.
+    Claim(Box<Claim>),
 }
 
 /// Handshake of a node.
@@ -330,7 +332,7 @@
     /// Version of the active configuration.
     pub config: routes::Version,
     /// Latest store revision known to the node.
-    pub items: u64,
+    pub items: Revision,
     /// Limit that the backend server has announced.
     pub limit: RateLimit,
     /// Requests that the limit has room for at once, less those that are queued; 0 without a limit.
@@ -358,13 +360,32 @@
     /// Whether the batch is a full snapshot.
     pub whole: bool,
     /// Revision after which the batch contains all changes, unless it is a snapshot.
-    pub since: u64,
-    /// Revision up to which the sender has all changes; 0 if the batch is only a configuration.
-    pub as_of: u64,
-    /// Items, sorted by revision.
+    pub since: Revision,
+    /// Revision up to which the sender has all changes; its number is 0 if the batch is only a
+    /// configuration.
+    pub as_of: Revision,
+    /// Items of the same era, sorted by revision.
     pub items: Vec<StoredItem>,
 }
 
+/// Keys that a node's backend server may hold in a new era of the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Claim {
+    /// Era for which it is made. Until the table is confirmed in this era, the node grants nothing else.
+    pub era: Era,
+    /// Service of the backend server.
+    pub service: String,
+    /// Address of the node.
+    pub node: String,
+    /// Revision at which the process that makes the claim has written its entry in this era.
+    pub entry: u64,
+    /// Revision of the table by which the node grants; none if it goes by the heartbeats alone.
+    pub table: Revision,
+    /// Ranges of the holders on this node.
+    pub slices: Vec<keyspace::Slice>,
+}
+
 /// Request rates of the keys of one holder.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/protocol/ownership.rs
+++ b/src/protocol/ownership.rs
@@ -4,6 +4,7 @@
 
 use crate::protocol::adapter::DecodeError;
 use crate::state::keyspace;
+use crate::state::store_revision::Era;
 
 /// Assignment table in which slices refer to holders by index, so that each holder is encoded once.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -12,6 +13,9 @@
     next_token: u64,
     holders: Vec<keyspace::Holder>,
     slices: Vec<Row>,
+    /// Era for which the table is confirmed.
+    #[serde(default)]
+    era: Era,
 }
 
 /// Encoded slice: first key, last key, token, index of the holder, index of the target, handover.
@@ -19,7 +23,7 @@
 
 impl TableRecord {
     /// Encodes slices, which may be a subset of a table.
-    fn from_slices(next_token: u64, slices: &[keyspace::Slice]) -> Self {
+    fn from_slices(era: Era, next_token: u64, slices: &[keyspace::Slice]) -> Self {
         let mut holders: Vec<keyspace::Holder> = Vec::new();
         let mut index = |h: &Option<keyspace::Holder>| {
             let h = h.as_ref()?;
@@ -37,6 +41,7 @@
             next_token,
             holders,
             slices,
+            era,
         }
     }
 
@@ -66,7 +71,7 @@
 
 impl From<&keyspace::AssignmentTable> for TableRecord {
     fn from(keys: &keyspace::AssignmentTable) -> Self {
-        Self::from_slices(keys.next_token, &keys.slices)
+        Self::from_slices(keys.era, keys.next_token, &keys.slices)
     }
 }
 
@@ -75,6 +80,7 @@
 
     fn try_from(table: TableRecord) -> Result<Self, DecodeError> {
         let keys = Self {
+            era: table.era,
             next_token: table.next_token,
             slices: table.into_slices()?,
         };
@@ -114,7 +120,7 @@
     let same = |s: &keyspace::Slice| old.slice_of(s.from) == Some(s);
     let changed = new.slices.iter().filter(|s| !same(s));
     let changed: Vec<_> = changed.cloned().collect();
-    let table = TableRecord::from_slices(new.next_token, &changed);
+    let table = TableRecord::from_slices(new.era, new.next_token, &changed);
     postcard::to_allocvec(&table).map_err(|e| DecodeError(e.to_string()))
 }
 
@@ -126,6 +132,7 @@
 pub fn apply_delta(old: &[u8], delta: &[u8]) -> Result<Vec<u8>, DecodeError> {
     let mut keys = decode_table(old)?;
     let table: TableRecord = postcard::from_bytes(delta).map_err(|e| DecodeError(e.to_string()))?;
+    keys.era = table.era;
     keys.next_token = table.next_token;
     let changed = table.into_slices()?;
     // Each slice that no longer exists overlaps a changed one.
@@ -149,6 +156,9 @@
     pub incarnation: u64,
     /// Failure domain of the node.
     pub domain: String,
+    /// Service of the node's backend server; empty if the entry doesn't tell.
+    #[serde(default)]
+    pub service: String,
 }
 
 /// Decodes the entry of the node at an address.
--- a/src/state/keyspace.rs
+++ b/src/state/keyspace.rs
@@ -6,12 +6,25 @@
 //!
 //! - slices are sorted, don't overlap and cover all keys;
 //! - every token is below `next_token`, and a change of holder issues a new one.
+//!
+//! A store that is restored from an older copy may return a table that lacks the newest changes. A table
+//! names the era of the store for which it is confirmed; in a later era nobody grants by it until
+//! [`AssignmentTable::confirm`] has put together what all nodes still hold.
+
+use std::collections::{BTreeSet, HashSet};
 
-use std::collections::HashSet;
+use crate::state::store_revision::Era;
 
 /// Number of possible keys.
 pub const KEY_COUNT: usize = 1 << 16;
 
+/// Number of tokens that a lost table may have issued beyond the newest one that is known.
+const MAX_LOST_TOKENS: u64 = 1 << 16;
+
+/// Number of bits by which an era is shifted to give the least token that is issued in it. Nodes may
+/// all have been restarted, and then know no token of the earlier era.
+const ERA_TOKEN_BITS: u32 = 24;
+
 /// Key that callers send.
 pub type Key = u16;
 
@@ -64,6 +77,30 @@
         false
     }
 
+    /// Returns the slice for a new era, given the claim with the highest token and whether its node knows
+    /// a table that is at least as new. `unused` is a token above all that may have been issued.
+    fn confirm(&self, claim: Option<(&Self, bool)>, unused: u64) -> Self {
+        let Some((claim, is_newest)) = claim else {
+            return Self {
+                holder: None,
+                target: None,
+                handover: String::new(),
+                ..self.clone()
+            };
+        };
+        if claim.holder == self.holder && claim.token == self.token {
+            return self.clone();
+        }
+        let is_certain = is_newest && claim.token >= self.token;
+        Self {
+            holder: claim.holder.clone(),
+            token: if is_certain { claim.token } else { unused },
+            target: None,
+            handover: String::new(),
+            ..self.clone()
+        }
+    }
+
     /// Returns whether the range overlaps `from..=to`.
     #[must_use]
     pub fn overlaps(&self, from: Key, to: Key) -> bool {
@@ -87,6 +124,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct AssignmentTable {
+    /// Era of the store for which the table is confirmed.
+    pub era: Era,
     /// Token for the next change of a holder.
     pub next_token: u64,
     /// Ranges in ascending order.
@@ -96,6 +135,7 @@
 impl Default for AssignmentTable {
     fn default() -> Self {
         Self {
+            era: Era::default(),
             next_token: 1,
             slices: vec![Slice {
                 from: 0,
@@ -109,6 +149,15 @@
     }
 }
 
+/// Ranges that the backend server of one node may hold.
+#[derive(Debug, Clone, Copy)]
+pub struct ClaimedSlices<'a> {
+    /// Slices with their holders and tokens.
+    pub slices: &'a [Slice],
+    /// Whether the node knows a table that is at least as new as the one to be confirmed.
+    pub is_newest: bool,
+}
+
 impl AssignmentTable {
     /// Verifies the invariants.
     ///
@@ -267,4 +316,49 @@
         self.release(0, Key::MAX, holder, "");
         self.cancel_moves(holder);
     }
+
+    /// Returns the table for a new era: each key belongs to the holder that claims it with the highest
+    /// token, and to nobody if there is none.
+    ///
+    /// A token is kept if no lost table can have issued a higher one for the key. The caller must make
+    /// sure that whoever makes no claim holds nothing.
+    #[must_use]
+    pub fn confirm(&self, era: Era, claims: &[ClaimedSlices<'_>]) -> Self {
+        let claimed = || {
+            let all = claims.iter();
+            all.flat_map(|c| c.slices.iter().map(|s| (s, c.is_newest)))
+        };
+        let highest = claimed().map(|(s, _)| s.token + 1).max();
+        let known = highest.unwrap_or_default().max(self.next_token);
+        let is_new = highest.is_none() && *self == Self::default();
+        let lost = if is_new { 0 } else { MAX_LOST_TOKENS };
+        let token = (known + lost).max(era.0 << ERA_TOKEN_BITS);
+        let known_slices = self.slices.iter().chain(claimed().map(|(s, _)| s));
+        let starts: BTreeSet<u32> = known_slices
+            .flat_map(|s| [u32::from(s.from), u32::from(s.to) + 1])
+            .collect();
+        let starts: Vec<u32> = starts.into_iter().collect();
+        let mut slices = Vec::new();
+        for pair in starts.windows(2) {
+            let key = |n: u32| Key::try_from(n).unwrap_or(Key::MAX);
+            let (from, to) = (key(pair[0]), key(pair[1] - 1));
+            let Some(base) = self.slice_of(from) else {
+                continue;
+            };
+            let of_range = claimed().filter(|(s, _)| s.contains(from));
+            let claim = of_range.max_by_key(|(s, _)| s.token);
+            slices.push(Slice {
+                from,
+                to,
+                ..base.confirm(claim, token)
+            });
+        }
+        let mut table = Self {
+            era,
+            next_token: token + 1,
+            slices,
+        };
+        table.merge_adjacent();
+        table
+    }
 }
--- a/src/transport/sidecar/peer_server.rs
+++ b/src/transport/sidecar/peer_server.rs
@@ -23,11 +23,12 @@
 use tokio::{task, time};
 
 use crate::protocol::mesh::{
-    BackendInfo, Call, Cause, Failure, Frame, Hello, HolderRates, Items, Load, Outcome, Reminder,
-    Seq, StoreRequest, StoreResponse,
+    BackendInfo, Call, Cause, Claim, Failure, Frame, Hello, HolderRates, Items, Load, Outcome,
+    Reminder, Seq, StoreRequest, StoreResponse,
 };
 use crate::state::clock::{self, Instant};
 use crate::state::routes::Repeat;
+use crate::state::store_revision::Revision;
 use crate::transport::sidecar::call_delay::CallDelay;
 use crate::transport::sidecar::frames::{self, FrameReader, FrameWriter};
 
@@ -116,7 +117,7 @@
     fn load(&self) -> Load;
 
     /// Returns the store's items that changed after a revision.
-    fn items(&self, since: u64) -> Items;
+    fn items(&self, since: Revision) -> Items;
 
     /// Returns the active configuration.
     fn config(&self) -> Items;
@@ -127,6 +128,9 @@
     /// Handles a report of key rates.
     fn receive_rates(&self, rates: HolderRates);
 
+    /// Handles what the backend server of another node may hold.
+    fn receive_claim(&self, claim: Claim);
+
     /// Takes in what another node was told about the local backend server.
     fn recall(&self, reminder: Reminder);
 
@@ -468,6 +472,7 @@
             }
             Frame::Remind(reminder) => self.handler.recall(*reminder),
             Frame::Heat(rates) => self.handler.receive_rates(*rates),
+            Frame::Claim(claim) => self.handler.receive_claim(*claim),
             Frame::Relay(seq, request) => {
                 let relayed = self.handler.relay(*request);
                 let session = Rc::clone(session);
--- a/src/transport/sidecar/store.rs
+++ b/src/transport/sidecar/store.rs
@@ -4,6 +4,9 @@
 //! available, because the store sometimes refuses individual hosts. Any further retry of an
 //! unanswered call is up to the calling module: commits are conditional, so a repeated commit can't
 //! take effect twice. A call counts as refused only if no attempt at it was left without an answer.
+//!
+//! The store may be restored from an older copy. The client knows the newest era that a response or
+//! another node has told, and takes no response of an earlier one.
 
 use std::cell::{Cell, RefCell};
 use std::fmt;
@@ -49,6 +52,9 @@
     NoAnswer(io::ErrorKind),
     /// The answer can't be decoded; the call may have taken effect.
     Unreadable(DecodeError),
+    /// The answer is of an earlier era: it tells of a content that the store has lost since, at least
+    /// in part.
+    Outdated(Era),
 }
 
 impl Error {
@@ -65,12 +71,22 @@
             Self::Refused => f.write_str("refused by the store"),
             Self::NoAnswer(kind) => write!(f, "no answer from the store: {kind}"),
             Self::Unreadable(e) => write!(f, "unreadable answer from the store: {e}"),
+            Self::Outdated(era) => write!(f, "answer from era {era} of the store, which has ended"),
         }
     }
 }
 
 impl std::error::Error for Error {}
 
+/// Reply of the store and the era that it belongs to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// Reply.
+    pub reply: StoreReply,
+    /// Era of the store that has replied.
+    pub era: Era,
+}
+
 /// Future of a relayed call; `None` if the other node returns no response.
 pub type RelayFuture = Pin<Box<dyn Future<Output = Option<StoreResponse>>>>;
 
@@ -88,11 +104,15 @@
     relays: RefCell<Option<RelaysFn>>,
     last_failure: Cell<Option<Instant>>,
     era: Cell<Option<Era>>,
+    /// Time at which the era became known, or at which this client was created.
+    era_since: Cell<Instant>,
     /// Whether the last response had no readable era although earlier ones had one.
     era_missing: Cell<bool>,
     reachable: Cell<bool>,
     /// Notified when the store answers again after failed calls.
     pub recovered: Notify,
+    /// Notified of each new era.
+    pub era_changed: Notify,
     calls: IntCounterVec,
 }
 
@@ -116,9 +136,11 @@
             relays: RefCell::new(None),
             last_failure: Cell::new(None),
             era: Cell::new(None),
+            era_since: Cell::new(Instant::now()),
             era_missing: Cell::new(false),
             reachable: Cell::new(true),
             recovered: Notify::new(),
+            era_changed: Notify::new(),
             calls,
         }
     }
@@ -152,7 +174,7 @@
     /// # Errors
     ///
     /// Returns an error that tells whether the call may have taken effect.
-    pub async fn call(&self, call: &StoreCall) -> Result<StoreReply, Error> {
+    pub async fn call(&self, call: &StoreCall) -> Result<Answer, Error> {
         let request = self.adapter.encode_store_call(call);
         let (limit, is_watch) = match call {
             StoreCall::Watch { wait, .. } => (*wait + RESPONSE_TIMEOUT, true),
@@ -168,6 +190,7 @@
             Err(Error::Refused) => "refused",
             Err(Error::NoAnswer(_)) => "no_answer",
             Err(Error::Unreadable(_)) => "unreadable",
+            Err(Error::Outdated(_)) => "outdated",
         };
         self.count_call(call.name(), outcome);
         if direct.is_ok() || is_watch {
@@ -182,8 +205,8 @@
         &self,
         call: &StoreCall,
         request: &StoreRequest,
-        mut result: Result<StoreReply, Error>,
-    ) -> Result<StoreReply, Error> {
+        mut result: Result<Answer, Error>,
+    ) -> Result<Answer, Error> {
         let relays = self.relays.borrow().as_ref().map(|relays| relays());
         for relay in relays.unwrap_or_default() {
             let attempt = match relay(request.clone()).await {
@@ -207,7 +230,7 @@
         self.calls.with_label_values(&[kind, outcome]).inc();
     }
 
-    fn record_result(&self, direct: &Result<StoreReply, Error>) {
+    fn record_result(&self, direct: &Result<Answer, Error>) {
         match direct {
             Ok(_) => {
                 if !self.reachable.replace(true) {
@@ -230,13 +253,21 @@
         self.era.get().unwrap_or_default()
     }
 
-    /// Learns the era of a response.
-    fn learn_era(&self, era: Era) {
+    /// Returns a time at which the era had begun: when it became known, or at the start of the process.
+    #[must_use]
+    pub fn era_since(&self) -> Instant {
+        self.era_since.get()
+    }
+
+    /// Learns the era of a response or of another node; an earlier one than the known era is ignored.
+    pub fn learn_era(&self, era: Era) {
         let before = self.era.get();
         if before.is_some_and(|known| known >= era) {
             return;
         }
         self.era.set(Some(era));
+        self.era_since.set(Instant::now());
+        self.era_changed.notify_waiters();
         match before {
             None => tracing::info!(event = 316, era = era.0, "the store has told its era"),
             Some(before) => tracing::warn!(
@@ -248,13 +279,24 @@
         }
     }
 
-    fn decode(&self, call: &StoreCall, response: &StoreResponse) -> Result<StoreReply, Error> {
-        if let Some(era) = response.era {
+    fn decode(&self, call: &StoreCall, response: &StoreResponse) -> Result<Answer, Error> {
+        let era = response.era.unwrap_or(self.era());
+        if response.era.is_some() {
             self.learn_era(era);
         }
+        if era < self.era() {
+            tracing::info!(
+                event = 317,
+                call = call.name(),
+                era = era.0,
+                known = self.era().0,
+                "ignored an answer of the store from an earlier era"
+            );
+            return Err(Error::Outdated(era));
+        }
         match self.adapter.decode_store_reply(call, response) {
             Ok(StoreReply::Refused) => Err(Error::Refused),
-            Ok(reply) => Ok(reply),
+            Ok(reply) => Ok(Answer { reply, era }),
             Err(e) => Err(Error::Unreadable(e)),
         }
     }
--- a/tests/sidecar/grant_manager.rs
+++ b/tests/sidecar/grant_manager.rs
@@ -8,6 +8,7 @@
 use filbertflow::protocol::adapter::Hold;
 use filbertflow::state::clock::Instant;
 use filbertflow::state::keyspace::Holder;
+use filbertflow::state::store_revision::{Era, Revision};
 
 const MAX_GRANT: Duration = Duration::from_secs(3);
 
@@ -66,11 +67,12 @@
 /// Guards against grants by a table that a change without a reply may still replace.
 #[test]
 fn change_without_a_reply_delays_grants() {
-    let pending = ("walks".to_owned(), 7);
-    assert!(!is_write_resolved(Some(&pending), "walks", 7));
-    assert!(is_write_resolved(Some(&pending), "walks", 8));
-    assert!(is_write_resolved(Some(&pending), "office", 7));
-    assert!(is_write_resolved(None, "walks", 7));
+    let revision = |number| Revision::new(Era(0), number);
+    let pending = ("walks".to_owned(), revision(7));
+    assert!(!is_write_resolved(Some(&pending), "walks", revision(7)));
+    assert!(is_write_resolved(Some(&pending), "walks", revision(8)));
+    assert!(is_write_resolved(Some(&pending), "office", revision(7)));
+    assert!(is_write_resolved(None, "walks", revision(7)));
 }
 
 fn holder(born: u64) -> Holder {
--- a/tests/sidecar/links.rs
+++ b/tests/sidecar/links.rs
@@ -9,11 +9,12 @@
 
 use filbertflow::protocol::http::Header;
 use filbertflow::protocol::mesh::{
-    BackendInfo, Call, Cause, Failure, Frame, Hello, HolderRates, Items, Load, Outcome, Reminder,
-    Response, StoreRequest, StoreResponse,
+    BackendInfo, Call, Cause, Claim, Failure, Frame, Hello, HolderRates, Items, Load, Outcome,
+    Reminder, Response, StoreRequest, StoreResponse,
 };
 use filbertflow::state::clock::Instant;
 use filbertflow::state::routes::{Repeat, RouteId};
+use filbertflow::state::store_revision::Revision;
 use filbertflow::transport::sidecar::frames;
 use filbertflow::transport::sidecar::links::{self, Link};
 use filbertflow::transport::sidecar::peer_server::{Handler, Job, PeerServer};
@@ -69,15 +70,15 @@
         }
     }
 
-    fn items(&self, _after: u64) -> Items {
+    fn items(&self, _after: Revision) -> Items {
         self.config()
     }
 
     fn config(&self) -> Items {
         Items {
             whole: false,
-            since: 0,
-            as_of: 0,
+            since: Revision::default(),
+            as_of: Revision::default(),
             items: Vec::new(),
         }
     }
@@ -86,6 +87,8 @@
 
     fn receive_rates(&self, _rates: HolderRates) {}
 
+    fn receive_claim(&self, _claim: Claim) {}
+
     fn recall(&self, _reminder: Reminder) {}
 
     fn relay(&self, request: StoreRequest) -> Pin<Box<dyn Future<Output = Option<StoreResponse>>>> {
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -10,6 +10,7 @@
 mod caller;
 mod catchup;
 mod compression;
+mod confirmation;
 mod cut_heads;
 mod decayed_average;
 mod endless;
--- a/tests/sidecar/replica.rs
+++ b/tests/sidecar/replica.rs
@@ -7,6 +7,7 @@
 use filbertflow::protocol::mesh::Items;
 use filbertflow::protocol::ownership;
 use filbertflow::state::keyspace::{AssignmentTable, Holder, Key};
+use filbertflow::state::store_revision::{Era, Revision};
 use quickcheck::{Arbitrary, Gen, TestResult};
 
 /// Number of nodes in a history.
@@ -18,11 +19,13 @@
 /// Number of keys in a history.
 const KEYS: u8 = 4;
 
-/// Store with the complete history of its changes.
+/// Store with the complete history of its changes, in each era.
 #[derive(Debug, Default)]
 struct StoreHistory {
     revision: u64,
     events: Vec<Event>,
+    /// Histories of the earlier eras.
+    lost: Vec<Vec<Event>>,
 }
 
 impl StoreHistory {
@@ -44,10 +47,27 @@
         }
     }
 
-    /// Returns the revision of each item that existed at a revision.
-    fn at(&self, revision: u64) -> BTreeMap<String, u64> {
+    /// Goes back by some revisions, which are given out again.
+    fn restore(&mut self, revisions: u64) {
+        self.lost.push(self.events.clone());
+        self.revision = self.revision.saturating_sub(revisions).max(1);
+        self.events.retain(|e| at(e) <= self.revision);
+    }
+
+    fn now(&self) -> Revision {
+        Revision::new(Era(self.lost.len() as u64), self.revision)
+    }
+
+    fn of_era(&self, era: Era) -> &[Event] {
+        let lost = usize::try_from(era.0).ok().and_then(|e| self.lost.get(e));
+        lost.unwrap_or(&self.events)
+    }
+
+    /// Returns the number of the revision of each item that existed at a revision.
+    fn at(&self, revision: Revision) -> BTreeMap<String, u64> {
         let mut all = BTreeMap::new();
-        for event in self.since(0).iter().filter(|e| at(e) <= revision) {
+        let events = self.of_era(revision.era).iter();
+        for event in events.filter(|e| at(e) <= revision.number) {
             match event {
                 Event::Put(item) => all.insert(item.key.clone(), item.revision),
                 Event::Removed { key, .. } => all.remove(key),
@@ -56,13 +76,17 @@
         all
     }
 
-    fn since(&self, revision: u64) -> Vec<Event> {
-        let later = self.events.iter().filter(|e| at(e) > revision);
-        later.cloned().collect()
+    /// Returns the changes of an era after a revision.
+    fn since(&self, revision: Revision) -> Vec<Event> {
+        let events = self.of_era(revision.era).iter();
+        events
+            .filter(|e| at(e) > revision.number)
+            .cloned()
+            .collect()
     }
 
     fn items(&self, keys: std::ops::Range<u8>) -> Vec<Item> {
-        let now = self.at(self.revision);
+        let now = self.at(self.now());
         let listed = keys.filter_map(|k| Some((name(k), *now.get(&name(k))?)));
         let item = |(key, revision): (String, u64)| Item {
             value: value(&key, revision),
@@ -129,6 +153,8 @@
     ResponseDelivered(usize),
     /// A node restarts without state.
     Restart(usize),
+    /// The store is restored to some revisions before.
+    Restore(u64),
 }
 
 impl Arbitrary for Step {
@@ -148,6 +174,7 @@
             8 | 9 => Self::Request(node, usize::arbitrary(g) % NODES),
             10 => Self::ResponseDelivered(node),
             _ if u8::arbitrary(g) < 40 => Self::Restart(node),
+            _ if u8::arbitrary(g) < 40 => Self::Restore(u64::from(u8::arbitrary(g) % 8)),
             _ => Self::ResponseDelivered(node),
         }
     }
@@ -156,10 +183,10 @@
 #[derive(Debug, Default)]
 struct Node {
     replica: Replica,
-    page: Option<(Vec<Item>, u64)>,
-    delivered: Vec<Event>,
+    page: Option<(Vec<Item>, Revision)>,
+    delivered: (Vec<Event>, Era),
     /// Revision from which its watch continues.
-    from: u64,
+    from: Revision,
     responses: Vec<Items>,
 }
 
@@ -170,21 +197,22 @@
     fn wrong_item(&self, history: &StoreHistory) -> Option<(String, Option<u64>, Option<u64>)> {
         let newest = self.replica.revision();
         let then = history.at(newest);
-        for item in self.replica.changes_since(0).items {
+        for item in self.replica.changes_since(Revision::default()).items {
             let right = value(&item.key, item.revision);
             if item.value.as_ref() != Some(&right) {
                 return Some((item.key, Some(item.revision), None));
             }
         }
         (0..KEYS).map(name).find_map(|key| {
-            let shown = self.replica.item_revision(&key);
+            let shown = self.replica.item_revision(&key).map(|r| r.number);
             let right = then.get(&key).copied();
             let later = history.since(newest).into_iter().any(|e| match e {
                 Event::Put(item) => item.key == key,
                 Event::Removed { key: k, .. } => k == key,
             });
-            let known = shown.is_none_or(|r| r <= newest);
-            (newest > 0 && !(known && later) && shown != right).then_some((key, shown, right))
+            let known = shown.is_none_or(|r| r <= newest.number);
+            (newest.number > 0 && !(known && later) && shown != right)
+                .then_some((key, shown, right))
         })
     }
 }
@@ -197,11 +225,13 @@
         match step {
             Step::Commit(changes) => history.commit(changes),
             Step::ReadFirst(n) => {
-                nodes[*n].page = Some((history.items(0..KEYS / 2), history.revision));
+                nodes[*n].page = Some((history.items(0..KEYS / 2), history.now()));
             }
             Step::ReadSecond(n) => {
                 let node = &mut nodes[*n];
-                if let Some((mut items, as_of)) = node.page.take() {
+                // Pages of two eras are read again.
+                let page = node.page.take();
+                if let Some((mut items, as_of)) = page.filter(|p| p.1.era == history.now().era) {
                     items.extend(history.items(KEYS / 2..KEYS));
                     node.replica.apply_snapshot(&items, as_of);
                     node.from = as_of;
@@ -210,15 +240,17 @@
             Step::Watch(n) => {
                 let node = &mut nodes[*n];
                 let from = node.from.max(node.replica.revision());
-                if node.from > 0 {
-                    node.delivered = history.since(from);
+                // A watch from an earlier era ends; one from a later revision gets 410.
+                if !node.from.is_none() && from.era == history.now().era {
+                    node.delivered = (history.since(from), from.era);
                 }
             }
             Step::WatchDelivered(n) => {
                 let node = &mut nodes[*n];
                 let delivered = std::mem::take(&mut node.delivered);
-                node.replica.apply_events(&delivered);
+                node.replica.apply_events(&delivered.0, delivered.1);
             }
+            Step::Restore(revisions) => history.restore(*revisions),
             Step::Request(n, other) => {
                 let response = nodes[*other]
                     .replica
@@ -268,6 +300,11 @@
         .quickcheck(property as fn(Vec<Step>) -> TestResult);
 }
 
+/// Returns a revision of the first era.
+fn rev(number: u64) -> Revision {
+    Revision::new(Era(0), number)
+}
+
 fn item(key: u8, revision: u64) -> Item {
     Item {
         key: name(key),
@@ -281,15 +318,18 @@
 #[test]
 fn late_response_does_not_restore_an_entry() {
     let mut other = Replica::default();
-    other.apply_snapshot(&[item(0, 4), item(1, 5)], 5);
+    other.apply_snapshot(&[item(0, 4), item(1, 5)], rev(5));
     let mut node = Replica::default();
     let late = other.changes_since(node.revision());
-    node.apply_snapshot(&[item(0, 4), item(1, 5)], 5);
+    node.apply_snapshot(&[item(0, 4), item(1, 5)], rev(5));
     let removed = Event::Removed {
         key: name(1),
         revision: 6,
     };
-    assert_eq!(node.apply_events(&[removed]), [Change::Removed(name(1))]);
+    assert_eq!(
+        node.apply_events(&[removed], Era(0)),
+        [Change::Removed(name(1))]
+    );
     assert_eq!(node.apply_remote(late), []);
     assert_eq!(node.item_revision(&name(1)), None);
 }
@@ -299,13 +339,13 @@
 #[test]
 fn late_pages_do_not_restore_an_entry() {
     let mut node = Replica::default();
-    node.apply_snapshot(&[item(0, 4), item(1, 5)], 5);
+    node.apply_snapshot(&[item(0, 4), item(1, 5)], rev(5));
     let removed = Event::Removed {
         key: name(1),
         revision: 6,
     };
-    node.apply_events(&[removed]);
-    assert_eq!(node.apply_snapshot(&[item(0, 4), item(1, 5)], 5), []);
+    node.apply_events(&[removed], Era(0));
+    assert_eq!(node.apply_snapshot(&[item(0, 4), item(1, 5)], rev(5)), []);
     assert_eq!(node.item_revision(&name(1)), None);
 }
 
@@ -314,9 +354,9 @@
 #[test]
 fn restarted_watcher_reports_a_removal_that_it_has_not_seen() {
     let mut node = Replica::default();
-    node.apply_snapshot(&[item(0, 4), item(1, 5)], 5);
+    node.apply_snapshot(&[item(0, 4), item(1, 5)], rev(5));
     let mut reader = Replica::default();
-    reader.apply_snapshot(&[item(0, 4), item(2, 7)], 7);
+    reader.apply_snapshot(&[item(0, 4), item(2, 7)], rev(7));
     let changes = node.apply_remote(reader.changes_since(node.revision()));
     assert!(changes.contains(&Change::Removed(name(1))), "{changes:?}");
 }
@@ -335,11 +375,11 @@
 #[test]
 fn change_of_a_table_is_sent_as_a_delta() {
     let mut node = Replica::default();
-    node.apply_snapshot(&[table(5)], 5);
+    node.apply_snapshot(&[table(5)], rev(5));
     let mut other = Replica::default();
-    other.apply_snapshot(&[table(5)], 5);
-    node.apply_events(&[Event::Put(table(6))]);
-    let response = node.changes_since(5);
+    other.apply_snapshot(&[table(5)], rev(5));
+    node.apply_events(&[Event::Put(table(6))], Era(0));
+    let response = node.changes_since(rev(5));
     let bytes = response.items[0].value.as_ref().unwrap().len();
     assert!(bytes * 4 < table(6).value.len(), "{bytes} bytes");
     assert_eq!(other.apply_remote(response), [Change::Put(table(6))]);
@@ -350,25 +390,25 @@
 #[test]
 fn delta_without_its_base_requests_all_items() {
     let mut node = Replica::default();
-    node.apply_snapshot(&[table(5)], 5);
-    node.apply_events(&[Event::Put(table(6))]);
+    node.apply_snapshot(&[table(5)], rev(5));
+    node.apply_events(&[Event::Put(table(6))], Era(0));
     let mut other = Replica::default();
-    other.apply_snapshot(&[table(4)], 5);
-    assert_eq!(other.apply_remote(node.changes_since(5)), []);
-    assert_eq!(other.request_revision(), 0);
+    other.apply_snapshot(&[table(4)], rev(5));
+    assert_eq!(other.apply_remote(node.changes_since(rev(5))), []);
+    assert!(other.request_revision().is_none());
     assert_eq!(
         other.apply_remote(node.changes_since(other.request_revision())),
         [Change::Put(table(6))]
     );
-    assert_eq!(other.request_revision(), 6);
+    assert_eq!(other.request_revision(), rev(6));
 }
 
 /// Guards against the second change of a commit that is ignored as an old one.
 #[test]
 fn all_changes_of_one_commit_are_applied() {
     let mut node = Replica::default();
-    node.apply_snapshot(&[item(0, 4)], 4);
-    let changes = node.apply_events(&[Event::Put(item(1, 5)), Event::Put(item(2, 5))]);
+    node.apply_snapshot(&[item(0, 4)], rev(4));
+    let changes = node.apply_events(&[Event::Put(item(1, 5)), Event::Put(item(2, 5))], Era(0));
     assert_eq!(changes.len(), 2);
 }
 
@@ -376,7 +416,45 @@
 #[test]
 fn read_without_changes_keeps_the_revision() {
     let mut node = Replica::default();
-    node.apply_snapshot(&[item(0, 4)], 5);
-    node.apply_snapshot(&[item(0, 4)], 9);
-    assert_eq!(node.revision(), 5);
+    node.apply_snapshot(&[item(0, 4)], rev(5));
+    node.apply_snapshot(&[item(0, 4)], rev(9));
+    assert_eq!(node.revision(), rev(5));
+}
+
+/// Guards against items of the restored store that count as late ones because their revisions are lower,
+/// and against an item that stays although the store has lost it.
+#[test]
+fn new_era_replaces_all_items() {
+    let mut node = Replica::default();
+    node.apply_snapshot(&[item(0, 4), item(1, 9)], rev(9));
+    let restored = Revision::new(Era(1), 5);
+    let changes = node.apply_snapshot(&[item(0, 4)], restored);
+    assert!(changes.contains(&Change::Removed(name(1))), "{changes:?}");
+    assert!(changes.contains(&Change::Put(item(0, 4))), "{changes:?}");
+    assert_eq!(node.revision(), restored);
+}
+
+/// A node that has read the restored store and one that hasn't exchange items. Guards against a delta or
+/// a part of the items across eras, and against going back to the lost content.
+#[test]
+fn nodes_of_two_eras_exchange_all_items() {
+    let mut old = Replica::default();
+    old.apply_snapshot(&[item(0, 4), item(1, 9)], rev(9));
+    let mut new = Replica::default();
+    new.apply_snapshot(&[item(0, 4)], Revision::new(Era(1), 5));
+    assert_eq!(new.apply_remote(old.changes_since(new.revision())), []);
+    let response = new.changes_since(old.revision());
+    assert!(response.whole);
+    old.apply_remote(response);
+    assert_eq!(old.revision(), new.revision());
+    assert_eq!(old.item_revision(&name(1)), None);
+}
+
+/// Guards against changes of a watch that began in another era than the replica's.
+#[test]
+fn events_of_another_era_are_ignored() {
+    let mut node = Replica::default();
+    node.apply_snapshot(&[item(0, 4)], Revision::new(Era(1), 5));
+    assert_eq!(node.apply_events(&[Event::Put(item(1, 9))], Era(0)), []);
+    assert_eq!(node.apply_events(&[Event::Put(item(1, 9))], Era(2)), []);
 }
--- a/tests/sidecar/reports.rs
+++ b/tests/sidecar/reports.rs
@@ -6,6 +6,7 @@
 use filbertflow::protocol::mesh::{Health, Load, RateLimit};
 use filbertflow::state::clock::Instant;
 use filbertflow::state::routes::Version;
+use filbertflow::state::store_revision::{Era, Revision};
 use filbertflow::transport::sidecar::peer_server::SentLoad;
 
 /// Age of a report that is not due by age.
@@ -59,9 +60,9 @@
     leaving: Load { health: Health::Leaving, ..Load::default() }, false => true;
     limit: Load { limit: RateLimit::PerSecond(5.0), ..Load::default() }, false => true;
     /// Guards against a change of an assignment table that other nodes learn of late.
-    table_seen_by_a_watcher: Load { items: 7, ..Load::default() }, true => true;
+    table_seen_by_a_watcher: Load { items: Revision::new(Era(0), 7), ..Load::default() }, true => true;
     /// Keys move in a fleet of 83. Guards against reports of all 83 nodes to 82 others for each move.
-    table_seen_by_another: Load { items: 7, ..Load::default() }, false => false;
+    table_seen_by_another: Load { items: Revision::new(Era(0), 7), ..Load::default() }, false => false;
 }
 
 macro_rules! to_idle {
