--- a/src/coordination/sidecar/dispatcher.rs
+++ b/src/coordination/sidecar/dispatcher.rs
@@ -572,7 +572,7 @@
                 Outcome::Unknown(Failure::after_send(cause))
             }
         };
-        tracing::info!(event = 562, id = %call.id, outcome = ?outcome, took_ms = took.as_millis(), failing = self.failure_rate(), "no response from the backend server");
+        tracing::info!(event = 562, id = %call.id, request = %call.fingerprint(), outcome = ?outcome, took_ms = took.as_millis(), failing = self.failure_rate(), "no response from the backend server");
         outcome
     }
 }
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -5,6 +5,7 @@
 //! outcome can be requested again over a new connection.
 
 use crate::protocol::http;
+use crate::state::fingerprint::Fingerprint;
 use crate::state::key_rates;
 use crate::state::keyspace;
 use crate::state::routes;
@@ -107,6 +108,15 @@
     pub body: Vec<u8>,
 }
 
+impl Call {
+    /// Returns the fingerprint of the request.
+    #[must_use]
+    pub fn fingerprint(&self) -> Fingerprint {
+        let host = http::header_value(&self.headers, "Host").unwrap_or_default();
+        Fingerprint::new(&self.method, host, &self.target, &self.body)
+    }
+}
+
 /// Complete response of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -6,6 +6,7 @@
 pub mod decayed_average;
 pub mod document;
 pub mod error;
+pub mod fingerprint;
 pub mod ids;
 pub mod key_rates;
 pub mod keyspace;
