Refuse a request under which three servers have crashed

Cause: a request that crashes each server that begins to run it comes again with another identifier at any node, and nothing of it is remembered: it was sent on each time, and took down 11 servers. Callers whose requests ran beside it got 502. Change: the node beside a server counts, by fingerprint, the lives of servers that broke off while they ran a request, and tells all nodes; a node that has started is told all. From three lives on every ingress and dispatcher refuses the request at once as not run. A request that is answered is cleared everywhere. Measured: crashing_request_is_not_sent_after_three_crashes 21 more crashes -> passes, crashing_request_is_known_after_a_restart 15 -> passes; 349 tests of the sidecar's parts pass.

--- a/src/coordination/sidecar/dispatcher.rs
+++ b/src/coordination/sidecar/dispatcher.rs
@@ -20,6 +20,7 @@
 use crate::coordination::sidecar::failure_rate;
 use crate::coordination::sidecar::granted_ranges::GrantedRanges;
 use crate::coordination::sidecar::local_backend::Backend;
+use crate::coordination::sidecar::quarantine::Quarantine;
 use crate::coordination::sidecar::service_times::Completion;
 use crate::coordination::sidecar::signals::SignalTracker;
 use crate::metrics::Metrics;
@@ -55,6 +56,9 @@
 /// Maximum age of the last heartbeat at which requests wait for a grant with the next one.
 const MAX_HEARTBEAT_AGE: Duration = Duration::from_millis(1500);
 
+/// Recommended delay before a request is sent again that crashes backend servers, in milliseconds.
+pub const QUARANTINE_RETRY_MS: u32 = 60_000;
+
 /// Retry delay, in milliseconds, of a request whose key the backend server has no grant for.
 const NO_GRANT_RETRY_MS: u32 = 300;
 
@@ -98,6 +102,8 @@
     /// What other nodes remember of backend servers that haven't registered with this process, and
     /// when they said so.
     reminders: RefCell<VecDeque<(Reminder, Instant)>>,
+    /// Requests that crash backend servers.
+    pub quarantine: RefCell<Quarantine>,
     /// Notified when a queued request waits for the rate limit.
     throttled: Notify,
     metrics: Metrics,
@@ -192,6 +198,7 @@
             )),
             signals: RefCell::default(),
             reminders: RefCell::default(),
+            quarantine: RefCell::default(),
             throttled: Notify::new(),
             metrics,
             key_rates: RefCell::new(KeyRates::new(now)),
@@ -424,9 +431,19 @@
         Outcome::NotRun(Failure::before_send(cause, wait_ms))
     }
 
+    /// Returns whether backend servers crash under a request, so that it must not be sent to any.
+    #[must_use]
+    pub fn refuses(&self, call: &Call) -> bool {
+        let mut quarantine = self.quarantine.borrow_mut();
+        !quarantine.is_empty() && quarantine.refuses(call.fingerprint(), Instant::now())
+    }
+
     async fn serve(self: Rc<Self>, call: Call, arrived: Instant, started: &Cell<bool>) -> Outcome {
         let deadline = arrived + Duration::from_millis(call.left_ms.into());
         let waited = || Instant::now().since(arrived);
+        if self.refuses(&call) {
+            return self.reject(&call, Cause::Quarantined, QUARANTINE_RETRY_MS, waited());
+        }
         if let Err(cause) = self.available_backend(&call.service) {
             return self.reject(&call, cause, 0, waited());
         }
@@ -461,14 +478,39 @@
         {
             return self.reject(&call, Cause::NotHolder, NO_GRANT_RETRY_MS, waited());
         }
+        // Others have run it while it was queued.
+        if self.refuses(&call) {
+            return self.reject(&call, Cause::Quarantined, QUARANTINE_RETRY_MS, waited());
+        }
         started.set(true);
         let sent = Instant::now();
         let result = self.send(&call, &backend, deadline).await;
         let took = Instant::now().since(sent);
         permit.completion = failure_rate::completion(&result);
+        self.record_crash(&call, &backend, &result);
         self.record_outcome(&call, result, took)
     }
 
+    /// Records whether a backend server broke off while it ran a request, or has answered it.
+    fn record_crash(&self, call: &Call, backend: &Backend, result: &Result<Response, SendError>) {
+        let now = Instant::now();
+        let mut quarantine = self.quarantine.borrow_mut();
+        match result {
+            Err(SendError::Unknown(Cause::Broken)) => {
+                let request = call.fingerprint();
+                let crashes = quarantine.record_crash(request, backend.holder.life(), now);
+                tracing::info!(event = 568, id = %call.id, %request, backend = %backend.holder.backend, born = backend.holder.born, crashes, "the backend server broke off while it ran a request");
+            }
+            Ok(_) if !quarantine.is_empty() => {
+                let request = call.fingerprint();
+                if quarantine.record_answer(request, now) {
+                    tracing::info!(event = 569, id = %call.id, %request, "a request was answered under which a backend server had broken off");
+                }
+            }
+            _ => {}
+        }
+    }
+
     async fn admit(
         self: &Rc<Self>,
         request: AdmissionRequest,
--- a/src/coordination/sidecar/ingress.rs
+++ b/src/coordination/sidecar/ingress.rs
@@ -13,7 +13,7 @@
 use tokio::time;
 
 use crate::coordination::sidecar::configuration::Configuration;
-use crate::coordination::sidecar::dispatcher::Dispatcher;
+use crate::coordination::sidecar::dispatcher::{self, Dispatcher};
 use crate::coordination::sidecar::membership::MembershipView;
 use crate::coordination::sidecar::overload_retry::OverloadRetry;
 use crate::coordination::sidecar::request_context::{RequestContext, RequestTrace};
@@ -283,6 +283,11 @@
     async fn forward(&self, context: &RequestContext, trace: &mut RequestTrace) -> Outcome {
         let mut tried = HashSet::new();
         let mut last = Failure::before_send(Cause::NoNode, NO_TARGET_RETRY_MS);
+        if self.dispatcher.refuses(&context.call) {
+            tracing::info!(event = 570, id = %context.call.id, request = %context.call.fingerprint(), "refused a request under which backend servers have crashed");
+            let wait = dispatcher::QUARANTINE_RETRY_MS;
+            return Outcome::NotRun(Failure::before_send(Cause::Quarantined, wait));
+        }
         let mut first = true;
         // Failure response of a backend server, returned to the caller if no retry succeeds.
         let mut failure_response = None;
@@ -357,7 +362,8 @@
             return false;
         }
         let now = Instant::now();
-        if now >= context.deadline || failure.cause == Cause::Timeout {
+        let given_up = matches!(failure.cause, Cause::Timeout | Cause::Quarantined);
+        if now >= context.deadline || given_up {
             return false;
         }
         // The holder of a key is the only destination for it, so its rejections are final.
--- a/src/coordination/sidecar/mod.rs
+++ b/src/coordination/sidecar/mod.rs
@@ -31,6 +31,7 @@
 pub mod peer_handler;
 pub mod plan;
 pub mod planner;
+pub mod quarantine;
 pub mod rate_limiter;
 pub mod registration;
 pub mod replica;
--- a/src/coordination/sidecar/peer_handler.rs
+++ b/src/coordination/sidecar/peer_handler.rs
@@ -12,7 +12,8 @@
 use crate::coordination::sidecar::planner::Planner;
 use crate::coordination::sidecar::replication::Replicator;
 use crate::protocol::mesh::{
-    BackendInfo, Call, Claim, HolderRates, Items, Load, Reminder, StoreRequest, StoreResponse,
+    BackendInfo, Call, Claim, CrashReport, HolderRates, Items, Load, Reminder, StoreRequest,
+    StoreResponse,
 };
 use crate::state::clock::Instant;
 use crate::state::decayed_average::DecayedAverage;
@@ -102,6 +103,13 @@
         self.confirmation.record(claim);
     }
 
+    fn receive_crashes(&self, reports: Vec<CrashReport>) {
+        let mut quarantine = self.dispatcher.quarantine.borrow_mut();
+        for report in reports {
+            quarantine.apply(report, Instant::now());
+        }
+    }
+
     fn recall(&self, reminder: Reminder) {
         self.dispatcher.recall(reminder);
     }
--- a/src/coordination/sidecar/targets.rs
+++ b/src/coordination/sidecar/targets.rs
@@ -201,7 +201,7 @@
         let range = self.range_id(context, key);
         let mut unavailable = self.unavailable.borrow_mut();
         match outcome {
-            Outcome::NotRun(f) if !f.cause.is_overload() && f.cause != Cause::Expired => {
+            Outcome::NotRun(f) if f.cause.concerns_holder() => {
                 let now = Instant::now();
                 unavailable.retain(|_, at| now.since(*at) < UNAVAILABLE_TTL);
                 unavailable.insert(range, now);
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -56,6 +56,8 @@
     Remind(Box<Reminder>),
     /// Keys that the sender's backend server may hold, for the nodes that confirm a table.
     Claim(Box<Claim>),
+    /// Requests under which backend servers have broken off.
+    Crashes(Vec<CrashReport>),
 }
 
 /// Handshake of a node.
@@ -217,6 +219,8 @@
     NoConfiguration,
     /// The limit that the backend server has named leaves no room in time.
     Throttled,
+    /// Backend servers have crashed under the request.
+    Quarantined,
 }
 
 impl Cause {
@@ -226,6 +230,12 @@
         matches!(self, Self::Full | Self::Throttled)
     }
 
+    /// Returns whether a refusal tells that the holder of a key takes no requests.
+    #[must_use]
+    pub fn concerns_holder(self) -> bool {
+        !self.is_overload() && !matches!(self, Self::Expired | Self::Quarantined)
+    }
+
     /// Returns the name used in logs and metrics.
     #[must_use]
     pub fn name(self) -> &'static str {
@@ -249,6 +259,7 @@
             Self::NoNode => "no_node",
             Self::NoConfiguration => "no_configuration",
             Self::Throttled => "throttled",
+            Self::Quarantined => "quarantined",
         }
     }
 }
@@ -396,6 +407,17 @@
     pub slices: Vec<keyspace::Slice>,
 }
 
+/// What a node has seen of a request under which backend servers broke off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct CrashReport {
+    /// Fingerprint of the request.
+    pub request: Fingerprint,
+    /// Life of a backend server that broke off while it ran the request; `None` if the request was
+    /// answered.
+    pub life: Option<u64>,
+}
+
 /// Request rates of the keys of one holder.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/state/keyspace.rs
+++ b/src/state/keyspace.rs
@@ -13,6 +13,8 @@
 
 use std::collections::{BTreeSet, HashSet};
 
+use xxhash_rust::xxh3;
+
 use crate::state::store_revision::Era;
 
 /// Number of possible keys.
@@ -40,6 +42,16 @@
     pub born: u64,
 }
 
+impl Holder {
+    /// Returns a number that tells this life of the backend server from others.
+    #[must_use]
+    pub fn life(&self) -> u64 {
+        let born = self.born.to_le_bytes();
+        let parts = [self.node.as_bytes(), self.backend.as_bytes(), &born];
+        xxh3::xxh3_64(&parts.join(&0))
+    }
+}
+
 /// Range of keys with one holder.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/transport/sidecar/links.rs
+++ b/src/transport/sidecar/links.rs
@@ -185,6 +185,12 @@
         self.since_report.get()
     }
 
+    /// Returns the incarnation of the node's process, once it has connected.
+    #[must_use]
+    pub fn incarnation(&self) -> Option<u64> {
+        self.incarnation.get()
+    }
+
     /// Returns the incarnation of the node's local backend server, as far as it is known.
     #[must_use]
     pub fn holder(&self) -> Option<Holder> {
--- a/src/transport/sidecar/peer_server.rs
+++ b/src/transport/sidecar/peer_server.rs
@@ -23,8 +23,8 @@
 use tokio::{task, time};
 
 use crate::protocol::mesh::{
-    BackendInfo, Call, Cause, Claim, Failure, Frame, Hello, HolderRates, Items, Load, Outcome,
-    Reminder, Seq, StoreRequest, StoreResponse,
+    BackendInfo, Call, Cause, Claim, CrashReport, Failure, Frame, Hello, HolderRates, Items, Load,
+    Outcome, Reminder, Seq, StoreRequest, StoreResponse,
 };
 use crate::state::clock::{self, Instant};
 use crate::state::routes::Repeat;
@@ -131,6 +131,9 @@
     /// Handles what the backend server of another node may hold.
     fn receive_claim(&self, claim: Claim);
 
+    /// Handles what another node has seen of requests under which backend servers broke off.
+    fn receive_crashes(&self, reports: Vec<CrashReport>);
+
     /// Takes in what another node was told about the local backend server.
     fn recall(&self, reminder: Reminder);
 
@@ -472,6 +475,7 @@
             }
             Frame::Remind(reminder) => self.handler.recall(*reminder),
             Frame::Heat(rates) => self.handler.receive_rates(*rates),
+            Frame::Crashes(reports) => self.handler.receive_crashes(reports),
             Frame::Claim(claim) => self.handler.receive_claim(*claim),
             Frame::Relay(seq, request) => {
                 let relayed = self.handler.relay(*request);
--- a/tests/sidecar/links.rs
+++ b/tests/sidecar/links.rs
@@ -9,8 +9,8 @@
 
 use filbertflow::protocol::http::Header;
 use filbertflow::protocol::mesh::{
-    BackendInfo, Call, Cause, Claim, Failure, Frame, Hello, HolderRates, Items, Load, Outcome,
-    Reminder, Response, StoreRequest, StoreResponse,
+    BackendInfo, Call, Cause, Claim, CrashReport, Failure, Frame, Hello, HolderRates, Items, Load,
+    Outcome, Reminder, Response, StoreRequest, StoreResponse,
 };
 use filbertflow::state::clock::Instant;
 use filbertflow::state::routes::{Repeat, RouteId};
@@ -87,6 +87,8 @@
 
     fn receive_rates(&self, _rates: HolderRates) {}
 
+    fn receive_crashes(&self, _reports: Vec<CrashReport>) {}
+
     fn receive_claim(&self, _claim: Claim) {}
 
     fn recall(&self, _reminder: Reminder) {}
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -26,6 +26,7 @@
 mod load_balancing;
 mod overload_retry;
 mod plan;
+mod quarantine;
 mod rate_limiter;
 mod refusals;
 mod replica;
