Answer the requests that a stopping sidecar takes late

Cause: reported by operators: in a planned stop, requests that came late in the grace time were taken, passed on and cut with no answer at its end, among them requests that may not be repeated. It can happen here: a request kept its own deadline, which may lie past 0.9 of the grace time, when the process ends. Change: a request that arrives during a stop has at most until 0.85 of the grace time, on every hop, and what is still without an answer at 0.9 gets 502 before the process ends. Measured: late_requests_of_a_stop_are_answered failed on the code before ([0, 0, 0, 0]: four connections closed with no answer) and passes; the other two tests of a stop pass.

--- a/src/coordination/sidecar/ingress.rs
+++ b/src/coordination/sidecar/ingress.rs
@@ -62,6 +62,8 @@
     Draining,
     /// Closes idle connections as well.
     Terminating,
+    /// Ends the requests that have no answer yet.
+    Abandoning,
 }
 
 /// Ingress of a node.
@@ -82,6 +84,8 @@
     /// retry.
     longest_timeouts: RefCell<HashMap<RouteId, Duration>>,
     stage: Cell<ShutdownStage>,
+    /// Latest deadline of requests that arrive during the shutdown.
+    last_deadline: Cell<Option<Instant>>,
     stage_changed: Rc<Notify>,
 }
 
@@ -133,6 +137,7 @@
             split_deficits: RefCell::new(HashMap::new()),
             longest_timeouts: RefCell::new(HashMap::new()),
             stage: Cell::new(ShutdownStage::Serving),
+            last_deadline: Cell::new(None),
             stage_changed: Rc::new(Notify::new()),
         })
     }
@@ -142,6 +147,19 @@
         self.retry_budget.borrow_mut().set_limits(limits);
     }
 
+    /// Sets the latest deadline of requests that arrive from now on, so that each has its answer before
+    /// the process ends.
+    pub fn set_last_deadline(&self, deadline: Instant) {
+        self.last_deadline.set(Some(deadline));
+    }
+
+    /// Waits until the requests without an answer are to be ended.
+    async fn abandoned(&self) {
+        while self.stage.get() < ShutdownStage::Abandoning {
+            self.stage_changed.notified().await;
+        }
+    }
+
     /// Sets the stage of the shutdown.
     pub fn set_stage(&self, stage: ShutdownStage) {
         self.stage.set(stage);
@@ -197,11 +215,17 @@
             .record_request(&context.service, context.arrived);
         let mut trace = RequestTrace::default();
         let due = context.deadline + RESPONSE_GRACE;
-        let outcome = time::timeout(due.left(), self.forward(&context, &mut trace)).await;
-        let outcome = outcome.unwrap_or(Outcome::Unknown(Failure {
-            arrived: trace.attempts > 0,
-            ..Failure::after_send(Cause::Timeout)
-        }));
+        let ended = tokio::select! {
+            outcome = self.forward(&context, &mut trace) => Ok(outcome),
+            () = time::sleep(due.left()) => Err(Cause::Timeout),
+            () = self.abandoned() => Err(Cause::Stopping),
+        };
+        let outcome = ended.unwrap_or_else(|cause| {
+            Outcome::Unknown(Failure {
+                arrived: trace.attempts > 0,
+                ..Failure::after_send(cause)
+            })
+        });
         self.respond(&context, &trace, outcome)
     }
 
@@ -267,8 +291,12 @@
             headers,
             body,
         };
+        let deadline = arrived + route.timeout.min(timeout);
         RequestContext {
-            deadline: arrived + route.timeout.min(timeout),
+            deadline: self
+                .last_deadline
+                .get()
+                .map_or(deadline, |d| d.min(deadline)),
             soft_deadline: arrived + route.objective.saturating_sub(spent),
             route,
             version,
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -63,6 +63,10 @@
 /// Fraction of the grace period in which a stopping node still accepts calls from other nodes.
 const ACCEPT_CALLS_FRACTION: f64 = 0.6;
 
+/// Fraction of the grace period after which no request that arrived during the shutdown has any time
+/// left, so that the answer to it is sent in time.
+const LAST_DEADLINE_FRACTION: f64 = 0.85;
+
 /// Fraction of the grace period after which a stopping node abandons remaining requests.
 const ABANDON_FRACTION: f64 = 0.9;
 
@@ -512,6 +516,8 @@
         self.ingress.set_stage(ShutdownStage::Draining);
         let start = Instant::now();
         let grace = self.settings.bounds.grace;
+        let last_deadline = start + grace.mul_f64(LAST_DEADLINE_FRACTION);
+        self.ingress.set_last_deadline(last_deadline);
         time::sleep(grace.mul_f64(CLOSE_IDLE_FRACTION)).await;
         self.ingress.set_stage(ShutdownStage::Terminating);
         // Wait until connections that were accepted before the listener closed are counted as open.
@@ -535,7 +541,8 @@
                 "requests are unfinished at the end of the grace period"
             );
         }
-        // Wait until the last responses to other nodes are sent.
+        self.ingress.set_stage(ShutdownStage::Abandoning);
+        // Wait until the last responses to callers and other nodes are sent.
         time::sleep(FLUSH_TIME).await;
         let backend_gone = self
             .dispatcher
