Share the ranking of a service's nodes, and say things once

A field of a serialized type stood first instead of last. An unreadable era is logged as before, an absent one only if the store has told one. Assertions, bounds and messages are unchanged. Conclusion: no change of behaviour meant.

--- a/src/coordination/sidecar/confirmation.rs
+++ b/src/coordination/sidecar/confirmation.rs
@@ -16,6 +16,7 @@
 use crate::coordination::sidecar::dispatcher::Dispatcher;
 use crate::coordination::sidecar::grant_manager::GrantManager;
 use crate::coordination::sidecar::membership::MembershipView;
+use crate::coordination::sidecar::planner::{self, REPORT_RECEIVERS};
 use crate::coordination::sidecar::registration::{LEASE, Registration};
 use crate::coordination::sidecar::replication::Replicator;
 use crate::coordination::sidecar::tables::Tables;
@@ -29,12 +30,6 @@
 /// one, with a margin for clock drift.
 const OLD_LEASE_TIME: Duration = LEASE.saturating_add(Duration::from_secs(1));
 
-/// Number of other nodes, the lowest-ranked ones, to which a node sends its claim.
-const CLAIM_RECEIVERS: usize = 2;
-
-/// Time for which a node leaves the confirmation to each node of a lower rank.
-const RANK_DELAY: Duration = Duration::from_millis(1200);
-
 /// Parts of a node that a confirmation uses.
 #[derive(Debug)]
 pub struct Dependencies {
@@ -110,21 +105,18 @@
         let parts = &self.parts;
         let era = parts.store.era();
         let now = Instant::now();
-        let mut loads = parts.membership.service_reports(service);
-        loads.sort_by(|a, b| a.0.node.cmp(&b.0.node));
-        let rank = loads.iter().filter(|(l, _)| l.node < parts.node).count();
+        let (loads, rank) = parts.membership.ranked_reports(service);
         if let Some(claim) = parts.grant_manager.claim(service, era) {
-            for (link, _) in loads.iter().take(CLAIM_RECEIVERS) {
+            for (link, _) in loads.iter().take(REPORT_RECEIVERS) {
                 link.send(Frame::Claim(Box::new(claim.clone())));
             }
             self.record(claim);
         }
         let since = self.needed_since.get().unwrap_or(now);
         self.needed_since.set(Some(since));
-        let delay = RANK_DELAY.saturating_mul(u32::try_from(rank).unwrap_or(u32::MAX));
-        let may_write = may_write && rank <= CLAIM_RECEIVERS && now.since(since) >= delay;
+        let is_due = rank <= REPORT_RECEIVERS && now.since(since) >= planner::rank_delay(rank);
         // The content of the earlier era doesn't tell who has an entry.
-        if !may_write || parts.replicator.revision().era != era {
+        if !(may_write && is_due) || parts.replicator.revision().era != era {
             return;
         }
         let base = parts.tables.route(service);
--- a/src/coordination/sidecar/grant_manager.rs
+++ b/src/coordination/sidecar/grant_manager.rs
@@ -259,10 +259,7 @@
         let current = self.dispatcher.backend();
         let expired = self.all_expired();
         for service in self.tables.services() {
-            if !self.tables.is_confirmed(&service) {
-                continue;
-            }
-            let Some(table) = self.tables.get(&service) else {
+            let Some(table) = self.tables.confirmed(&service) else {
                 continue;
             };
             let holders = table.assignments.holders();
--- a/src/coordination/sidecar/membership.rs
+++ b/src/coordination/sidecar/membership.rs
@@ -207,6 +207,17 @@
         of_service.collect()
     }
 
+    /// Returns the reports of a service's nodes, ordered by address, and the number of these nodes that
+    /// come before this one: the nodes of the lowest ranks act for their service.
+    #[must_use]
+    pub fn ranked_reports(&self, service: &str) -> (Vec<(Rc<Link>, Report)>, usize) {
+        let mut reports = self.service_reports(service);
+        reports.sort_by(|a, b| a.0.node.cmp(&b.0.node));
+        let before = reports.iter().filter(|(l, _)| l.node < self.hello.node);
+        let rank = before.count();
+        (reports, rank)
+    }
+
     /// Returns the connections through which a store call may be relayed, in the order of preference.
     #[must_use]
     pub fn relays(&self) -> Vec<Rc<Link>> {
--- a/src/coordination/sidecar/planner.rs
+++ b/src/coordination/sidecar/planner.rs
@@ -44,9 +44,9 @@
 /// Minimum fraction of its capacity with which a failing backend server is planned.
 const MIN_CAPACITY_FRACTION: f64 = 0.2;
 
-/// Number of other nodes, the lowest-ranked ones, to which a node reports its key rates. Nodes of a
+/// Number of other nodes, the lowest-ranked ones, to which a node reports key rates and claims. Nodes of a
 /// higher rank don't plan.
-const REPORT_RECEIVERS: usize = 2;
+pub const REPORT_RECEIVERS: usize = 2;
 
 /// Planner of key assignments on one node.
 #[derive(Debug)]
@@ -109,9 +109,7 @@
             return;
         };
         let now = Instant::now();
-        let mut loads = self.membership.service_reports(&backend.service);
-        loads.sort_by(|a, b| a.0.node.cmp(&b.0.node));
-        let rank = loads.iter().filter(|(l, _)| l.node < self.node).count();
+        let (loads, rank) = self.membership.ranked_reports(&backend.service);
         let rates = HolderRates {
             holder: backend.holder.clone(),
             report: self.dispatcher.report_key_rates(),
@@ -149,8 +147,7 @@
         }
         let since = self.needed_since.get().unwrap_or(now);
         self.needed_since.set(Some(since));
-        let delays = u32::try_from(rank).unwrap_or(u32::MAX);
-        if now.since(since) < RANK_DELAY.saturating_mul(delays) {
+        if now.since(since) < rank_delay(rank) {
             return;
         }
         for holder in &lost {
@@ -235,6 +232,12 @@
     }
 }
 
+/// Returns the time for which a node of a rank leaves a needed change to those before it.
+#[must_use]
+pub fn rank_delay(rank: usize) -> Duration {
+    RANK_DELAY.saturating_mul(u32::try_from(rank).unwrap_or(u32::MAX))
+}
+
 /// Returns the backend servers that may hold keys, with their capacities.
 #[must_use]
 pub fn members(loads: &[(Option<Holder>, Load)]) -> Vec<Member> {
--- a/src/coordination/sidecar/tables.rs
+++ b/src/coordination/sidecar/tables.rs
@@ -84,11 +84,17 @@
             .cloned()
     }
 
+    /// Returns the table of a service if it is confirmed in the present era.
+    #[must_use]
+    pub fn confirmed(&self, service: &str) -> Option<Table> {
+        let era = self.store.era();
+        self.get(service).filter(|t| t.revision.era == era)
+    }
+
     /// Returns whether a service's table is confirmed in the present era.
     #[must_use]
     pub fn is_confirmed(&self, service: &str) -> bool {
-        self.get(service)
-            .is_some_and(|t| t.revision.era == self.store.era())
+        self.confirmed(service).is_some()
     }
 
     /// Returns the names of the services with tables.
@@ -193,12 +199,9 @@
         change: impl Fn(&AssignmentTable) -> Option<AssignmentTable>,
     ) -> Result<bool, store::Error> {
         for _ in 0..MAX_ATTEMPTS {
-            let Some(table) = self.get(service) else {
+            let Some(table) = self.confirmed(service) else {
                 return Ok(false);
             };
-            if table.revision.era != self.store.era() {
-                return Ok(false);
-            }
             let Some(next) = change(&table.assignments) else {
                 return Ok(false);
             };
--- a/src/state/keyspace.rs
+++ b/src/state/keyspace.rs
@@ -136,12 +136,12 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct AssignmentTable {
-    /// Era of the store for which the table is confirmed.
-    pub era: Era,
     /// Token for the next change of a holder.
     pub next_token: u64,
     /// Ranges in ascending order.
     pub slices: Vec<Slice>,
+    /// Era of the store for which the table is confirmed.
+    pub era: Era,
 }
 
 impl Default for AssignmentTable {
--- a/src/transport/sidecar/store.rs
+++ b/src/transport/sidecar/store.rs
@@ -345,28 +345,23 @@
 
     /// Decodes the era of a response. A header that is absent or unreadable tells nothing.
     fn decode_era(&self, head: &http::ResponseHead) -> Option<Era> {
-        let era = self.adapter.decode_store_era(&head.headers);
-        let known = self.era.get();
-        match era {
+        let error = match self.adapter.decode_store_era(&head.headers) {
             Ok(Some(era)) => {
                 self.era_missing.set(false);
                 return Some(era);
             }
-            Ok(None) => {
-                if known.is_some() && !self.era_missing.replace(true) {
-                    tracing::warn!(
-                        event = 315,
-                        known = known.unwrap_or_default().0,
-                        error = "absent",
-                        "a response of the store doesn't tell its era"
-                    );
-                }
-            }
-            Err(e) => {
-                if !self.era_missing.replace(true) {
-                    tracing::warn!(event = 315, known = known.unwrap_or_default().0, error = %e, "a response of the store doesn't tell its era");
-                }
-            }
+            // A store that has never told its era doesn't need to.
+            Ok(None) if self.era.get().is_none() => return None,
+            Ok(None) => "absent".to_owned(),
+            Err(e) => e.to_string(),
+        };
+        if !self.era_missing.replace(true) {
+            tracing::warn!(
+                event = 315,
+                known = self.era().0,
+                error,
+                "a response of the store doesn't tell its era"
+            );
         }
         None
     }
--- a/tests/sidecar/quarantine.rs
+++ b/tests/sidecar/quarantine.rs
@@ -10,6 +10,15 @@
 const POISON: Fingerprint = Fingerprint(1);
 const OTHER: Fingerprint = Fingerprint(2);
 
+/// Returns a node that has seen as many crashes under a request as it takes to refuse it.
+fn with_poison(now: Instant) -> Quarantine {
+    let mut node = Quarantine::default();
+    for life in (0..).take(MAX_CRASHES) {
+        node.record_crash(POISON, life, now);
+    }
+    node
+}
+
 /// Sends each node's new reports to the others.
 fn exchange(nodes: &mut [Quarantine], now: Instant) {
     let reports: Vec<_> = nodes.iter().map(|n| n.reports_after(0)).collect();
@@ -70,10 +79,7 @@
 #[test]
 fn started_node_learns_all() {
     let now = Instant::now();
-    let mut node = Quarantine::default();
-    (0..3).for_each(|life| {
-        node.record_crash(POISON, life, now);
-    });
+    let node = with_poison(now);
     let mut started = Quarantine::default();
     for report in node.all_reports() {
         started.apply(report, now);
@@ -86,10 +92,7 @@
 #[test]
 fn memory_lasts_while_the_request_comes() {
     let start = Instant::now();
-    let mut node = Quarantine::default();
-    (0..3).for_each(|life| {
-        node.record_crash(POISON, life, start);
-    });
+    let mut node = with_poison(start);
     let minutes = |n| start + Duration::from_mins(n);
     assert!(node.refuses(POISON, minutes(9)));
     assert!(node.refuses(POISON, minutes(18)));
