Serve the routes of a configuration with an unknown kind

A route of a kind that isn't known runs at most once, which is right for every kind, and is logged (365); the other routes are unaffected.

--- a/src/coordination/sidecar/configuration.rs
+++ b/src/coordination/sidecar/configuration.rs
@@ -102,6 +102,15 @@
                     routes = table.len(),
                     "configuration activated"
                 );
+                for (route, kind) in table.unknown_kinds() {
+                    tracing::warn!(
+                        event = 365,
+                        version = table.version.0,
+                        route,
+                        kind,
+                        "the kind of a route is unknown; its requests run at most once"
+                    );
+                }
                 *self.current.borrow_mut() = Some(Rc::new(table));
                 *self.stored_item.borrow_mut() = Some(StoredItem {
                     key: item.key.clone(),
--- a/src/state/routes.rs
+++ b/src/state/routes.rs
@@ -58,6 +58,9 @@
     pub prefix: String,
     /// Whether requests may be repeated.
     pub repeat: Repeat,
+    /// Kind of the route in the configuration if this version doesn't know it; such requests run at
+    /// most once.
+    pub unknown_kind: Option<String>,
     /// Latency objective.
     pub objective: Duration,
     /// Maximum time until the final response.
@@ -71,12 +74,16 @@
 }
 
 /// Service in the configuration.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Service {
     /// Name.
     pub name: String,
     /// Whether each key is assigned to one backend server.
     pub keyed: bool,
+    /// Path of the health check of its backend servers.
+    pub health_path: Option<String>,
+    /// Requests per second that one of its backend servers takes from all nodes while it warms up.
+    pub warmup_rate: Option<f64>,
 }
 
 /// Limits on the requests and connections of callers.
@@ -93,7 +100,7 @@
 }
 
 /// Routes by host name and longest path prefix.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct RouteTable {
     /// Version of the configuration.
     pub version: Version,
@@ -142,6 +149,12 @@
         ends.into_iter().find_map(|end| routes.get(&path[..end]))
     }
 
+    /// Returns the routes of a kind that this version doesn't know.
+    pub fn unknown_kinds(&self) -> impl Iterator<Item = (&str, &str)> {
+        let routes = self.hosts.values().flat_map(BTreeMap::values);
+        routes.filter_map(|r| Some((r.name.as_str(), r.unknown_kind.as_deref()?)))
+    }
+
     /// Returns the number of routes.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/src/state/sidecar_settings.rs
+++ b/src/state/sidecar_settings.rs
@@ -19,6 +19,20 @@
     pub retry_slack: f64,
     /// Window over which requests and retries are counted.
     pub retry_window: Duration,
+    /// Factor on the warm-up rate of a service, and requests per second besides, up to which a
+    /// warming backend server may get requests.
+    pub warmup_excess: Option<WarmupExcess>,
+    /// Time after which no request reaches a backend server of an evacuated failure domain.
+    pub evacuation: Option<Duration>,
+}
+
+/// What a warming backend server may get above the warm-up rate of its service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WarmupExcess {
+    /// Factor on the rate.
+    pub ratio: f64,
+    /// Requests per second besides.
+    pub slack: f64,
 }
 
 /// Addresses on which a sidecar listens.
@@ -36,6 +50,15 @@
     pub announced: SocketAddr,
 }
 
+/// What a process may use of its host.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ProcessLimits {
+    /// Memory, in bytes.
+    pub memory_bytes: Option<usize>,
+    /// Open descriptors.
+    pub descriptors: Option<usize>,
+}
+
 /// Settings of a sidecar.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SidecarSettings {
@@ -53,6 +76,8 @@
     pub store: SocketAddr,
     /// Expected interval between heartbeats.
     pub heartbeat: Duration,
+    /// What the process may use of its host.
+    pub limits: ProcessLimits,
     /// Limits set by the deployment.
     pub bounds: Bounds,
 }
--- a/tests/sidecar/routes.rs
+++ b/tests/sidecar/routes.rs
@@ -22,6 +22,7 @@
             name: format!("{host}{prefix}"),
             prefix: prefix.to_owned(),
             repeat: Repeat::Idempotent,
+            unknown_kind: None,
             objective: Duration::ZERO,
             timeout: Duration::ZERO,
             attempts: 1,
