Spread requests by stale load reports, and let nested calls wait

Change: in fleets of more than 20 nodes a backend server is picked with the probability of its share of the requests that arrive within the age of the reports (pick_share); small fleets choose as before. A request with the deadline of one that the local backend server runs is a call of that one (nested_calls.rs); it is refused only if it can't end before its deadline, not because it misses its own objective.

--- a/src/coordination/sidecar/admission.rs
+++ b/src/coordination/sidecar/admission.rs
@@ -82,6 +82,8 @@
     pub soft_deadline: Instant,
     /// Time at which the caller gives up or the route's timeout ends.
     pub deadline: Instant,
+    /// Whether a running request of another backend server depends on it.
+    pub nested: bool,
 }
 
 /// Decision on a request that asks for admission.
@@ -312,7 +314,9 @@
             (queue.slot_wait(position, estimate, now), throttled)
         };
         let (slot, throttled) = waits(self, position);
-        if end(slot.max(throttled)) > request.soft_deadline {
+        // The work of the request that depends on a nested call is lost if the call is refused.
+        let waits_longer = request.nested && end(slot.max(throttled)) <= request.deadline;
+        if end(slot.max(throttled)) > request.soft_deadline && !waits_longer {
             position.late = true;
             let (late_slot, late_throttled) = waits(self, position);
             let wait = late_slot.max(late_throttled);
@@ -390,7 +394,8 @@
                 dequeued.expired.push(position.id);
                 continue;
             }
-            let missed = !position.late && now + estimate > request.soft_deadline;
+            let missed =
+                !position.late && !request.nested && now + estimate > request.soft_deadline;
             if missed
                 && self
                     .waiting
--- a/src/coordination/sidecar/dispatcher.rs
+++ b/src/coordination/sidecar/dispatcher.rs
@@ -20,6 +20,7 @@
 use crate::coordination::sidecar::failure_rate;
 use crate::coordination::sidecar::granted_ranges::GrantedRanges;
 use crate::coordination::sidecar::local_backend::Backend;
+use crate::coordination::sidecar::nested_calls::RunningDeadlines;
 use crate::coordination::sidecar::quarantine::Quarantine;
 use crate::coordination::sidecar::service_times::Completion;
 use crate::coordination::sidecar::signals::SignalTracker;
@@ -104,6 +105,8 @@
     reminders: RefCell<VecDeque<(Reminder, Instant)>>,
     /// Requests that crash backend servers.
     pub quarantine: RefCell<Quarantine>,
+    /// Deadlines of the requests that the backend server runs.
+    deadlines: RunningDeadlines,
     /// Notified when a queued request waits for the rate limit.
     throttled: Notify,
     metrics: Metrics,
@@ -199,6 +202,7 @@
             signals: RefCell::default(),
             reminders: RefCell::default(),
             quarantine: RefCell::default(),
+            deadlines: RunningDeadlines::default(),
             throttled: Notify::new(),
             metrics,
             key_rates: RefCell::new(KeyRates::new(now)),
@@ -237,6 +241,13 @@
         queue.running() + queue.waiting()
     }
 
+    /// Returns whether the backend server runs a request with a deadline, so that a request of this host
+    /// with the same one is a call that it makes for it.
+    #[must_use]
+    pub fn runs_until(&self, deadline: Instant) -> bool {
+        self.deadlines.contains(deadline)
+    }
+
     /// Returns the average share of failed requests.
     #[must_use]
     pub fn failure_rate(&self) -> f64 {
@@ -462,6 +473,7 @@
             kind: call.route.0,
             soft_deadline: arrived + Duration::from_millis(call.aim_ms.into()),
             deadline,
+            nested: call.nested,
         };
         let mut permit = match self.admit(request).await {
             Ok(permit) => permit,
@@ -580,6 +592,7 @@
             .backend_requests
             .with_label_values(&service)
             .inc();
+        let _running = self.deadlines.add(deadline);
         self.pool
             .send(backend.address, &request, deadline + RESPONSE_GRACE)
             .await
--- a/src/coordination/sidecar/ingress.rs
+++ b/src/coordination/sidecar/ingress.rs
@@ -290,6 +290,9 @@
             target: head.target,
             headers,
             body,
+            nested: terms
+                .patience
+                .is_some_and(|time| self.dispatcher.runs_until(arrived + time)),
         };
         let deadline = arrived + route.timeout.min(timeout);
         RequestContext {
@@ -508,7 +511,7 @@
             // not.
             Outcome::NotRun(_) | Outcome::Unknown(_) => Response::empty(502),
         };
-        tracing::info!(event = 575, id, request = %context.call.fingerprint(), route = %context.route.name, priority = context.call.priority, service = %context.service, key = context.key, node = %trace.node, offers = trace.dispatches, arrivals = trace.attempts, table = trace.table_revision, report_ms = trace.report_ms, config = context.version.0, status = response.status, cause, took_ms = took.as_millis(), "responded to a request");
+        tracing::info!(event = 575, id, request = %context.call.fingerprint(), route = %context.route.name, priority = context.call.priority, service = %context.service, key = context.key, node = %trace.node, offers = trace.dispatches, arrivals = trace.attempts, table = trace.table_revision, report_ms = trace.report_ms, config = context.version.0, status = response.status, cause, nested = context.call.nested, took_ms = took.as_millis(), "responded to a request");
         let class = context.call.priority.to_string();
         let labels = [context.service.as_str(), class.as_str(), name];
         self.metrics
--- a/src/coordination/sidecar/mod.rs
+++ b/src/coordination/sidecar/mod.rs
@@ -26,6 +26,7 @@
 pub mod load_balancing;
 pub mod local_backend;
 pub mod membership;
+pub mod nested_calls;
 pub mod node;
 pub mod overload_retry;
 pub mod peer_handler;
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -132,10 +132,7 @@
             Rc::clone(&configuration),
             &settings.domain,
         );
-        let receiver = Rc::clone(&replicator);
-        membership.set_items_handler(Rc::new(move |domain, items| {
-            receiver.apply_remote(domain, items);
-        }));
+        apply_remote_items(&membership, &replicator);
         let dispatcher = Dispatcher::new(
             Rc::clone(adapter),
             settings.bounds.drain,
@@ -578,6 +575,14 @@
     Rc::new(StoreClient::new(Rc::clone(adapter), settings.store, calls))
 }
 
+/// Passes the items that other nodes send to the replicator.
+fn apply_remote_items(membership: &MembershipView, replicator: &Rc<Replicator>) {
+    let receiver = Rc::clone(replicator);
+    membership.set_items_handler(Rc::new(move |domain, items| {
+        receiver.apply_remote(domain, items);
+    }));
+}
+
 /// Returns the identity of this process for other nodes, and its entry in the store.
 fn identify(settings: &SidecarSettings) -> (Hello, NodeEntry) {
     let hello = Hello {
--- a/src/coordination/sidecar/targets.rs
+++ b/src/coordination/sidecar/targets.rs
@@ -14,6 +14,7 @@
 use crate::coordination::sidecar::dispatcher::Dispatcher;
 use crate::coordination::sidecar::load_balancing::{self, Candidate, Limit};
 use crate::coordination::sidecar::membership::MembershipView;
+use crate::coordination::sidecar::reports;
 use crate::coordination::sidecar::request_context::RequestContext;
 use crate::coordination::sidecar::tables::Tables;
 use crate::protocol::mesh::{Cause, Health, Load, Outcome};
@@ -277,7 +278,16 @@
                 destinations.push(Destination::Remote(link));
             }
         }
-        let i = load_balancing::pick(&candidates, objective_ms, &mut rand::rng())?;
+        let rng = &mut rand::rng();
+        let i = if reports::is_small_fleet(self.membership.size()) {
+            load_balancing::pick(&candidates, objective_ms, rng)
+        } else {
+            let ages = destinations
+                .iter()
+                .map(|d: &Destination| d.report_ms() as f64);
+            let ages: Vec<_> = ages.collect();
+            load_balancing::pick_share(&candidates, &ages, objective_ms, rng)
+        }?;
         Some(destinations.swap_remove(i))
     }
 }
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -108,6 +108,8 @@
     pub headers: Vec<http::Header>,
     /// Body.
     pub body: Vec<u8>,
+    /// Whether a backend server makes the call for a request that it runs.
+    pub nested: bool,
 }
 
 impl Call {
--- a/tests/sidecar/admission.rs
+++ b/tests/sidecar/admission.rs
@@ -103,6 +103,7 @@
                 kind: u32::try_from(kind).unwrap(),
                 soft_deadline: at + ms(k.objective),
                 deadline: at + ms(k.limit),
+                nested: false,
             };
             match queue.admit(request, at) {
                 AdmissionDecision::Admit => started.push((kind, now)),
@@ -238,12 +239,14 @@
         kind: 1,
         soft_deadline: now + ms(500),
         deadline: now + ms(limit),
+        nested: false,
     };
     assert_eq!(queue.admit(request(1000), now), AdmissionDecision::Admit);
     let later = now + ms(300);
     queue.finish(1, now, Completion::Answered, later);
     let infeasible = AdmissionRequest {
         deadline: later + ms(100),
+        nested: false,
         ..request(0)
     };
     assert!(matches!(
@@ -262,6 +265,7 @@
         kind: 1,
         soft_deadline: now + ms(500),
         deadline: now + ms(2000),
+        nested: false,
     };
     assert_eq!(queue.admit(request, now), AdmissionDecision::Admit);
     let AdmissionDecision::Enqueue(first) = queue.admit(request, now) else {
@@ -293,6 +297,7 @@
                 kind: u32::from(priority % 3),
                 soft_deadline: now + ms(200),
                 deadline: now + ms(u64::from(*limit)),
+                nested: false,
             };
             match queue.admit(request, now) {
                 AdmissionDecision::Admit => started += 1,
--- a/tests/sidecar/links.rs
+++ b/tests/sidecar/links.rs
@@ -133,6 +133,7 @@
         target: "/".to_owned(),
         headers: Vec::new(),
         body: b"whole".to_vec(),
+        nested: false,
     }
 }
 
--- a/tests/sidecar/load_balancing.rs
+++ b/tests/sidecar/load_balancing.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use filbertflow::coordination::sidecar::load_balancing::{Candidate, Limit, pick};
+use filbertflow::coordination::sidecar::load_balancing::{Candidate, Limit, pick, pick_share};
 use filbertflow::state::clock::Instant;
 use filbertflow::state::decayed_average::DecayedAverage;
 use rand::SeedableRng;
@@ -163,3 +163,84 @@
     assert_eq!(picks_of_first(failing(0.7), slower(0.7)), 1000);
     assert_eq!(picks_of_first(slower(0.7), failing(0.7)), 0);
 }
+
+/// Returns the requests that each candidate gets between two reports if `arrivals` requests of many
+/// nodes are sent by the same reports.
+fn arrivals_of_many_nodes(candidates: &[Candidate], age_ms: f64, arrivals: usize) -> Vec<usize> {
+    let mut rng = StdRng::seed_from_u64(11);
+    let ages = vec![age_ms; candidates.len()];
+    let mut counts = vec![0; candidates.len()];
+    for _ in 0..arrivals {
+        let picked = pick_share(candidates, &ages, 600.0, &mut rng).unwrap();
+        counts[picked] += 1;
+    }
+    counts
+}
+
+/// Load: 88 nodes send 830 requests per second of 60 ms to nine backend servers, by reports that are
+/// 200 ms old. Guards against all nodes choosing the backend server that was idle in the last reports:
+/// it would get most of 166 requests at once, and refuse them while others are idle.
+#[test]
+fn idle_server_is_not_chosen_by_all_nodes() {
+    let busy = Candidate {
+        slots: 9,
+        outstanding: 7,
+        service_ms: 60.0,
+        ..IDLE
+    };
+    let mut candidates = vec![busy; 9];
+    candidates[4].outstanding = 2;
+    let counts = arrivals_of_many_nodes(&candidates, 200.0, 166);
+    assert!(counts[4] > counts.iter().sum::<usize>() / 9, "{counts:?}");
+    assert!(counts.iter().all(|&n| (6..=40).contains(&n)), "{counts:?}");
+}
+
+/// Load: backend servers of different speed at three quarters of their capacity. Guards against a slow
+/// one that gets as many requests as a fast one.
+#[test]
+fn arrivals_follow_the_speed_of_servers() {
+    let at = |service_ms| Candidate {
+        slots: 9,
+        outstanding: 7,
+        service_ms,
+        ..IDLE
+    };
+    let counts = arrivals_of_many_nodes(&[at(100.0), at(200.0)], 500.0, 600);
+    let ratio = counts[0] as f64 / counts[1] as f64;
+    // Their capacities are as two to one; the time to a response is shorter at the fast one too.
+    assert!((2.0..4.0).contains(&ratio), "{counts:?}");
+}
+
+/// Guards against a few requests that are spread over busy backend servers while one is idle.
+#[test]
+fn fresh_reports_are_followed() {
+    let mut candidates = vec![
+        Candidate {
+            outstanding: 30,
+            ..IDLE
+        };
+        4
+    ];
+    candidates[2] = IDLE;
+    let counts = arrivals_of_many_nodes(&candidates, 1.0, 100);
+    assert_eq!(counts[2], 100);
+}
+
+/// Guards against requests beyond what a limit has room for, while others are free.
+#[test]
+fn limited_server_gets_its_share() {
+    let limited = Candidate {
+        limit: Some(Limit {
+            rate: 10.0,
+            room: 1.0,
+        }),
+        outstanding: 3,
+        ..IDLE
+    };
+    let free = Candidate {
+        outstanding: 9,
+        ..IDLE
+    };
+    let counts = arrivals_of_many_nodes(&[limited, free], 200.0, 200);
+    assert!(counts[0] < 40, "{counts:?}");
+}
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -24,6 +24,7 @@
 mod keyspace;
 mod links;
 mod load_balancing;
+mod nested_calls;
 mod overload_retry;
 mod plan;
 mod quarantine;
--- a/tests/sidecar/rate_limiter.rs
+++ b/tests/sidecar/rate_limiter.rs
@@ -85,6 +85,7 @@
                 kind: u32::try_from(kind).unwrap(),
                 soft_deadline: at + ms(OBJECTIVE_MS),
                 deadline: at + ms(DEADLINE_MS),
+                nested: false,
             };
             match queue.admit(request, at) {
                 AdmissionDecision::Admit => {
@@ -182,6 +183,7 @@
         kind: 0,
         soft_deadline: at + ms(OBJECTIVE_MS),
         deadline: at + ms(DEADLINE_MS),
+        nested: false,
     };
     let start = Instant::now();
     let mut queue = AdmissionQueue::new(SLOTS);
