Limit requests to cold backend servers

It may become cold between two heartbeats, and a process that has just started doesn't know. Change: if the settings bound the requests to a cold backend server and its service has a warm-up rate, requests start at that rate while it is cold or not known to be warm, in the token bucket of the named limit (the lower rate applies). While it is warm, a budget of requests may start in a second since a health check last found it warm; budget, rate and burst stay below the bound. Health checks follow the rate of requests, at most one in 100 ms. Load reports have the cold rate at their end; load balancing and the planner's capacities use the lower of the limits. Other deployments get no limit, no checks and no messages.

--- a/src/coordination/sidecar/admission.rs
+++ b/src/coordination/sidecar/admission.rs
@@ -9,6 +9,7 @@
 //! A backend server may name a limit on the requests per second that it takes. A request then starts
 //! only when a slot and a token are free, and its wait is estimated from both: more urgent ranks get
 //! the tokens first, and what they are expected to need is taken off what less urgent ones can get.
+//! The warm-up rate of a cold backend server works in the same way; the lower of the two applies.
 //!
 //! Nothing here does input or output: time is passed in, so a test can replay a day's load.
 
@@ -17,6 +18,7 @@
 
 use crate::coordination::sidecar::rate_limiter::RateLimiter;
 use crate::coordination::sidecar::service_times::{Completion, ServiceTimes};
+use crate::coordination::sidecar::warmup::{StartLimit, Warmup};
 use crate::state::clock::{self, Instant};
 
 /// Maximum number of queued requests of one rank that can no longer meet their objective, per slot.
@@ -143,6 +145,13 @@
     late: HashMap<Rank, usize>,
     demand: BTreeMap<Rank, Demand>,
     limiter: Option<RateLimiter>,
+    /// Limit that the backend server has named, in requests per second.
+    named_rate: Option<f64>,
+    /// Warm-up of the backend server, if the deployment limits requests because of it.
+    warmup: Option<Warmup>,
+    /// Whether only a health check holds requests up. It answers within milliseconds, so waits aren't
+    /// estimated from the rate.
+    awaits_check: bool,
     /// Measured service times.
     pub service_times: ServiceTimes,
     last_id: u64,
@@ -160,6 +169,9 @@
             late: HashMap::new(),
             demand: BTreeMap::new(),
             limiter: None,
+            named_rate: None,
+            warmup: None,
+            awaits_check: false,
             service_times: ServiceTimes::default(),
             last_id: 0,
         }
@@ -170,8 +182,42 @@
         self.slots = slots;
     }
 
-    /// Sets the limit on started requests per second, or removes it.
+    /// Sets the limit on started requests per second that the backend server has named, or removes it.
     pub fn set_rate_limit(&mut self, rate: Option<f64>, now: Instant) {
+        self.named_rate = rate;
+        self.update_limiter(now);
+    }
+
+    /// Sets the state of the warm-up, or removes it.
+    pub fn set_warmup(&mut self, warmup: Option<Warmup>, now: Instant) {
+        self.warmup = warmup;
+        self.update_limiter(now);
+    }
+
+    /// Returns the state of the warm-up, if requests are limited because of it.
+    #[must_use]
+    pub fn warmup(&self) -> Option<&Warmup> {
+        self.warmup.as_ref()
+    }
+
+    /// Changes the state of the warm-up, if there is one.
+    pub fn change_warmup(&mut self, now: Instant, change: impl FnOnce(&mut Warmup)) {
+        if let Some(warmup) = &mut self.warmup {
+            change(warmup);
+            self.update_limiter(now);
+        }
+    }
+
+    /// Brings the lower of the named limit and the warm-up rate into force.
+    fn update_limiter(&mut self, now: Instant) {
+        let start_limit = self.warmup.as_ref().and_then(|w| w.start_limit(now));
+        let unchecked = matches!(start_limit, Some(StartLimit::Unchecked(_)));
+        let rates = self
+            .named_rate
+            .into_iter()
+            .chain(start_limit.map(StartLimit::rate));
+        let rate = rates.reduce(f64::min);
+        self.awaits_check = unchecked && rate != self.named_rate;
         match (&mut self.limiter, rate) {
             (Some(limiter), Some(rate)) => limiter.set_rate(rate, now),
             (limiter, rate) => *limiter = rate.map(|rate| RateLimiter::new(rate, now)),
@@ -225,9 +271,14 @@
         (slots - urgent.sum::<f64>()).max(MIN_RANK_SHARE * slots)
     }
 
+    /// Returns the limiter by which waits are estimated.
+    fn estimating_limiter(&self) -> Option<&RateLimiter> {
+        self.limiter.as_ref().filter(|_| !self.awaits_check)
+    }
+
     /// Returns the estimated wait for the rate limit of a request at a position in the queue.
     fn throttle_wait(&self, position: Position, now: Instant) -> Duration {
-        let Some(limiter) = &self.limiter else {
+        let Some(limiter) = self.estimating_limiter() else {
             return Duration::ZERO;
         };
         let ahead = self.demand.iter().filter(|(rank, _)| {
@@ -292,6 +343,7 @@
     pub fn admit(&mut self, request: AdmissionRequest, now: Instant) -> AdmissionDecision {
         let estimate = self.estimate(&request, now);
         self.record_demand(request.rank, estimate, now);
+        self.update_limiter(now);
         if now + estimate.mul_f64(MIN_TIME_SHARE) > request.deadline {
             return AdmissionDecision::Reject(estimate);
         }
@@ -358,6 +410,7 @@
         if let Some(limiter) = &mut self.limiter {
             limiter.take(now);
         }
+        self.change_warmup(now, |warmup| warmup.record_start(now));
         let objective = request.rank.objective();
         self.service_times
             .record_start(request.kind, objective, now);
@@ -380,6 +433,7 @@
     /// Fills free slots from the queue.
     pub fn dequeue(&mut self, now: Instant) -> Dequeued {
         let mut dequeued = Dequeued::default();
+        self.update_limiter(now);
         while self.has_room(now) {
             let Some((&position, &request)) = self.waiting.first_key_value() else {
                 break;
@@ -450,7 +504,7 @@
         estimate: Duration,
         now: Instant,
     ) -> Duration {
-        let Some(limiter) = &self.limiter else {
+        let Some(limiter) = self.estimating_limiter() else {
             return Duration::ZERO;
         };
         let wait = limiter.wait(ahead + 1, limiter.rate(), now);
--- a/src/coordination/sidecar/dispatcher.rs
+++ b/src/coordination/sidecar/dispatcher.rs
@@ -5,6 +5,7 @@
 //! it holds the grant for a key.
 
 mod backend_state;
+mod warmup_state;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -106,10 +107,13 @@
     pub quarantine: RefCell<Quarantine>,
     /// Notified when a queued request waits for the rate limit.
     throttled: Notify,
+    /// Notified when a health check of the backend server is needed.
+    pub check_due: Notify,
     metrics: Metrics,
     key_rates: RefCell<KeyRates>,
     stopping: Cell<bool>,
-    state_changed: Rc<Notify>,
+    /// Notified when the configuration or the state of the backend server changes.
+    pub state_changed: Rc<Notify>,
 }
 
 impl std::fmt::Debug for Dispatcher {
@@ -200,6 +204,7 @@
             reminders: RefCell::default(),
             quarantine: RefCell::default(),
             throttled: Notify::new(),
+            check_due: Notify::new(),
             metrics,
             key_rates: RefCell::new(KeyRates::new(now)),
             stopping: Cell::new(false),
@@ -275,7 +280,8 @@
         let saturate = |n: usize| u16::try_from(n).unwrap_or(u16::MAX);
         let warmup = backend
             .as_ref()
-            .map_or(Duration::ZERO, |b| b.warmup_end.left());
+            .map_or(Duration::ZERO, |b| b.warmup_end.left())
+            .max(self.warmup_left(Instant::now()));
         Load {
             health: self.health(),
             slots: backend.as_ref().map_or(0, |b| b.slots),
@@ -290,6 +296,7 @@
             stopping: self.stopping.get(),
             limit: self.signals.borrow().limit(),
             limit_room: queue.limit_room(Instant::now()),
+            cold_rate: self.cold_rate().unwrap_or_default(),
             ..Load::default()
         }
     }
@@ -326,6 +333,7 @@
             debug_assert!(woken, "a dropped request removes itself from the queue");
         }
         self.notify_throttled();
+        self.notify_check();
     }
 
     fn notify_throttled(&self) {
@@ -517,7 +525,7 @@
     ) -> Result<Permit, (Cause, Duration)> {
         let decision = self.queue.borrow_mut().admit(request, Instant::now());
         match decision {
-            AdmissionDecision::Admit => {}
+            AdmissionDecision::Admit => self.notify_check(),
             AdmissionDecision::Reject(wait) => return Err((Cause::Full, wait)),
             AdmissionDecision::Throttle(wait) => return Err((Cause::Throttled, wait)),
             AdmissionDecision::Enqueue(id) => {
@@ -527,6 +535,7 @@
                     self.expire();
                 }
                 self.notify_throttled();
+                self.notify_check();
                 let mut guard = QueueGuard {
                     dispatcher: self,
                     id,
--- a/src/coordination/sidecar/dispatcher/backend_state.rs
+++ b/src/coordination/sidecar/dispatcher/backend_state.rs
@@ -27,6 +27,7 @@
             let mut queue = self.queue.borrow_mut();
             queue.service_times.reset();
             queue.set_rate_limit(None, Instant::now());
+            queue.change_warmup(Instant::now(), |warmup| warmup.reset(Instant::now()));
             drop(queue);
             self.failure_average.borrow_mut().set(0.0, Instant::now());
             self.signals.take();
@@ -37,6 +38,11 @@
         let mut queue = self.queue.borrow_mut();
         queue.service_times.set_warming(warming);
         queue.set_slots(slots);
+        drop(queue);
+        if let Some(backend) = &backend {
+            self.record_warmup(backend);
+        }
+        let mut queue = self.queue.borrow_mut();
         let dequeued = queue.dequeue(Instant::now());
         drop(queue);
         self.dispatch(dequeued);
--- a/src/coordination/sidecar/mod.rs
+++ b/src/coordination/sidecar/mod.rs
@@ -7,8 +7,8 @@
 //! `planner` maintain the assignment tables in the store. `node` builds and connects these parts.
 //!
 //! `admission`, `rate_limiter`, `service_times`, `signals`, `load_balancing`, `failure_rate`,
-//! `retry_budget`, `overload_retry`, `catchup`, `forwarders`, `granted_ranges`, `plan`, `replica` and
-//! `reports` do no input or output.
+//! `retry_budget`, `overload_retry`, `catchup`, `forwarders`, `granted_ranges`, `plan`, `replica`,
+//! `reports` and `warmup` do no input or output.
 
 pub mod admission;
 pub mod backoff;
@@ -31,6 +31,7 @@
 pub mod peer_handler;
 pub mod plan;
 pub mod planner;
+pub mod probe;
 pub mod quarantine;
 pub mod rate_limiter;
 pub mod registration;
@@ -44,4 +45,5 @@
 pub mod start;
 pub mod tables;
 pub mod targets;
+pub mod warmup;
 pub mod watch;
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -23,6 +23,7 @@
 use crate::coordination::sidecar::membership::{self, MembershipView};
 use crate::coordination::sidecar::peer_handler::{self, PeerHandler};
 use crate::coordination::sidecar::planner::{self, Planner};
+use crate::coordination::sidecar::probe::Prober;
 use crate::coordination::sidecar::registration::Registration;
 use crate::coordination::sidecar::replication::{ConfigWatchHandler, Replicator};
 use crate::coordination::sidecar::reports;
@@ -93,6 +94,7 @@
     registration: Rc<Registration>,
     departures: Rc<Departures>,
     planner: Rc<Planner>,
+    prober: Prober,
     grant_manager: Rc<GrantManager>,
     ingress: Rc<Ingress>,
     peers: Rc<PeerServer>,
@@ -116,8 +118,7 @@
         metrics: &Metrics,
     ) -> Rc<Self> {
         let (hello, entry) = identify(settings);
-        let address = hello.node.clone();
-        let state_changed = Rc::new(Notify::new());
+        let (address, state_changed) = (hello.node.clone(), Rc::new(Notify::new()));
         let store = store_client(settings, adapter, metrics);
         let configuration = Rc::new(Configuration::new(
             Rc::clone(adapter),
@@ -194,6 +195,7 @@
             metrics: metrics.clone(),
         });
         Rc::new(Self {
+            prober: Prober::new(settings, adapter, &configuration, &dispatcher),
             settings: settings.clone(),
             store,
             configuration,
@@ -272,6 +274,7 @@
         self.spawn(|node| async move { node.check().await });
         self.spawn(|node| async move { node.record_departures().await });
         self.spawn(|node| async move { node.dispatcher.run_throttled().await });
+        self.spawn(|node| async move { node.prober.run().await });
         self.spawn(|node| async move { node.check_links().await });
         self.spawn(|node| async move { node.catch_up().await });
         self.spawn(|node| async move { node.forward_updates().await });
@@ -504,6 +507,7 @@
     /// Applies the settings that can change at run time.
     pub fn reload(&self, settings: &SidecarSettings) {
         self.dispatcher.set_drain_timeout(settings.bounds.drain);
+        self.prober.set_excess(settings.bounds.warmup_excess);
         self.ingress
             .set_retry_limits(retry_budget::RetryLimits::from(settings.bounds));
         self.store.set_address(settings.store);
--- a/src/coordination/sidecar/planner.rs
+++ b/src/coordination/sidecar/planner.rs
@@ -259,7 +259,8 @@
         let limit = load.limit.per_second().unwrap_or(f64::INFINITY);
         Some(Member {
             holder: holder.clone()?,
-            capacity: capacity.min(limit),
+            capacity: capacity.min(load.effective_limit().unwrap_or(f64::INFINITY)),
+            // A move takes a good part of a warm-up, so only a named limit is worth one.
             limited: limit < capacity,
             accepts: load.health == Health::Ready && !load.stopping,
             keeps: load.health == Health::Ready,
--- a/src/coordination/sidecar/rate_limiter.rs
+++ b/src/coordination/sidecar/rate_limiter.rs
@@ -1,4 +1,5 @@
-//! Token bucket for the limit that a backend server has named.
+//! Token bucket for the limit on a backend server's requests: the one that it has named, or its warm-up
+//! rate.
 //!
 //! All requests to a backend server pass the dispatcher beside it, so this one bucket holds the limit
 //! for all nodes together. Time is passed in.
@@ -14,6 +15,12 @@
 /// limit of zero lets a request through from time to time.
 pub const MIN_RATE: f64 = 0.2;
 
+/// Returns the number of requests that may start at once after a pause, at a rate in requests per second.
+#[must_use]
+pub fn burst(rate: f64) -> f64 {
+    (rate * BURST_TIME.as_secs_f64()).max(1.0)
+}
+
 /// Token bucket, empty at first.
 #[derive(Debug, Clone, Copy)]
 pub struct RateLimiter {
@@ -49,7 +56,7 @@
     }
 
     fn capacity(&self) -> f64 {
-        (self.rate * BURST_TIME.as_secs_f64()).max(1.0)
+        burst(self.rate)
     }
 
     /// Returns the number of requests that may start now.
--- a/src/coordination/sidecar/reports.rs
+++ b/src/coordination/sidecar/reports.rs
@@ -63,7 +63,7 @@
     };
     let availability = load.health != sent.health || load.stopping != sent.stopping;
     // Nodes request newer state from their own failure domain first.
-    let limit = load.limit != sent.limit;
+    let limit = load.limit != sent.limit || load.effective_limit() != sent.effective_limit();
     let state = load.config != sent.config || load.store_up != sent.store_up;
     age >= max_interval
         || availability
--- a/src/coordination/sidecar/targets.rs
+++ b/src/coordination/sidecar/targets.rs
@@ -284,7 +284,7 @@
 
 fn candidate(load: &Load, sent_since: i32, same_domain: bool) -> Candidate {
     let outstanding = i32::from(load.running) + i32::from(load.queued) + sent_since;
-    let limit = load.limit.per_second().map(|rate| Limit {
+    let limit = load.effective_limit().map(|rate| Limit {
         rate,
         room: load.limit_room - f64::from(sent_since.max(0)),
     });
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -28,6 +28,11 @@
     /// Limit named by the local backend server, in requests per second, by service; absent without
     /// a limit.
     pub backend_limit: GaugeVec,
+    /// Whether the local backend server is cold: 1 if it is or isn't known to be warm, else 0, by service;
+    /// absent if the deployment sets no limit for cold backend servers.
+    pub backend_cold: GaugeVec,
+    /// Health checks of the local backend server, by outcome.
+    pub health_checks: IntCounterVec,
 }
 
 impl Default for Metrics {
@@ -74,6 +79,22 @@
             &["service"],
         )
         .expect("the metric's name and labels are valid");
+        let backend_cold = GaugeVec::new(
+            Opts::new(
+                "filbertflow_backend_cold",
+                "Whether the local backend server is cold",
+            ),
+            &["service"],
+        )
+        .expect("the metric's name and labels are valid");
+        let health_checks = IntCounterVec::new(
+            Opts::new(
+                "filbertflow_health_checks_total",
+                "Health checks of the local backend server",
+            ),
+            &["outcome"],
+        )
+        .expect("the metric's name and labels are valid");
         let metrics = Self {
             registry: Registry::new(),
             requests,
@@ -83,6 +104,8 @@
             store_calls,
             backend_requests,
             backend_limit,
+            backend_cold,
+            health_checks,
         };
         metrics.register(Box::new(metrics.requests.clone()));
         metrics.register(Box::new(metrics.latency.clone()));
@@ -91,6 +114,8 @@
         metrics.register(Box::new(metrics.store_calls.clone()));
         metrics.register(Box::new(metrics.backend_requests.clone()));
         metrics.register(Box::new(metrics.backend_limit.clone()));
+        metrics.register(Box::new(metrics.backend_cold.clone()));
+        metrics.register(Box::new(metrics.health_checks.clone()));
         metrics
     }
 }
--- a/src/protocol/adapter.rs
+++ b/src/protocol/adapter.rs
@@ -325,6 +325,9 @@
     /// Decodes what a backend server says of itself in a response.
     fn decode_signals(&self, headers: &[http::Header]) -> Signals;
 
+    /// Decodes the remaining warm-up time in the response to a health check; `None` if there is none.
+    fn decode_warmup(&self, headers: &[http::Header]) -> Option<Duration>;
+
     /// Returns the header line with a request's identifier.
     fn request_id_header(&self, id: &str) -> http::Header;
 
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -358,6 +358,20 @@
     pub limit: RateLimit,
     /// Requests that the limit has room for at once, less those that are queued; 0 without a limit.
     pub limit_room: f64,
+    /// Requests per second that the backend server gets because it is cold; 0 if there is no such
+    /// limit.
+    pub cold_rate: f64,
+}
+
+impl Load {
+    /// Returns the limit in force, in requests per second: the lower of the announced one and that of a
+    /// cold backend server.
+    #[must_use]
+    pub fn effective_limit(&self) -> Option<f64> {
+        let cold = Some(self.cold_rate).filter(|rate| *rate > 0.0);
+        let limits = self.limit.per_second().into_iter().chain(cold);
+        limits.reduce(f64::min)
+    }
 }
 
 /// Store item as replicated between nodes.
--- a/src/transport/sidecar/mod.rs
+++ b/src/transport/sidecar/mod.rs
@@ -7,6 +7,7 @@
 pub mod call_delay;
 pub mod caller;
 pub mod frames;
+pub mod health;
 pub mod http_server;
 pub mod links;
 pub mod peer_server;
--- a/tests/sidecar/adapter.rs
+++ b/tests/sidecar/adapter.rs
@@ -58,6 +58,10 @@
         }
     }
 
+    fn decode_warmup(&self, _headers: &[Header]) -> Option<Duration> {
+        None
+    }
+
     fn request_id_header(&self, id: &str) -> Header {
         Header::new("id", id)
     }
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -36,3 +36,4 @@
 mod routes;
 mod service_times;
 mod signals;
+mod warmup;
--- a/tests/sidecar/reports.rs
+++ b/tests/sidecar/reports.rs
@@ -59,6 +59,7 @@
     two_requests_more: Load { running: 1, queued: 1, ..Load::default() }, false => true;
     leaving: Load { health: Health::Leaving, ..Load::default() }, false => true;
     limit: Load { limit: RateLimit::PerSecond(5.0), ..Load::default() }, false => true;
+    cold: Load { cold_rate: 11.0, ..Load::default() }, false => true;
     /// Guards against a change of an assignment table that other nodes learn of late.
     table_seen_by_a_watcher: Load { items: Revision::new(Era(0), 7), ..Load::default() }, true => true;
     /// Keys move in a fleet of 83. Guards against reports of all 83 nodes to 82 others for each move.
