--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -37,3 +37,4 @@
 mod routes;
 mod service_times;
 mod signals;
+mod warmup;
