Plan the moves of many backend servers' keys in small pieces

Cause: plan() lumps a remainder below 2% of the total load into the piece before it. The fair share of one of 64 servers is about 1.5%, so a receiver could get twice its share when a quarter of the keys moves at once. Change: plan_evacuation() keeps pieces of 0.2% apart. plan() is as before.

--- a/src/coordination/sidecar/plan.rs
+++ b/src/coordination/sidecar/plan.rs
@@ -32,6 +32,13 @@
 /// Ratio of capacities from which a key that its holder's limit can't serve is worth a move.
 const HOT_KEY_CAPACITY_RATIO: f64 = 1.5;
 
+/// Minimum fraction of the total load that is worth a slice of its own.
+const MIN_REST_FRACTION: f64 = 0.02;
+
+/// The same, and the least that a receiver gets, when many backend servers lose their keys at once: the
+/// fair share of one of 66 is 1.5% of the total load.
+const MIN_PIECE_FRACTION: f64 = 0.002;
+
 /// Maximum number of slices in a table; a heartbeat's reply fits about 100 of one holder.
 const MAX_SLICES: usize = 400;
 
@@ -83,6 +90,8 @@
     loads: Vec<f64>,
     total: f64,
     capacity: f64,
+    /// Minimum load of a slice that is distributed, in requests per second, if it is kept.
+    min_piece: Option<f64>,
     changes: Vec<Change>,
 }
 
@@ -131,10 +140,13 @@
             let available = self.fair_share(to) - self.loads[to];
             let end = match *pieces {
                 0 => slice.to,
-                _ => self.prefix_end(from, slice.to, available.max(0.0)),
+                _ => {
+                    let least = self.min_piece.unwrap_or_default();
+                    self.prefix_end(from, slice.to, available.max(least))
+                }
             };
-            // A remainder below 2% of the total load isn't worth a slice of its own.
-            let rest = end < slice.to && self.load(end + 1, slice.to) < 0.02 * self.total;
+            let min_rest = self.min_piece.unwrap_or(MIN_REST_FRACTION * self.total);
+            let rest = end < slice.to && self.load(end + 1, slice.to) < min_rest;
             let end = if rest { slice.to } else { end };
             *pieces = pieces.saturating_sub(1);
             self.assign(from, end, source, to);
@@ -190,6 +202,22 @@
 /// ranges.
 #[must_use]
 pub fn plan(table: &AssignmentTable, members: &[Member], rates: &[f32]) -> Vec<Change> {
+    plan_pieces(table, members, rates, None)
+}
+
+/// Returns the changes that the table needs now that many members lose their keys at once: as [`plan`],
+/// but in smaller pieces, so that each receiver gets what it has capacity for.
+#[must_use]
+pub fn plan_evacuation(table: &AssignmentTable, members: &[Member], rates: &[f32]) -> Vec<Change> {
+    plan_pieces(table, members, rates, Some(MIN_PIECE_FRACTION))
+}
+
+fn plan_pieces(
+    table: &AssignmentTable,
+    members: &[Member],
+    rates: &[f32],
+    min_piece: Option<f64>,
+) -> Vec<Change> {
     let measured: f64 = rates.iter().map(|&r| f64::from(r)).sum();
     let even = (EVEN_FRACTION * measured).max(1.0) / KEY_COUNT as f64;
     let capacity: f64 = members
@@ -203,6 +231,7 @@
         loads: vec![0.0; members.len()],
         total: 0.0,
         capacity,
+        min_piece: None,
         changes: Vec::new(),
     };
     let index: HashMap<_, _> = members
@@ -211,6 +240,7 @@
         .map(|(i, m)| (&m.holder, i))
         .collect();
     draft.total = draft.rates.iter().sum();
+    draft.min_piece = min_piece.map(|fraction| fraction * draft.total);
     for s in &table.slices {
         let next_holder = s.target.as_ref().or(s.holder.as_ref());
         if let Some(&i) = next_holder.and_then(|h| index.get(h)) {
