Evacuate a failure domain by a key in the store

Change: Each process has a copy of the set of evacuated domains, ordered by era and revision (evacuation.rs). The watch of the configuration covers the keys; watchers tell all nodes, nodes that are behind ask. The dispatcher refuses with Cause::Evacuated, ingresses select other servers, the planner moves the keys away. Nothing of this takes effect without bounds.evac_ms. Conclusion: The bound holds in the test, also over a restart of the domain's sidecars.

--- a/src/coordination/sidecar/configuration.rs
+++ b/src/coordination/sidecar/configuration.rs
@@ -36,12 +36,6 @@
         }
     }
 
-    /// Returns the store key of the configuration.
-    #[must_use]
-    pub fn key(&self) -> String {
-        self.adapter.config_key().to_owned()
-    }
-
     /// Returns the active configuration.
     #[must_use]
     pub fn get(&self) -> Option<Rc<RouteTable>> {
--- a/src/coordination/sidecar/dispatcher.rs
+++ b/src/coordination/sidecar/dispatcher.rs
@@ -17,6 +17,7 @@
 use crate::coordination::sidecar::admission::{
     AdmissionDecision, AdmissionId, AdmissionQueue, AdmissionRequest, Dequeued, Rank,
 };
+use crate::coordination::sidecar::evacuation::Evacuations;
 use crate::coordination::sidecar::failure_rate;
 use crate::coordination::sidecar::granted_ranges::GrantedRanges;
 use crate::coordination::sidecar::local_backend::Backend;
@@ -81,6 +82,7 @@
 enum Wakeup {
     Start,
     Expired,
+    Evacuated,
 }
 
 /// Dispatcher of the node: admission queue and connection pool of the local backend server.
@@ -102,6 +104,8 @@
     /// What other nodes remember of backend servers that haven't registered with this process, and
     /// when they said so.
     reminders: RefCell<VecDeque<(Reminder, Instant)>>,
+    /// Evacuated failure domains.
+    pub evacuations: Rc<Evacuations>,
     /// Requests that crash backend servers.
     pub quarantine: RefCell<Quarantine>,
     /// Notified when a queued request waits for the rate limit.
@@ -162,7 +166,7 @@
                 drop(queue);
                 self.dispatcher.dispatch(dequeued);
             }
-            Ok(Wakeup::Expired) => {}
+            Ok(Wakeup::Expired | Wakeup::Evacuated) => {}
             Err(_) => {
                 queue.cancel(self.id);
             }
@@ -178,6 +182,7 @@
         adapter: Rc<dyn Adapter>,
         drain_timeout: Duration,
         state_changed: Rc<Notify>,
+        evacuations: Rc<Evacuations>,
         metrics: Metrics,
     ) -> Rc<Self> {
         let now = Instant::now();
@@ -198,6 +203,7 @@
             )),
             signals: RefCell::default(),
             reminders: RefCell::default(),
+            evacuations,
             quarantine: RefCell::default(),
             throttled: Notify::new(),
             metrics,
@@ -305,6 +311,26 @@
         self.pool.prune();
     }
 
+    /// Rejects the queued requests if the failure domain of the backend server is evacuated.
+    pub fn refuse_evacuated(&self) {
+        let keyed = self.backend.borrow().as_ref().is_some_and(|b| b.keyed);
+        let refused = self.evacuations.check_local(keyed, Instant::now()).is_err();
+        if !refused || self.waiters.borrow().is_empty() {
+            return;
+        }
+        let waiters = self.waiters.take();
+        tracing::info!(
+            event = 587,
+            queued = waiters.len(),
+            "refused queued requests, because the failure domain is evacuated"
+        );
+        for (id, waiter) in waiters {
+            self.queue.borrow_mut().cancel(id);
+            // The receiver is gone if the request's caller has disconnected.
+            let _delivered = waiter.send(Wakeup::Evacuated);
+        }
+    }
+
     fn expire(&self) {
         let expired = self.queue.borrow_mut().expire(Instant::now());
         self.dispatch(Dequeued {
@@ -378,6 +404,8 @@
         if self.stopping.get() {
             return Err(Cause::Stopping);
         }
+        self.evacuations
+            .check_local(backend.keyed, Instant::now())?;
         match backend.draining_since {
             None => Ok(backend),
             Some(since) => {
@@ -536,6 +564,9 @@
                 };
                 let woken = (&mut guard.wakeup).await;
                 guard.done = true;
+                if matches!(woken, Ok(Wakeup::Evacuated)) {
+                    return Err((Cause::Evacuated, Duration::ZERO));
+                }
                 if !matches!(woken, Ok(Wakeup::Start)) {
                     let queue = self.queue.borrow();
                     return Err(match queue.time_to_room(&request, Instant::now()) {
--- a/src/coordination/sidecar/ingress.rs
+++ b/src/coordination/sidecar/ingress.rs
@@ -14,6 +14,7 @@
 
 use crate::coordination::sidecar::configuration::Configuration;
 use crate::coordination::sidecar::dispatcher::{self, Dispatcher};
+use crate::coordination::sidecar::evacuation;
 use crate::coordination::sidecar::membership::MembershipView;
 use crate::coordination::sidecar::overload_retry::OverloadRetry;
 use crate::coordination::sidecar::request_context::{RequestContext, RequestTrace};
@@ -316,6 +317,10 @@
             let wait = dispatcher::QUARANTINE_RETRY_MS;
             return Outcome::NotRun(Failure::before_send(Cause::Quarantined, wait));
         }
+        if self.targets.is_evacuated(&context.service) {
+            let wait = evacuation::EVACUATED_RETRY_MS;
+            return Outcome::NotRun(Failure::before_send(Cause::Evacuated, wait));
+        }
         let mut first = true;
         // Failure response of a backend server, returned to the caller if no retry succeeds.
         let mut failure_response = None;
--- a/src/coordination/sidecar/membership.rs
+++ b/src/coordination/sidecar/membership.rs
@@ -164,6 +164,17 @@
         nodes.map(|(address, _)| address.clone()).collect()
     }
 
+    /// Returns the failure domain of a node, if it is known.
+    #[must_use]
+    pub fn domain_of(&self, address: &str) -> Option<String> {
+        if address == self.hello.node {
+            return Some(self.hello.domain.clone());
+        }
+        let link = self.link(address)?;
+        let domain = link.domain.borrow().clone();
+        Some(domain)
+    }
+
     /// Returns whether a node has an entry.
     #[must_use]
     pub fn is_listed(&self, address: &str) -> bool {
--- a/src/coordination/sidecar/mod.rs
+++ b/src/coordination/sidecar/mod.rs
@@ -17,6 +17,7 @@
 pub mod confirmation;
 pub mod departures;
 pub mod dispatcher;
+pub mod evacuation;
 pub mod failure_rate;
 pub mod forwarders;
 pub mod grant_manager;
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -16,6 +16,7 @@
 use crate::coordination::sidecar::confirmation::{self, Confirmation};
 use crate::coordination::sidecar::departures::Departures;
 use crate::coordination::sidecar::dispatcher::Dispatcher;
+use crate::coordination::sidecar::evacuation::{Evacuations, Told};
 use crate::coordination::sidecar::forwarders;
 use crate::coordination::sidecar::grant_manager::GrantManager;
 use crate::coordination::sidecar::heartbeats::HeartbeatHandler;
@@ -53,6 +54,9 @@
 /// Maximum delay of the first request for items. In this time they are usually forwarded without one.
 const ITEMS_REQUEST_DELAY: Duration = Duration::from_millis(250);
 
+/// Maximum delay of the first request for evacuations. In this time the watchers usually send them.
+const EVACUATIONS_REQUEST_DELAY: Duration = Duration::from_millis(120);
+
 /// Pause between two rounds of requests for newer state, in which further reports accumulate.
 const REQUEST_PAUSE: Duration = Duration::from_millis(20);
 
@@ -90,6 +94,7 @@
     replicator: Rc<Replicator>,
     peer_handler: Rc<PeerHandler>,
     dispatcher: Rc<Dispatcher>,
+    evacuations: Rc<Evacuations>,
     registration: Rc<Registration>,
     departures: Rc<Departures>,
     planner: Rc<Planner>,
@@ -136,10 +141,17 @@
         membership.set_items_handler(Rc::new(move |domain, items| {
             receiver.apply_remote(domain, items);
         }));
+        let evacuations = Evacuations::new(
+            Rc::clone(adapter),
+            &settings.domain,
+            settings.bounds.evacuation,
+            metrics.clone(),
+        );
         let dispatcher = Dispatcher::new(
             Rc::clone(adapter),
             settings.bounds.drain,
             Rc::clone(&state_changed),
+            Rc::clone(&evacuations),
             metrics.clone(),
         );
         let departures = Departures::new(&address, Rc::clone(&store));
@@ -201,6 +213,7 @@
             tables,
             replicator,
             dispatcher,
+            evacuations,
             registration,
             departures,
             planner,
@@ -276,6 +289,9 @@
         self.spawn(|node| async move { node.catch_up().await });
         self.spawn(|node| async move { node.forward_updates().await });
         self.spawn(|node| async move { node.plan().await });
+        if self.evacuations.is_enabled() {
+            self.spawn(|node| async move { node.spread_evacuations().await });
+        }
         Ok(())
     }
 
@@ -331,12 +347,13 @@
         let replicator = Rc::clone(&self.replicator);
         let config = Rc::new(ConfigWatchHandler {
             replicator: Rc::clone(&replicator),
+            evacuations: Rc::clone(&self.evacuations),
         });
         let start = |prefix, handler, reread| {
             task::spawn_local(watch::run(Rc::clone(&self.store), prefix, handler, reread));
         };
         start(
-            self.configuration.key(),
+            self.evacuations.watch_prefix().to_owned(),
             config,
             Rc::clone(&self.reread_config),
         );
@@ -427,6 +444,21 @@
         }
     }
 
+    /// Tells other nodes of evacuations, and refuses queued requests that one concerns.
+    async fn spread_evacuations(&self) {
+        let mut told = Told::new();
+        loop {
+            tokio::select! {
+                () = self.evacuations.changed.notified() => {}
+                () = time::sleep(CHECK_INTERVAL) => {}
+            }
+            self.dispatcher.refuse_evacuated();
+            let is_watcher = self.replicator.is_watcher();
+            self.evacuations
+                .tell(&self.membership.links(), is_watcher, &mut told);
+        }
+    }
+
     /// Records in the store that the local backend server is leaving, however that became known.
     async fn record_departures(&self) {
         let mut backoff = Backoff::default();
@@ -466,6 +498,7 @@
     async fn catch_up(&self) {
         let mut config = CatchUp::new(CONFIG_REQUEST_DELAY);
         let mut items = CatchUp::new(ITEMS_REQUEST_DELAY);
+        let mut evacuations = CatchUp::new(EVACUATIONS_REQUEST_DELAY);
         loop {
             tokio::select! {
                 () = self.membership.report_changed.notified() => {}
@@ -490,6 +523,15 @@
             let request = Frame::Want(self.replicator.request_revision());
             let reread = &self.reread_items;
             request_newer(&mut items, known, &newer, request, reread);
+            if self.evacuations.is_enabled() {
+                let sent = links.iter().filter_map(|l| l.take_evacuations());
+                sent.for_each(|set| self.evacuations.apply_remote(set));
+                let known = self.evacuations.digest().map(|d| d.as_of);
+                let newer = ahead(&|load| self.evacuations.is_behind(load.evacuations));
+                let request = Frame::WantEvacuations;
+                let reread = &self.reread_config;
+                request_newer(&mut evacuations, known, &newer, request, reread);
+            }
             time::sleep(REQUEST_PAUSE).await;
         }
     }
--- a/src/coordination/sidecar/peer_handler.rs
+++ b/src/coordination/sidecar/peer_handler.rs
@@ -12,8 +12,8 @@
 use crate::coordination::sidecar::planner::Planner;
 use crate::coordination::sidecar::replication::Replicator;
 use crate::protocol::mesh::{
-    BackendInfo, Call, Claim, CrashReport, HolderRates, Items, Load, Reminder, StoreRequest,
-    StoreResponse,
+    BackendInfo, Call, Claim, CrashReport, EvacuationSet, HolderRates, Items, Load, Reminder,
+    StoreRequest, StoreResponse,
 };
 use crate::state::clock::Instant;
 use crate::state::decayed_average::DecayedAverage;
@@ -63,6 +63,7 @@
             config: self.configuration.version(),
             items: self.replicator.revision(),
             store_up: self.store.is_reachable(),
+            evacuations: self.dispatcher.evacuations.digest(),
             late_ms: self.call_delay.borrow().get(Instant::now()),
             ..self.dispatcher.load()
         }
@@ -110,6 +111,14 @@
         }
     }
 
+    fn evacuations(&self) -> Option<EvacuationSet> {
+        self.dispatcher.evacuations.to_set()
+    }
+
+    fn receive_evacuations(&self, set: EvacuationSet) {
+        self.dispatcher.evacuations.apply_remote(set);
+    }
+
     fn recall(&self, reminder: Reminder) {
         self.dispatcher.recall(reminder);
     }
--- a/src/coordination/sidecar/planner.rs
+++ b/src/coordination/sidecar/planner.rs
@@ -128,10 +128,18 @@
                 .into_iter()
                 .map(|(_, r)| (r.backend_info.holder.clone(), r.load)),
         );
-        let members = members(&all);
+        let mut members = members(&all);
+        let evacuations = &self.dispatcher.evacuations;
+        let evacuated = evacuations.exclude(&mut members, |node| self.membership.domain_of(node));
         let planned = |table: &AssignmentTable| {
-            let changes = plan::plan(table, &members, &self.rates(table, now));
             let mut after = table.clone();
+            evacuated.iter().for_each(|h| after.cancel_moves(h));
+            let plan = if evacuated.is_empty() {
+                plan::plan
+            } else {
+                plan::plan_evacuation
+            };
+            let changes = plan(&after, &members, &self.rates(table, now));
             for change in &changes {
                 change.apply(&mut after);
             }
--- a/src/coordination/sidecar/replication.rs
+++ b/src/coordination/sidecar/replication.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 
 use crate::coordination::sidecar::configuration::Configuration;
+use crate::coordination::sidecar::evacuation::Evacuations;
 use crate::coordination::sidecar::membership::MembershipView;
 use crate::coordination::sidecar::replica::{Change, Replica};
 use crate::coordination::sidecar::tables::{self, Tables};
@@ -202,26 +203,30 @@
     }
 }
 
-/// Watch handler of the configuration's key.
+/// Watch handler of the keys that the operator writes: the configuration's, and those of evacuations.
 #[derive(Debug)]
 pub struct ConfigWatchHandler {
     /// Replicator, which holds the configuration.
     pub replicator: Rc<Replicator>,
+    /// Evacuations.
+    pub evacuations: Rc<Evacuations>,
 }
 
 impl WatchHandler for ConfigWatchHandler {
-    fn apply_snapshot(&self, items: &[Item], _as_of: Revision) {
+    fn apply_snapshot(&self, items: &[Item], as_of: Revision) {
         for item in items {
             self.replicator.configuration.apply_item(item);
         }
+        self.evacuations.apply_snapshot(items, as_of);
     }
 
-    fn apply_events(&self, events: &[Event], _era: Era) {
+    fn apply_events(&self, events: &[Event], era: Era) {
         for event in events {
             if let Event::Put(item) = event {
                 self.replicator.configuration.apply_item(item);
             }
         }
+        self.evacuations.apply_events(events, era);
     }
 
     fn revision(&self) -> Option<Revision> {
--- a/src/coordination/sidecar/reports.rs
+++ b/src/coordination/sidecar/reports.rs
@@ -64,7 +64,10 @@
     let availability = load.health != sent.health || load.stopping != sent.stopping;
     // Nodes request newer state from their own failure domain first.
     let limit = load.limit != sent.limit;
-    let state = load.config != sent.config || load.store_up != sent.store_up;
+    let evacuations = |l: &Load| l.evacuations.map(|e| e.content);
+    let state = load.config != sent.config
+        || load.store_up != sent.store_up
+        || evacuations(load) != evacuations(sent);
     age >= max_interval
         || availability
         || (prompt && limit)
--- a/src/coordination/sidecar/targets.rs
+++ b/src/coordination/sidecar/targets.rs
@@ -225,14 +225,34 @@
         holder.map(|h| h.node.clone())
     }
 
+    /// Returns a node with a holder of keys as a destination, if it is connected and takes requests.
     fn connected(&self, node: &str) -> Option<Destination> {
         if node == self.node {
             return Some(Destination::Local);
         }
         let link = self.membership.link(node).filter(|l| l.is_connected())?;
+        let evacuations = &self.dispatcher.evacuations;
+        if evacuations.is_closed(&link.domain.borrow(), true, Instant::now()) {
+            return None;
+        }
         Some(Destination::Remote(link))
     }
 
+    /// Returns whether all backend servers of a service are in evacuated failure domains.
+    #[must_use]
+    pub fn is_evacuated(&self, service: &str) -> bool {
+        let evacuations = &self.dispatcher.evacuations;
+        if evacuations.is_empty() {
+            return false;
+        }
+        let reports = self.membership.service_reports(service).into_iter();
+        let mut domains: Vec<_> = reports.map(|(l, _)| l.domain.borrow().clone()).collect();
+        if self.dispatcher.backend_info().service == service {
+            domains.push(self.domain.clone());
+        }
+        !domains.is_empty() && domains.iter().all(|d| evacuations.is_evacuated(d))
+    }
+
     /// Selects among all backend servers of a service.
     async fn select_any(
         &self,
@@ -261,9 +281,11 @@
         let mut destinations = Vec::new();
         let mut candidates = Vec::new();
         let usable = |l: &Load| l.health == Health::Ready && !l.stopping && l.slots > 0;
+        let evacuations = &self.dispatcher.evacuations;
         let local = self.dispatcher.load();
         if self.dispatcher.backend_info().service == service
             && usable(&local)
+            && !evacuations.is_evacuated(&self.domain)
             && !tried.contains(Destination::Local.name())
         {
             candidates.push(candidate(&local, 0, true));
@@ -271,7 +293,8 @@
         }
         for (link, report) in self.membership.service_reports(service) {
             let load = report.load;
-            if usable(&load) && !tried.contains(&link.node) {
+            let evacuated = evacuations.is_evacuated(&link.domain.borrow());
+            if usable(&load) && !evacuated && !tried.contains(&link.node) {
                 let same_domain = *link.domain.borrow() == self.domain;
                 candidates.push(candidate(&load, link.calls_since_report(), same_domain));
                 destinations.push(Destination::Remote(link));
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -28,6 +28,8 @@
     /// Limit named by the local backend server, in requests per second, by service; absent without
     /// a limit.
     pub backend_limit: GaugeVec,
+    /// 1 for each failure domain that this node knows to be evacuated; absent for others.
+    pub evacuated_domains: GaugeVec,
 }
 
 impl Default for Metrics {
@@ -74,6 +76,14 @@
             &["service"],
         )
         .expect("the metric's name and labels are valid");
+        let evacuated_domains = GaugeVec::new(
+            Opts::new(
+                "filbertflow_evacuated_domains",
+                "Failure domains that the operator has evacuated",
+            ),
+            &["domain"],
+        )
+        .expect("the metric's name and labels are valid");
         let metrics = Self {
             registry: Registry::new(),
             requests,
@@ -83,6 +93,7 @@
             store_calls,
             backend_requests,
             backend_limit,
+            evacuated_domains,
         };
         metrics.register(Box::new(metrics.requests.clone()));
         metrics.register(Box::new(metrics.latency.clone()));
@@ -91,6 +102,7 @@
         metrics.register(Box::new(metrics.store_calls.clone()));
         metrics.register(Box::new(metrics.backend_requests.clone()));
         metrics.register(Box::new(metrics.backend_limit.clone()));
+        metrics.register(Box::new(metrics.evacuated_domains.clone()));
         metrics
     }
 }
--- a/src/protocol/adapter.rs
+++ b/src/protocol/adapter.rs
@@ -344,6 +344,12 @@
     /// Returns the store key of the configuration.
     fn config_key(&self) -> &str;
 
+    /// Returns the prefix of all store keys that the operator writes, among them the configuration's.
+    fn operator_prefix(&self) -> &str;
+
+    /// Returns the failure domain that a store key evacuates; `None` for other keys.
+    fn decode_evacuation_key<'a>(&self, key: &'a str) -> Option<&'a str>;
+
     /// Decodes a configuration.
     ///
     /// # Errors
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -58,6 +58,10 @@
     Claim(Box<Claim>),
     /// Requests under which backend servers have broken off.
     Crashes(Vec<CrashReport>),
+    /// Evacuated failure domains, as the sender knows them.
+    Evacuations(Box<EvacuationSet>),
+    /// Requests the evacuated failure domains.
+    WantEvacuations,
 }
 
 /// Handshake of a node.
@@ -221,6 +225,9 @@
     Throttled,
     /// Backend servers have crashed under the request.
     Quarantined,
+    /// The failure domain of the backend server is evacuated, or the node doesn't know yet whether it
+    /// is.
+    Evacuated,
 }
 
 impl Cause {
@@ -260,6 +267,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::Throttled => "throttled",
             Self::Quarantined => "quarantined",
+            Self::Evacuated => "evacuated",
         }
     }
 }
@@ -358,6 +366,38 @@
     pub limit: RateLimit,
     /// Requests that the limit has room for at once, less those that are queued; 0 without a limit.
     pub limit_room: f64,
+    /// Evacuations that the node knows; `None` if it knows nothing, or in deployments without them.
+    pub evacuations: Option<EvacuationDigest>,
+}
+
+/// Summary of the evacuated failure domains that a node knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct EvacuationDigest {
+    /// Revision up to which they are complete.
+    pub as_of: Revision,
+    /// Hash of their names; 0 if there are none.
+    pub content: u64,
+}
+
+/// Evacuated failure domains that a node knows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct EvacuationSet {
+    /// Revision up to which they are complete.
+    pub as_of: Revision,
+    /// All evacuated failure domains.
+    pub domains: Vec<EvacuatedDomain>,
+}
+
+/// Failure domain that is evacuated.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct EvacuatedDomain {
+    /// Name.
+    pub name: String,
+    /// Time since which it is evacuated, in milliseconds; `None` if the sender doesn't know.
+    pub age_ms: Option<u32>,
 }
 
 /// Store item as replicated between nodes.
--- a/src/transport/sidecar/links.rs
+++ b/src/transport/sidecar/links.rs
@@ -22,8 +22,8 @@
 
 use crate::protocol::adapter::Signals;
 use crate::protocol::mesh::{
-    BackendInfo, Call, Cause, Failure, Frame, Hello, Items, Load, Outcome, Seq, StoreRequest,
-    StoreResponse,
+    BackendInfo, Call, Cause, EvacuationSet, Failure, Frame, Hello, Items, Load, Outcome, Seq,
+    StoreRequest, StoreResponse,
 };
 use crate::state::clock::Instant;
 use crate::state::keyspace::Holder;
@@ -99,6 +99,8 @@
     report: Cell<Option<(Load, Instant)>>,
     memory: RefCell<BackendMemory>,
     items_handler: ItemsHandler,
+    /// Evacuations that the node has sent on request, until they are taken.
+    evacuations: RefCell<Option<EvacuationSet>>,
     /// Calls sent minus calls ended since the last report.
     since_report: Cell<i32>,
     pinged_at: Cell<Option<Instant>>,
@@ -142,6 +144,7 @@
             report: Cell::new(None),
             memory: RefCell::default(),
             items_handler,
+            evacuations: RefCell::default(),
             since_report: Cell::new(0),
             pinged_at: Cell::new(None),
             lost_at: Cell::new(Some(now)),
@@ -197,6 +200,11 @@
         self.backend_info.borrow().holder.clone()
     }
 
+    /// Takes the evacuations that the node has sent on request.
+    pub fn take_evacuations(&self) -> Option<EvacuationSet> {
+        self.evacuations.take()
+    }
+
     /// Records what the node's local backend server said of itself in a response.
     pub fn record_signals(&self, holder: &Holder, signals: Signals) {
         let mut memory = self.memory.borrow_mut();
@@ -342,6 +350,10 @@
                 let domain = self.domain.borrow().clone();
                 (self.items_handler)(&domain, *items);
             }
+            Frame::Evacuations(set) => {
+                self.evacuations.replace(Some(*set));
+                self.report_changed.notify_waiters();
+            }
             Frame::Pong => {}
             other => {
                 tracing::warn!(event = 222, node = %self.node, frame = ?other, "received a frame that is not allowed in this direction");
--- a/src/transport/sidecar/peer_server.rs
+++ b/src/transport/sidecar/peer_server.rs
@@ -23,8 +23,8 @@
 use tokio::{task, time};
 
 use crate::protocol::mesh::{
-    BackendInfo, Call, Cause, Claim, CrashReport, Failure, Frame, Hello, HolderRates, Items, Load,
-    Outcome, Reminder, Seq, StoreRequest, StoreResponse,
+    BackendInfo, Call, Cause, Claim, CrashReport, EvacuationSet, Failure, Frame, Hello,
+    HolderRates, Items, Load, Outcome, Reminder, Seq, StoreRequest, StoreResponse,
 };
 use crate::state::clock::{self, Instant};
 use crate::state::routes::Repeat;
@@ -134,6 +134,12 @@
     /// Handles what another node has seen of requests under which backend servers broke off.
     fn receive_crashes(&self, reports: Vec<CrashReport>);
 
+    /// Returns the evacuated failure domains, if they are known.
+    fn evacuations(&self) -> Option<EvacuationSet>;
+
+    /// Handles the evacuated failure domains that another node knows.
+    fn receive_evacuations(&self, set: EvacuationSet);
+
     /// Takes in what another node was told about the local backend server.
     fn recall(&self, reminder: Reminder);
 
@@ -477,6 +483,12 @@
             Frame::Heat(rates) => self.handler.receive_rates(*rates),
             Frame::Crashes(reports) => self.handler.receive_crashes(reports),
             Frame::Claim(claim) => self.handler.receive_claim(*claim),
+            Frame::Evacuations(set) => self.handler.receive_evacuations(*set),
+            Frame::WantEvacuations => {
+                if let Some(set) = self.handler.evacuations() {
+                    session.borrow().send(Frame::Evacuations(Box::new(set)));
+                }
+            }
             Frame::Relay(seq, request) => {
                 let relayed = self.handler.relay(*request);
                 let session = Rc::clone(session);
--- a/tests/sidecar/adapter.rs
+++ b/tests/sidecar/adapter.rs
@@ -78,6 +78,14 @@
         "config"
     }
 
+    fn operator_prefix(&self) -> &'static str {
+        ""
+    }
+
+    fn decode_evacuation_key<'a>(&self, key: &'a str) -> Option<&'a str> {
+        key.strip_prefix("out/")
+    }
+
     fn decode_config(&self, _value: &[u8]) -> Result<RouteTable, DecodeError> {
         Err(DecodeError("no configuration here".to_owned()))
     }
--- a/tests/sidecar/links.rs
+++ b/tests/sidecar/links.rs
@@ -9,8 +9,8 @@
 
 use filbertflow::protocol::http::Header;
 use filbertflow::protocol::mesh::{
-    BackendInfo, Call, Cause, Claim, CrashReport, Failure, Frame, Hello, HolderRates, Items, Load,
-    Outcome, Reminder, Response, StoreRequest, StoreResponse,
+    BackendInfo, Call, Cause, Claim, CrashReport, EvacuationSet, Failure, Frame, Hello,
+    HolderRates, Items, Load, Outcome, Reminder, Response, StoreRequest, StoreResponse,
 };
 use filbertflow::state::clock::Instant;
 use filbertflow::state::routes::{Repeat, RouteId};
@@ -91,6 +91,12 @@
 
     fn receive_claim(&self, _claim: Claim) {}
 
+    fn evacuations(&self) -> Option<EvacuationSet> {
+        None
+    }
+
+    fn receive_evacuations(&self, _set: EvacuationSet) {}
+
     fn recall(&self, _reminder: Reminder) {}
 
     fn relay(&self, request: StoreRequest) -> Pin<Box<dyn Future<Output = Option<StoreResponse>>>> {
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -14,6 +14,7 @@
 mod cut_heads;
 mod decayed_average;
 mod endless;
+mod evacuation;
 mod failure_rate;
 mod forwarders;
 mod full_buffers;
