--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -141,19 +141,7 @@
         membership.set_items_handler(Rc::new(move |domain, items| {
             receiver.apply_remote(domain, items);
         }));
-        let evacuations = Evacuations::new(
-            Rc::clone(adapter),
-            &settings.domain,
-            settings.bounds.evacuation,
-            metrics.clone(),
-        );
-        let dispatcher = Dispatcher::new(
-            Rc::clone(adapter),
-            settings.bounds.drain,
-            Rc::clone(&state_changed),
-            Rc::clone(&evacuations),
-            metrics.clone(),
-        );
+        let dispatcher = create_dispatcher(settings, adapter, &state_changed, metrics);
         let departures = Departures::new(&address, Rc::clone(&store));
         let registration = Registration::new(Rc::clone(&store), Rc::clone(&replicator), entry);
         let grant_manager = GrantManager::new(
@@ -212,8 +200,8 @@
             membership,
             tables,
             replicator,
+            evacuations: Rc::clone(&dispatcher.evacuations),
             dispatcher,
-            evacuations,
             registration,
             departures,
             planner,
@@ -620,6 +608,28 @@
     Rc::new(StoreClient::new(Rc::clone(adapter), settings.store, calls))
 }
 
+/// Returns a dispatcher without a backend server, with the evacuations that it enforces.
+fn create_dispatcher(
+    settings: &SidecarSettings,
+    adapter: &Rc<dyn Adapter>,
+    state_changed: &Rc<Notify>,
+    metrics: &Metrics,
+) -> Rc<Dispatcher> {
+    let evacuations = Evacuations::new(
+        Rc::clone(adapter),
+        &settings.domain,
+        settings.bounds.evacuation,
+        metrics.clone(),
+    );
+    Dispatcher::new(
+        Rc::clone(adapter),
+        settings.bounds.drain,
+        Rc::clone(state_changed),
+        evacuations,
+        metrics.clone(),
+    )
+}
+
 /// Returns the identity of this process for other nodes, and its entry in the store.
 fn identify(settings: &SidecarSettings) -> (Hello, NodeEntry) {
     let hello = Hello {
--- a/src/coordination/sidecar/plan.rs
+++ b/src/coordination/sidecar/plan.rs
@@ -138,12 +138,10 @@
                 return;
             };
             let available = self.fair_share(to) - self.loads[to];
+            let least = self.min_piece.unwrap_or_default();
             let end = match *pieces {
                 0 => slice.to,
-                _ => {
-                    let least = self.min_piece.unwrap_or_default();
-                    self.prefix_end(from, slice.to, available.max(least))
-                }
+                _ => self.prefix_end(from, slice.to, available.max(least)),
             };
             let min_rest = self.min_piece.unwrap_or(MIN_REST_FRACTION * self.total);
             let rest = end < slice.to && self.load(end + 1, slice.to) < min_rest;
--- a/src/coordination/sidecar/planner.rs
+++ b/src/coordination/sidecar/planner.rs
@@ -133,7 +133,9 @@
         let evacuated = evacuations.exclude(&mut members, |node| self.membership.domain_of(node));
         let planned = |table: &AssignmentTable| {
             let mut after = table.clone();
-            evacuated.iter().for_each(|h| after.cancel_moves(h));
+            for holder in &evacuated {
+                after.cancel_moves(holder);
+            }
             let plan = if evacuated.is_empty() {
                 plan::plan
             } else {
--- a/tests/sidecar/evacuation.rs
+++ b/tests/sidecar/evacuation.rs
@@ -194,16 +194,20 @@
             backend: format!("i-{n}"),
             born: 1,
         },
-        capacity: if n / 4 % 2 == 0 { 50.0 } else { 100.0 },
+        capacity: if (n / 4).is_multiple_of(2) {
+            50.0
+        } else {
+            100.0
+        },
         limited: false,
         accepts: true,
         keeps: true,
     };
     let mut members: Vec<_> = (0..servers).map(member).collect();
     let evacuated = |m: &Member| m.holder.node.starts_with("10.0.0.");
-    let left = members.iter().filter(|m| !evacuated(m));
-    let rate = 0.7 * left.map(|m| m.capacity).sum::<f64>() / KEY_COUNT as f64;
-    let rates = vec![rate as f32; KEY_COUNT];
+    let left = f32::from(servers) * 0.75 * 75.0;
+    let rate = 0.7 * left / KEY_COUNT as f32;
+    let rates = vec![rate; KEY_COUNT];
     let mut table = AssignmentTable::default();
     let first = plan::plan(&table, &members, &rates);
     complete(&mut table, &first);
@@ -221,7 +225,7 @@
     let changes = plan::plan_evacuation(&table, &members, &rates);
     complete(&mut table, &changes);
     for m in &members {
-        let utilization = keys(&table, m) as f64 * rate / m.capacity;
+        let utilization = keys(&table, m) as f64 * f64::from(rate) / m.capacity;
         let expected = if evacuated(m) { 0.0..0.01 } else { 0.6..0.8 };
         assert!(expected.contains(&utilization), "{utilization}");
         assert!(table.held_by(&m.holder).count() <= 20);
