Test the dispatcher's refusal of new and queued requests

Cause: Without the check in the dispatcher the mesh test still passed, because ingresses avoid the domain. Change: dispatcher_refuses_new_and_queued_requests, with a server that holds its answers back. Measured: It fails without the check in available_backend and passes with it; 370 of 370 tests of tests/sidecar pass. Conclusion: The place of enforcement has its own test.

--- a/tests/sidecar/evacuation.rs
+++ b/tests/sidecar/evacuation.rs
@@ -1,18 +1,27 @@
 //! Evacuations: order of updates, start of a process, and the keys of a quarter of the servers.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use filbertflow::coordination::sidecar::dispatcher::Dispatcher;
 use filbertflow::coordination::sidecar::evacuation::{EvacuationState, Evacuations, START_LIMIT};
+use filbertflow::coordination::sidecar::local_backend::Backend;
 use filbertflow::coordination::sidecar::plan::{self, Change, Member};
 use filbertflow::metrics::Metrics;
 use filbertflow::protocol::adapter::Item;
-use filbertflow::protocol::mesh::{Cause, EvacuatedDomain, EvacuationSet};
+use filbertflow::protocol::mesh::{Cause, EvacuatedDomain, EvacuationSet, Outcome};
 use filbertflow::state::clock::Instant;
 use filbertflow::state::keyspace::{AssignmentTable, Holder, KEY_COUNT, Slice};
+use filbertflow::state::routes::Repeat;
 use filbertflow::state::store_revision::{Era, Revision};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task;
 
 use crate::adapter::Plain;
+use crate::{backend, links};
 
 /// Bound of the deployments.
 const BOUND: Duration = Duration::from_secs(5);
@@ -157,6 +166,78 @@
     assert_eq!(all.check_local(true, now), Err(Cause::Evacuated));
 }
 
+/// Starts a server that answers each request once `release` is notified.
+async fn held_back(release: Rc<Notify>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    task::spawn_local(async move {
+        loop {
+            let (mut io, _) = listener.accept().await.unwrap();
+            let mut buffer = [0; 4096];
+            while io.read(&mut buffer).await.unwrap_or(0) > 0 {
+                release.notified().await;
+                let answer = b"HTTP/1.1 200 OK\r\nid: 1\r\nsig: x\r\nContent-Length: 0\r\n\r\n";
+                io.write_all(answer).await.unwrap();
+            }
+        }
+    });
+    address
+}
+
+/// Guards against new and queued requests that reach the server of an evacuated domain although other
+/// nodes send them, a running one that is cut off, and a server that isn't usable afterwards.
+#[test]
+fn dispatcher_refuses_new_and_queued_requests() {
+    backend::block_on(async {
+        let release = Rc::new(Notify::new());
+        let all = evacuations(Some(BOUND));
+        all.apply_snapshot(&[], revision(0, 4));
+        let dispatcher = Dispatcher::new(
+            Rc::new(Plain),
+            BOUND,
+            Rc::default(),
+            Rc::clone(&all),
+            Metrics::default(),
+        );
+        let now = Instant::now();
+        dispatcher.set_backend(Backend {
+            holder: Holder {
+                node: "n".to_owned(),
+                backend: "i".to_owned(),
+                born: 1,
+            },
+            sequence: 1,
+            service: "s".to_owned(),
+            address: held_back(Rc::clone(&release)).await,
+            slots: 1,
+            draining_since: None,
+            keyed: false,
+            warmup_end: now,
+            last_heartbeat: now,
+        });
+        let start = || {
+            let call = links::call(Repeat::Once, 5000);
+            task::spawn_local(dispatcher.create_job(call).outcome)
+        };
+        let refused =
+            |outcome: Outcome| matches!(outcome, Outcome::NotRun(f) if f.cause == Cause::Evacuated);
+        let [running, queued] = [start(), start()];
+        while dispatcher.load().queued == 0 {
+            task::yield_now().await;
+        }
+        all.apply_remote(set(revision(0, 9), &["a"], Some(0)));
+        dispatcher.refuse_evacuated();
+        assert!(refused(queued.await.unwrap()), "queued");
+        assert!(refused(start().await.unwrap()), "new");
+        release.notify_one();
+        let answered = |outcome: Outcome| matches!(outcome, Outcome::Answered(_));
+        assert!(answered(running.await.unwrap()), "running");
+        all.apply_remote(set(revision(0, 10), &[], None));
+        release.notify_one();
+        assert!(answered(start().await.unwrap()), "afterwards");
+    });
+}
+
 /// Guards against effects in deployments without evacuations.
 #[test]
 fn nothing_happens_without_a_bound() {
