Test the request for the evacuations of another node

Cause: The catch-up's request and its answer had no test of their own. Change: state_is_sent_on_request, over a real connection.

--- a/tests/sidecar/evacuation.rs
+++ b/tests/sidecar/evacuation.rs
@@ -10,7 +10,7 @@
 use filbertflow::coordination::sidecar::plan::{self, Change, Member};
 use filbertflow::metrics::Metrics;
 use filbertflow::protocol::adapter::Item;
-use filbertflow::protocol::mesh::{Cause, EvacuatedDomain, EvacuationSet, Outcome};
+use filbertflow::protocol::mesh::{Cause, EvacuatedDomain, EvacuationSet, Frame, Outcome};
 use filbertflow::state::clock::Instant;
 use filbertflow::state::keyspace::{AssignmentTable, Holder, KEY_COUNT, Slice};
 use filbertflow::state::routes::Repeat;
@@ -18,7 +18,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
-use tokio::task;
+use tokio::{task, time};
 
 use crate::adapter::Plain;
 use crate::{backend, links};
@@ -238,6 +238,24 @@
     });
 }
 
+/// Guards against a request for the evacuations of another node that it doesn't answer.
+#[test]
+fn state_is_sent_on_request() {
+    links::run(|fixture| async move {
+        fixture.link.send(Frame::WantEvacuations);
+        let sent = async {
+            loop {
+                if let Some(set) = fixture.link.take_evacuations() {
+                    return set;
+                }
+                time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let sent = time::timeout(BOUND, sent).await;
+        assert_eq!(sent.unwrap(), set(revision(0, 9), &[], None));
+    });
+}
+
 /// Guards against effects in deployments without evacuations.
 #[test]
 fn nothing_happens_without_a_bound() {
--- a/tests/sidecar/links.rs
+++ b/tests/sidecar/links.rs
@@ -14,7 +14,7 @@
 };
 use filbertflow::state::clock::Instant;
 use filbertflow::state::routes::{Repeat, RouteId};
-use filbertflow::state::store_revision::Revision;
+use filbertflow::state::store_revision::{Era, Revision};
 use filbertflow::transport::sidecar::frames;
 use filbertflow::transport::sidecar::links::{self, Link};
 use filbertflow::transport::sidecar::peer_server::{Handler, Job, PeerServer};
@@ -92,7 +92,10 @@
     fn receive_claim(&self, _claim: Claim) {}
 
     fn evacuations(&self) -> Option<EvacuationSet> {
-        None
+        Some(EvacuationSet {
+            as_of: Revision::new(Era(0), 9),
+            domains: Vec::new(),
+        })
     }
 
     fn receive_evacuations(&self, _set: EvacuationSet) {}
@@ -147,7 +150,7 @@
     pub handler: Rc<DelayHandler>,
     pub node: SocketAddr,
     relayed: Rc<RefCell<Vec<task::AbortHandle>>>,
-    link: Rc<Link>,
+    pub link: Rc<Link>,
     accept: task::AbortHandle,
 }
 
