--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -33,6 +33,8 @@
     pub backend_cold: GaugeVec,
     /// Health checks of the local backend server, by outcome.
     pub health_checks: IntCounterVec,
+    /// 1 for each failure domain that this node knows to be evacuated; absent for others.
+    pub evacuated_domains: GaugeVec,
 }
 
 impl Default for Metrics {
@@ -95,6 +97,14 @@
             &["outcome"],
         )
         .expect("the metric's name and labels are valid");
+        let evacuated_domains = GaugeVec::new(
+            Opts::new(
+                "filbertflow_evacuated_domains",
+                "Failure domains that the operator has evacuated",
+            ),
+            &["domain"],
+        )
+        .expect("the metric's name and labels are valid");
         let metrics = Self {
             registry: Registry::new(),
             requests,
@@ -106,6 +116,7 @@
             backend_limit,
             backend_cold,
             health_checks,
+            evacuated_domains,
         };
         metrics.register(Box::new(metrics.requests.clone()));
         metrics.register(Box::new(metrics.latency.clone()));
@@ -116,6 +127,7 @@
         metrics.register(Box::new(metrics.backend_limit.clone()));
         metrics.register(Box::new(metrics.backend_cold.clone()));
         metrics.register(Box::new(metrics.health_checks.clone()));
+        metrics.register(Box::new(metrics.evacuated_domains.clone()));
         metrics
     }
 }
--- a/tests/sidecar/links.rs
+++ b/tests/sidecar/links.rs
@@ -9,12 +9,12 @@
 
 use filbertflow::protocol::http::Header;
 use filbertflow::protocol::mesh::{
-    BackendInfo, Call, Cause, Claim, CrashReport, Failure, Frame, Hello, HolderRates, Items, Load,
-    Outcome, Reminder, Response, StoreRequest, StoreResponse,
+    BackendInfo, Call, Cause, Claim, CrashReport, EvacuationSet, Failure, Frame, Hello,
+    HolderRates, Items, Load, Outcome, Reminder, Response, StoreRequest, StoreResponse,
 };
 use filbertflow::state::clock::Instant;
 use filbertflow::state::routes::{Repeat, RouteId};
-use filbertflow::state::store_revision::Revision;
+use filbertflow::state::store_revision::{Era, Revision};
 use filbertflow::transport::sidecar::frames;
 use filbertflow::transport::sidecar::links::{self, Link};
 use filbertflow::transport::sidecar::peer_server::{Handler, Job, PeerServer};
@@ -91,6 +91,15 @@
 
     fn receive_claim(&self, _claim: Claim) {}
 
+    fn evacuations(&self) -> Option<EvacuationSet> {
+        Some(EvacuationSet {
+            as_of: Revision::new(Era(0), 9),
+            domains: Vec::new(),
+        })
+    }
+
+    fn receive_evacuations(&self, _set: EvacuationSet) {}
+
     fn recall(&self, _reminder: Reminder) {}
 
     fn relay(&self, request: StoreRequest) -> Pin<Box<dyn Future<Output = Option<StoreResponse>>>> {
@@ -142,7 +151,7 @@
     pub handler: Rc<DelayHandler>,
     pub node: SocketAddr,
     relayed: Rc<RefCell<Vec<task::AbortHandle>>>,
-    link: Rc<Link>,
+    pub link: Rc<Link>,
     accept: task::AbortHandle,
 }
 
--- a/tests/sidecar/warmup.rs
+++ b/tests/sidecar/warmup.rs
@@ -143,6 +143,7 @@
                     kind: 0,
                     soft_deadline: at + ms(400),
                     deadline: at + ms(1000),
+                    nested: false,
                 };
                 match queue.admit(request, at) {
                     AdmissionDecision::Admit => {
