--- a/src/coordination/sidecar/isolation.rs
+++ b/src/coordination/sidecar/isolation.rs
@@ -56,7 +56,7 @@
 #[derive(Debug)]
 pub struct Isolation {
     quarantine: RefCell<Quarantine>,
-    /// Other nodes; none until the node is built.
+    /// Other nodes; none until the node has started.
     membership: RefCell<Option<Rc<MembershipView>>>,
     told: RefCell<HashMap<String, Told>>,
     /// Notified when there is something to report.
@@ -127,11 +127,6 @@
 }
 
 impl Isolation {
-    /// Sets the other nodes.
-    pub fn set_membership(&self, membership: Rc<MembershipView>) {
-        *self.membership.borrow_mut() = Some(membership);
-    }
-
     /// Changes what is known, and wakes those that wait for it or report it.
     fn update<T>(&self, change: impl FnOnce(&mut Quarantine) -> T) -> T {
         let result = change(&mut self.quarantine.borrow_mut());
@@ -347,10 +342,8 @@
     }
 
     /// Sends reports to other nodes as soon as there are any.
-    pub async fn run(&self) {
-        let Some(membership) = self.membership.borrow().clone() else {
-            return;
-        };
+    pub async fn run(&self, membership: Rc<MembershipView>) {
+        *self.membership.borrow_mut() = Some(Rc::clone(&membership));
         loop {
             if self.quarantine.borrow().is_empty() {
                 let count = self.quarantine.borrow().report_count();
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -141,7 +141,6 @@
             Rc::clone(&state_changed),
             metrics.clone(),
         );
-        dispatcher.isolation.set_membership(Rc::clone(&membership));
         let departures = Departures::new(&address, Rc::clone(&store));
         let registration = Registration::new(Rc::clone(&store), Rc::clone(&replicator), entry);
         let grant_manager = GrantManager::new(
@@ -270,7 +269,10 @@
         self.watch_store();
         self.spawn(|node| async move { node.report_load().await });
         self.spawn(|node| async move { node.check().await });
-        self.spawn(|node| async move { node.dispatcher.isolation.run().await });
+        self.spawn(|node| async move {
+            let membership = Rc::clone(&node.membership);
+            node.dispatcher.isolation.run(membership).await;
+        });
         self.spawn(|node| async move { node.record_departures().await });
         self.spawn(|node| async move { node.dispatcher.run_throttled().await });
         self.spawn(|node| async move { node.check_links().await });
--- a/src/coordination/sidecar/quarantine.rs
+++ b/src/coordination/sidecar/quarantine.rs
@@ -40,9 +40,9 @@
 const TRIAL_DELAYS: [Duration; 5] = [
     Duration::from_secs(3),
     Duration::from_secs(15),
-    Duration::from_secs(60),
-    Duration::from_secs(300),
-    Duration::from_secs(600),
+    Duration::from_mins(1),
+    Duration::from_mins(5),
+    Duration::from_mins(10),
 ];
 
 /// Time in which one life of a backend server makes no more new suspects than it has slots.
@@ -243,9 +243,10 @@
             return 0;
         }
         let known = |s: &Suspect| s.is_quarantined() || s.lives.contains(&life);
-        let finding = match alone {
-            true => Finding::CrashedAlone(life),
-            false => Finding::Crashed(life),
+        let finding = if alone {
+            Finding::CrashedAlone(life)
+        } else {
+            Finding::Crashed(life)
         };
         let report = CrashReport { request, finding };
         // Another copy that ran in a life that is known tells nothing new.
