Wait for copies that ran before a request was suspected

Cause: the first permit after a crash could start a copy while others, started before the crash, still ran elsewhere. Change: dispatchers keep the calls that run; when a request becomes suspected, each node reports the copies of it that run beside it, and no permit is given for 0.15 s nor while one of them runs. A queued copy that gives its slot up counts as failed and not as a time of service. Suspects that aren't quarantined are forgotten after ten minutes.

--- a/src/coordination/sidecar/dispatcher.rs
+++ b/src/coordination/sidecar/dispatcher.rs
@@ -430,6 +430,7 @@
     }
 
     async fn serve(self: Rc<Self>, call: Call, arrived: Instant, started: &Cell<bool>) -> Outcome {
+        let call = Rc::new(call);
         let deadline = arrived + Duration::from_millis(call.left_ms.into());
         let waited = || Instant::now().since(arrived);
         if let Some(wait) = self.isolation.refuses(&call) {
@@ -462,7 +463,7 @@
                     Err(f) => return self.reject(&call, f.cause, f.wait_ms, waited()),
                 };
             }
-            let permit = match self.admit(request).await {
+            let mut permit = match self.admit(request).await {
                 Ok(permit) => permit,
                 Err((cause, wait)) => {
                     return self.reject(&call, cause, clock::millis(wait), waited());
@@ -472,6 +473,7 @@
             if lease.is_some() || self.isolation.check(&call) == Verdict::Clear {
                 break permit;
             }
+            permit.completion = Completion::Failed;
         };
         let backend = match self.available_backend(&call.service) {
             Ok(backend) => backend,
@@ -487,7 +489,11 @@
         }
         started.set(true);
         let sent = Instant::now();
+        let unpermitted = lease
+            .is_none()
+            .then(|| self.isolation.register(&call, deadline));
         let result = self.send(&call, &backend, deadline).await;
+        drop(unpermitted);
         let took = Instant::now().since(sent);
         permit.completion = failure_rate::completion(&result);
         self.isolation
--- a/src/coordination/sidecar/isolation.rs
+++ b/src/coordination/sidecar/isolation.rs
@@ -59,6 +59,8 @@
     /// Other nodes; none until the node has started.
     membership: RefCell<Option<Rc<MembershipView>>>,
     told: RefCell<HashMap<String, Told>>,
+    /// Requests that run here without a permit, by the number of the run, with their deadlines.
+    running: RefCell<HashMap<u64, (Rc<Call>, Instant)>>,
     /// Notified when there is something to report.
     news: Notify,
     /// Notified when a suspected request may have become ready.
@@ -74,6 +76,7 @@
             quarantine: RefCell::default(),
             membership: RefCell::default(),
             told: RefCell::default(),
+            running: RefCell::default(),
             news: Notify::new(),
             changed: Notify::new(),
             lane: Semaphore::new(1),
@@ -81,6 +84,26 @@
     }
 }
 
+/// Registration of a request that runs without a permit, ended when dropped.
+#[derive(Debug)]
+pub struct Unpermitted<'a> {
+    isolation: &'a Isolation,
+    run: u64,
+}
+
+impl Drop for Unpermitted<'_> {
+    fn drop(&mut self) {
+        let ended = self.isolation.running.borrow_mut().remove(&self.run);
+        let request = ended.and_then(|(call, _)| self.isolation.fingerprint(&call));
+        if let Some(request) = request
+            && self.isolation.quarantine.borrow().contains(request)
+        {
+            let (run, now) = (self.run, Instant::now());
+            self.isolation.update(|q| q.record_end(request, run, now));
+        }
+    }
+}
+
 /// Permit for one run, returned when dropped.
 #[derive(Debug)]
 pub struct Lease<'a> {
@@ -135,6 +158,32 @@
         result
     }
 
+    /// Registers a request that runs without a permit, in case that it becomes suspected.
+    #[must_use]
+    pub fn register(&self, call: &Rc<Call>, deadline: Instant) -> Unpermitted<'_> {
+        let run = rand::random();
+        let entry = (Rc::clone(call), deadline);
+        self.running.borrow_mut().insert(run, entry);
+        Unpermitted {
+            isolation: self,
+            run,
+        }
+    }
+
+    /// Tells other nodes of the copies of a request that run here, when it becomes suspected.
+    fn report_running(&self, request: Fingerprint) {
+        let running = self.running.borrow();
+        let copies = running
+            .iter()
+            .filter(|(_, (call, _))| call.fingerprint() == request);
+        let now = Instant::now();
+        for (run, (_, deadline)) in copies {
+            let left = deadline.since(now) + RUN_GRACE;
+            let mut quarantine = self.quarantine.borrow_mut();
+            quarantine.record_running(request, *run, left, now);
+        }
+    }
+
     /// Returns the fingerprint of a request while any is suspected.
     #[must_use]
     pub fn fingerprint(&self, call: &Call) -> Option<Fingerprint> {
@@ -305,8 +354,12 @@
             Err(SendError::Unknown(Cause::Broken)) => {
                 let request = call.fingerprint();
                 let (life, slots) = (backend.holder.life(), usize::from(backend.slots));
+                let is_new = !self.quarantine.borrow().contains(request);
                 let crashes = self
                     .update(|quarantine| quarantine.record_crash(request, life, alone, slots, now));
+                if is_new {
+                    self.report_running(request);
+                }
                 tracing::info!(event = 568, id = %call.id, %request, backend = %backend.holder.backend, born = backend.holder.born, crashes, "the backend server broke off while it ran a request");
             }
             Ok(_) => {
@@ -332,11 +385,16 @@
 
     /// Applies the reports of another node.
     pub fn apply(&self, reports: Vec<CrashReport>) {
-        let mut quarantine = self.quarantine.borrow_mut();
         for report in reports {
+            let mut quarantine = self.quarantine.borrow_mut();
+            let is_new = !quarantine.contains(report.request);
             quarantine.apply(report, Instant::now());
+            let is_new = is_new && quarantine.contains(report.request);
+            drop(quarantine);
+            if is_new {
+                self.report_running(report.request);
+            }
         }
-        drop(quarantine);
         self.news.notify_one();
         self.changed.notify_waiters();
     }
--- a/src/coordination/sidecar/quarantine.rs
+++ b/src/coordination/sidecar/quarantine.rs
@@ -20,10 +20,13 @@
 /// Number of lives of backend servers under which a request must have broken off to be refused.
 pub const MAX_CRASHES: usize = 3;
 
-/// Time for which a request is remembered since it last broke off; longer than the longest delay of a
-/// trial.
+/// Time for which a quarantined request is remembered since it last broke off; longer than the longest
+/// delay of a trial.
 const MEMORY: Duration = Duration::from_hours(1);
 
+/// Time for which other requests are remembered since they last broke off.
+const SUSPECT_MEMORY: Duration = Duration::from_mins(10);
+
 /// Time for which a request is remembered of which no life is known. The report of the node beside the
 /// backend server arrives within it.
 const SUSPICION: Duration = Duration::from_secs(10);
@@ -35,6 +38,13 @@
 /// its next heartbeat, 870 ms later at most; before that, a second crash would count for the same life.
 const CRASH_PAUSE: Duration = Duration::from_secs(1);
 
+/// Pause after the first crash, in which other nodes tell of copies that are already running; a few times
+/// the latency of a link.
+const SETTLE_PAUSE: Duration = Duration::from_millis(150);
+
+/// Maximum number of copies that run without a permit and are known of one request; the latest count.
+const MAX_RUNNING: usize = 32;
+
 /// Delay of the next trial, by the number of runs under a permit that broke off. Without any, the
 /// copies may all have run on servers that crashed under something else.
 const TRIAL_DELAYS: [Duration; 5] = [
@@ -79,7 +89,7 @@
     }
 }
 
-/// The one copy of a suspected request that may run.
+/// Copy of a suspected request that may be running.
 #[derive(Debug, Clone, Copy)]
 struct Run {
     id: u64,
@@ -97,15 +107,18 @@
     seen: Instant,
     /// Time before which no copy may start.
     ready_at: Instant,
+    /// Copy with the permit.
     run: Option<Run>,
+    /// Copies that were started before the request was suspected.
+    running: Vec<Run>,
 }
 
 impl Suspect {
     fn is_current(&self, now: Instant) -> bool {
-        let memory = if self.lives.is_empty() {
-            SUSPICION
-        } else {
-            MEMORY
+        let memory = match self.lives.len() {
+            0 => SUSPICION,
+            1..MAX_CRASHES => SUSPECT_MEMORY,
+            _ => MEMORY,
         };
         now.since(self.seen) <= memory
     }
@@ -130,14 +143,15 @@
         let delay = match (self.is_quarantined(), alone) {
             (true, _) => TRIAL_DELAYS[step.min(TRIAL_DELAYS.len() - 1)],
             (false, true) => CRASH_PAUSE,
-            (false, false) => Duration::ZERO,
+            (false, false) => SETTLE_PAUSE,
         };
         self.ready_at = self.ready_at.max(now + delay);
     }
 
     fn verdict(&self, now: Instant) -> Verdict {
-        let run = self.run.filter(|run| run.until > now);
-        let busy = run.map_or(Duration::ZERO, |run| run.until.since(now));
+        let runs = self.running.iter().chain(&self.run);
+        let busy = runs.map(|run| run.until.since(now)).max();
+        let busy = busy.unwrap_or_default();
         let wait = busy.min(MAX_BUSY_WAIT).max(self.ready_at.since(now));
         match wait {
             Duration::ZERO => Verdict::Ready,
@@ -192,6 +206,12 @@
         self.suspects.is_empty()
     }
 
+    /// Returns whether a request is suspected.
+    #[must_use]
+    pub fn contains(&self, request: Fingerprint) -> bool {
+        self.suspects.contains_key(&request)
+    }
+
     /// Returns whether a copy of a request may run.
     #[must_use]
     pub fn check(&self, request: Fingerprint, now: Instant) -> Verdict {
@@ -223,7 +243,8 @@
     pub fn may_start(&self, request: Fingerprint, run: u64, now: Instant) -> bool {
         self.suspects.get(&request).is_none_or(|suspect| {
             let current = suspect.run.filter(|r| r.id == run && r.until > now);
-            current.is_some() && suspect.ready_at <= now
+            let alone = suspect.running.iter().all(|r| r.until <= now);
+            current.is_some() && alone && suspect.ready_at <= now
         })
     }
 
@@ -282,6 +303,12 @@
         self.record(request, Finding::Started { run, left_ms }, now);
     }
 
+    /// Records that a copy which was started before the request was suspected runs here.
+    pub fn record_running(&mut self, request: Fingerprint, run: u64, left: Duration, now: Instant) {
+        let left_ms = clock::millis(left);
+        self.record(request, Finding::Running { run, left_ms }, now);
+    }
+
     /// Records that a copy doesn't run here any more, without an answer or a crash.
     pub fn record_end(&mut self, request: Fingerprint, run: u64, now: Instant) {
         self.record(request, Finding::Ended(run), now);
@@ -339,6 +366,17 @@
             Finding::Ended(run) => {
                 if let Some(suspect) = self.suspects.get_mut(&request) {
                     suspect.run = suspect.run.filter(|r| r.id != run);
+                    suspect.running.retain(|r| r.id != run);
+                }
+            }
+            Finding::Running { run, left_ms } => {
+                if let Some(suspect) = self.suspects.get_mut(&request) {
+                    let until = now + Duration::from_millis(left_ms.into());
+                    let running = &mut suspect.running;
+                    running.retain(|r| r.until > now && r.id != run);
+                    running.push(Run { id: run, until });
+                    let extra = running.len().saturating_sub(MAX_RUNNING);
+                    running.drain(..extra);
                 }
             }
             Finding::Suspected => {
@@ -355,8 +393,9 @@
             lives: Vec::new(),
             strikes: 0,
             seen: now,
-            ready_at: now,
+            ready_at: now + SETTLE_PAUSE,
             run: None,
+            running: Vec::new(),
         })
     }
 
@@ -416,10 +455,14 @@
         let mut reports = Vec::new();
         for (&request, suspect) in &self.suspects {
             reports.extend(self.reports_of(request, now));
-            if let Some(run) = suspect.run.filter(|r| r.until > now) {
-                let finding = Finding::Started {
-                    run: run.id,
-                    left_ms: clock::millis(run.until.since(now)),
+            let started = suspect.run.iter().map(|r| (r, true));
+            let running = suspect.running.iter().map(|r| (r, false));
+            for (r, permitted) in started.chain(running).filter(|(r, _)| r.until > now) {
+                let (run, left_ms) = (r.id, clock::millis(r.until.since(now)));
+                let finding = if permitted {
+                    Finding::Started { run, left_ms }
+                } else {
+                    Finding::Running { run, left_ms }
                 };
                 reports.push(CrashReport { request, finding });
             }
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -453,6 +453,13 @@
     Ended(u64),
     /// The sender was told that a backend server broke off under it, but not of which life.
     Suspected,
+    /// A copy runs that was started before the request was suspected.
+    Running {
+        /// Number of the run.
+        run: u64,
+        /// Time after which it has ended, in milliseconds.
+        left_ms: u32,
+    },
 }
 
 /// Question whether a copy of a request may run that has crashed a backend server.
