Bound the work of many suspects, and take a run report before its crash report

Cause: review of the change. A denied permit woke the copy that had been denied, so that it asked again at once. A node that gets thousands of suspects hashed each running call for each of them. A report of a running copy from one node may overtake the report of the crash from another and was ignored. Change: a denial wakes nobody; running calls are hashed once for a batch of reports; the report of a running copy makes the request suspected by itself.

--- a/src/coordination/sidecar/isolation.rs
+++ b/src/coordination/sidecar/isolation.rs
@@ -9,6 +9,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::mem;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -141,11 +142,15 @@
 impl Drop for Lease<'_> {
     fn drop(&mut self) {
         let (request, run, now) = (self.request, self.run, Instant::now());
-        self.isolation.update(|quarantine| match self.stage {
-            Stage::Open => quarantine.record_end(request, run, now),
-            Stage::Sent => quarantine.record_run(request, run, CANCELLED_HOLD, now),
+        match self.stage {
+            Stage::Open => self.isolation.update(|q| q.record_end(request, run, now)),
+            Stage::Sent => {
+                let hold = CANCELLED_HOLD;
+                self.isolation
+                    .update(|q| q.record_run(request, run, hold, now));
+            }
             Stage::Settled => {}
-        });
+        }
     }
 }
 
@@ -170,17 +175,19 @@
         }
     }
 
-    /// Tells other nodes of the copies of a request that run here, when it becomes suspected.
-    fn report_running(&self, request: Fingerprint) {
-        let running = self.running.borrow();
-        let copies = running
-            .iter()
-            .filter(|(_, (call, _))| call.fingerprint() == request);
+    /// Tells other nodes of the copies that run here of requests that have become suspected.
+    fn report_running(&self, suspected: &[Fingerprint]) {
+        if suspected.is_empty() {
+            return;
+        }
         let now = Instant::now();
-        for (run, (_, deadline)) in copies {
-            let left = deadline.since(now) + RUN_GRACE;
-            let mut quarantine = self.quarantine.borrow_mut();
-            quarantine.record_running(request, *run, left, now);
+        for (run, (call, deadline)) in &*self.running.borrow() {
+            let request = call.fingerprint();
+            if suspected.contains(&request) {
+                let left = deadline.since(now) + RUN_GRACE;
+                let mut quarantine = self.quarantine.borrow_mut();
+                quarantine.record_running(request, *run, left, now);
+            }
         }
     }
 
@@ -358,7 +365,7 @@
                 let crashes = self
                     .update(|quarantine| quarantine.record_crash(request, life, alone, slots, now));
                 if is_new {
-                    self.report_running(request);
+                    self.report_running(&[request]);
                 }
                 tracing::info!(event = 568, id = %call.id, %request, backend = %backend.holder.backend, born = backend.holder.born, crashes, "the backend server broke off while it ran a request");
             }
@@ -385,16 +392,17 @@
 
     /// Applies the reports of another node.
     pub fn apply(&self, reports: Vec<CrashReport>) {
+        let mut suspected = Vec::new();
+        let mut quarantine = self.quarantine.borrow_mut();
         for report in reports {
-            let mut quarantine = self.quarantine.borrow_mut();
-            let is_new = !quarantine.contains(report.request);
-            quarantine.apply(report, Instant::now());
-            let is_new = is_new && quarantine.contains(report.request);
-            drop(quarantine);
-            if is_new {
-                self.report_running(report.request);
+            if !quarantine.contains(report.request) {
+                suspected.push(report.request);
             }
+            quarantine.apply(report, Instant::now());
         }
+        suspected.retain(|request| quarantine.contains(*request));
+        drop(quarantine);
+        self.report_running(&suspected);
         self.news.notify_one();
         self.changed.notify_waiters();
     }
@@ -443,7 +451,11 @@
         let quarantine = self.quarantine.borrow();
         let (connection, count) = (link.connection_number(), quarantine.report_count());
         let mut told = self.told.borrow_mut();
-        let before = told.insert(link.node.clone(), (connection, count));
+        let current = (connection, count);
+        let before = match told.get_mut(&link.node) {
+            Some(told) => Some(mem::replace(told, current)),
+            None => told.insert(link.node.clone(), current),
+        };
         let reports = match before {
             Some((known, reported)) if known == connection => quarantine.reports_after(reported),
             _ => quarantine.all_reports(now),
--- a/src/coordination/sidecar/quarantine.rs
+++ b/src/coordination/sidecar/quarantine.rs
@@ -370,14 +370,13 @@
                 }
             }
             Finding::Running { run, left_ms } => {
-                if let Some(suspect) = self.suspects.get_mut(&request) {
-                    let until = now + Duration::from_millis(left_ms.into());
-                    let running = &mut suspect.running;
-                    running.retain(|r| r.until > now && r.id != run);
-                    running.push(Run { id: run, until });
-                    let extra = running.len().saturating_sub(MAX_RUNNING);
-                    running.drain(..extra);
-                }
+                let until = now + Duration::from_millis(left_ms.into());
+                // It may overtake the report of the crash, which comes from another node.
+                let running = &mut self.suspect(request, now).running;
+                running.retain(|r| r.until > now && r.id != run);
+                running.push(Run { id: run, until });
+                let extra = running.len().saturating_sub(MAX_RUNNING);
+                running.drain(..extra);
             }
             Finding::Suspected => {
                 self.suspect(request, now);
--- a/tests/sidecar/quarantine.rs
+++ b/tests/sidecar/quarantine.rs
@@ -111,7 +111,10 @@
     // A copy that was started before the crash counts as well.
     nodes[2].apply(nodes[0].reports_after(0)[0], now);
     nodes[2].record_running(POISON, 9, LEFT, now);
+    // Its report may overtake that of the crash.
+    nodes.rotate_left(1);
     exchange(&mut nodes, now);
+    nodes.rotate_right(1);
     let now = now + secs(1);
     assert!(matches!(nodes[1].check(POISON, now), Verdict::Busy(_)));
     nodes[2].record_end(POISON, 9, now);
