--- a/src/coordination/sidecar/dispatcher.rs
+++ b/src/coordination/sidecar/dispatcher.rs
@@ -21,9 +21,10 @@
 use crate::coordination::sidecar::evacuation::Evacuations;
 use crate::coordination::sidecar::failure_rate;
 use crate::coordination::sidecar::granted_ranges::GrantedRanges;
+use crate::coordination::sidecar::isolation::Isolation;
 use crate::coordination::sidecar::local_backend::Backend;
 use crate::coordination::sidecar::nested_calls::RunningDeadlines;
-use crate::coordination::sidecar::quarantine::Quarantine;
+use crate::coordination::sidecar::quarantine::Verdict;
 use crate::coordination::sidecar::service_times::Completion;
 use crate::coordination::sidecar::signals::SignalTracker;
 use crate::metrics::Metrics;
@@ -59,9 +60,6 @@
 /// Maximum age of the last heartbeat at which requests wait for a grant with the next one.
 const MAX_HEARTBEAT_AGE: Duration = Duration::from_millis(1500);
 
-/// Recommended delay before a request is sent again that crashes backend servers, in milliseconds.
-pub const QUARANTINE_RETRY_MS: u32 = 60_000;
-
 /// Retry delay, in milliseconds, of a request whose key the backend server has no grant for.
 const NO_GRANT_RETRY_MS: u32 = 300;
 
@@ -109,7 +107,7 @@
     /// Evacuated failure domains.
     pub evacuations: Rc<Evacuations>,
     /// Requests that crash backend servers.
-    pub quarantine: RefCell<Quarantine>,
+    pub isolation: Isolation,
     /// Deadlines of the requests that the backend server runs.
     deadlines: RunningDeadlines,
     /// Notified when a queued request waits for the rate limit.
@@ -211,7 +209,7 @@
             signals: RefCell::default(),
             reminders: RefCell::default(),
             evacuations,
-            quarantine: RefCell::default(),
+            isolation: Isolation::default(),
             deadlines: RunningDeadlines::default(),
             throttled: Notify::new(),
             check_due: Notify::new(),
@@ -478,18 +476,12 @@
         Outcome::NotRun(Failure::before_send(cause, wait_ms))
     }
 
-    /// Returns whether backend servers crash under a request, so that it must not be sent to any.
-    #[must_use]
-    pub fn refuses(&self, call: &Call) -> bool {
-        let mut quarantine = self.quarantine.borrow_mut();
-        !quarantine.is_empty() && quarantine.refuses(call.fingerprint(), Instant::now())
-    }
-
     async fn serve(self: Rc<Self>, call: Call, arrived: Instant, started: &Cell<bool>) -> Outcome {
+        let call = Rc::new(call);
         let deadline = arrived + Duration::from_millis(call.left_ms.into());
         let waited = || Instant::now().since(arrived);
-        if self.refuses(&call) {
-            return self.reject(&call, Cause::Quarantined, QUARANTINE_RETRY_MS, waited());
+        if let Some(wait) = self.isolation.refuses(&call) {
+            return self.reject(&call, Cause::Quarantined, clock::millis(wait), waited());
         }
         if let Err(cause) = self.available_backend(&call.service) {
             return self.reject(&call, cause, 0, waited());
@@ -511,11 +503,25 @@
             deadline,
             nested: call.nested,
         };
-        let mut permit = match self.admit(request).await {
-            Ok(permit) => permit,
-            Err((cause, wait)) => {
-                return self.reject(&call, cause, clock::millis(wait), waited());
+        let mut lease = None;
+        let mut permit = loop {
+            if lease.is_none() {
+                lease = match self.isolation.enter(&call, deadline).await {
+                    Ok(lease) => lease,
+                    Err(f) => return self.reject(&call, f.cause, f.wait_ms, waited()),
+                };
+            }
+            let mut permit = match self.admit(request).await {
+                Ok(permit) => permit,
+                Err((cause, wait)) => {
+                    return self.reject(&call, cause, clock::millis(wait), waited());
+                }
+            };
+            // Others may have run it while it was queued; it waits for the permit without a slot.
+            if lease.is_some() || self.isolation.check(&call) == Verdict::Clear {
+                break permit;
             }
+            permit.completion = Completion::Failed;
         };
         let backend = match self.available_backend(&call.service) {
             Ok(backend) => backend,
@@ -526,39 +532,23 @@
         {
             return self.reject(&call, Cause::NotHolder, NO_GRANT_RETRY_MS, waited());
         }
-        // Others have run it while it was queued.
-        if self.refuses(&call) {
-            return self.reject(&call, Cause::Quarantined, QUARANTINE_RETRY_MS, waited());
+        if lease.as_mut().is_some_and(|lease| !lease.start()) {
+            return self.reject(&call, Cause::Isolated, UNREACHABLE_RETRY_MS, waited());
         }
         started.set(true);
         let sent = Instant::now();
+        let unpermitted = lease
+            .is_none()
+            .then(|| self.isolation.register(&call, deadline));
         let result = self.send(&call, &backend, deadline).await;
+        drop(unpermitted);
         let took = Instant::now().since(sent);
         permit.completion = failure_rate::completion(&result);
-        self.record_crash(&call, &backend, &result);
+        self.isolation
+            .record_result(&call, &backend, lease, &result);
         self.record_outcome(&call, result, took)
     }
 
-    /// Records whether a backend server broke off while it ran a request, or has answered it.
-    fn record_crash(&self, call: &Call, backend: &Backend, result: &Result<Response, SendError>) {
-        let now = Instant::now();
-        let mut quarantine = self.quarantine.borrow_mut();
-        match result {
-            Err(SendError::Unknown(Cause::Broken)) => {
-                let request = call.fingerprint();
-                let crashes = quarantine.record_crash(request, backend.holder.life(), now);
-                tracing::info!(event = 568, id = %call.id, %request, backend = %backend.holder.backend, born = backend.holder.born, crashes, "the backend server broke off while it ran a request");
-            }
-            Ok(_) if !quarantine.is_empty() => {
-                let request = call.fingerprint();
-                if quarantine.record_answer(request, now) {
-                    tracing::info!(event = 569, id = %call.id, %request, "a request was answered under which a backend server had broken off");
-                }
-            }
-            _ => {}
-        }
-    }
-
     async fn admit(
         self: &Rc<Self>,
         request: AdmissionRequest,
--- a/src/transport/sidecar/peer_server.rs
+++ b/src/transport/sidecar/peer_server.rs
@@ -24,7 +24,8 @@
 
 use crate::protocol::mesh::{
     BackendInfo, Call, Cause, Claim, CrashReport, EvacuationSet, Failure, Frame, Hello,
-    HolderRates, Items, Load, Outcome, Reminder, Seq, StoreRequest, StoreResponse,
+    HolderRates, Items, Load, Outcome, Permission, PermitRequest, Reminder, Seq, StoreRequest,
+    StoreResponse,
 };
 use crate::state::clock::{self, Instant};
 use crate::state::routes::Repeat;
@@ -140,6 +141,9 @@
     /// Handles the evacuated failure domains that another node knows.
     fn receive_evacuations(&self, set: EvacuationSet);
 
+    /// Decides whether a copy of a request may run that has crashed a backend server.
+    fn decide(&self, request: PermitRequest) -> Permission;
+
     /// Takes in what another node was told about the local backend server.
     fn recall(&self, reminder: Reminder);
 
@@ -482,6 +486,10 @@
             Frame::Remind(reminder) => self.handler.recall(*reminder),
             Frame::Heat(rates) => self.handler.receive_rates(*rates),
             Frame::Crashes(reports) => self.handler.receive_crashes(reports),
+            Frame::Ask(seq, request) => {
+                let permission = self.handler.decide(request);
+                session.borrow().send(Frame::Granted(seq, permission));
+            }
             Frame::Claim(claim) => self.handler.receive_claim(*claim),
             Frame::Evacuations(set) => self.handler.receive_evacuations(*set),
             Frame::WantEvacuations => {
