Estimate run times by the speed that a backend server states

Cause: a backend server whose work takes longer for a while was ranked and given keys by its mean over the last requests, which follows late. Change: X-Server-Load is decoded (StatedLoad); malformed or absurd values change nothing (event 582, at most once in 10 s). Mean service times are kept at normal speed and multiplied by the stated slowdown while it is at most 1 s old; samples are divided by it. Load reports have the slowdown and the mean at the average speed of the last seconds, by which the planner goes, since speed changes faster than keys can move. Without the header nothing changes. Tests for servers that differ permanently: load balancing already gives them shares by their means.

--- a/src/coordination/sidecar/dispatcher.rs
+++ b/src/coordination/sidecar/dispatcher.rs
@@ -100,6 +100,8 @@
     /// Average share of failed requests.
     failure_average: RefCell<DecayedAverage>,
     signals: RefCell<SignalTracker>,
+    /// Time of the last log line about a load that can't be used.
+    load_logged: Cell<Option<Instant>>,
     /// What other nodes remember of backend servers that haven't registered with this process, and
     /// when they said so.
     reminders: RefCell<VecDeque<(Reminder, Instant)>>,
@@ -201,6 +203,7 @@
                 now,
             )),
             signals: RefCell::default(),
+            load_logged: Cell::new(None),
             reminders: RefCell::default(),
             quarantine: RefCell::default(),
             throttled: Notify::new(),
@@ -277,25 +280,26 @@
     pub fn load(&self) -> Load {
         let backend = self.backend.borrow();
         let queue = self.queue.borrow();
+        let now = Instant::now();
+        let millis = |mean: Option<Duration>| mean.map_or(0.0, |d| d.as_secs_f32() * 1000.0);
         let saturate = |n: usize| u16::try_from(n).unwrap_or(u16::MAX);
         let warmup = backend
             .as_ref()
             .map_or(Duration::ZERO, |b| b.warmup_end.left())
-            .max(self.warmup_left(Instant::now()));
+            .max(self.warmup_left(now));
         Load {
             health: self.health(),
             slots: backend.as_ref().map_or(0, |b| b.slots),
             running: saturate(queue.running()),
             queued: saturate(queue.waiting()),
-            service_ms: queue
-                .service_times
-                .mean(Instant::now())
-                .map_or(0.0, |d| d.as_secs_f32() * 1000.0),
+            service_ms: millis(queue.service_times.mean(now)),
+            steady_ms: millis(queue.service_times.steady_mean(now)),
+            slowdown: queue.service_times.speed.stated(now).unwrap_or_default(),
             failing: self.failure_rate(),
             warmup_ms: clock::millis(warmup),
             stopping: self.stopping.get(),
             limit: self.signals.borrow().limit(),
-            limit_room: queue.limit_room(Instant::now()),
+            limit_room: queue.limit_room(now),
             cold_rate: self.cold_rate().unwrap_or_default(),
             ..Load::default()
         }
--- a/src/coordination/sidecar/dispatcher/backend_state.rs
+++ b/src/coordination/sidecar/dispatcher/backend_state.rs
@@ -4,14 +4,19 @@
 //! remember them, add the limit that it has named and that it is leaving. All of it ends with the
 //! incarnation.
 
+use std::time::Duration;
+
 use crate::coordination::sidecar::dispatcher::Dispatcher;
 use crate::coordination::sidecar::local_backend::Backend;
 use crate::coordination::sidecar::signals::SignalChange;
-use crate::protocol::adapter::Signals;
+use crate::protocol::adapter::{Signals, StatedLoad};
 use crate::protocol::mesh::Reminder;
 use crate::state::clock::Instant;
 use crate::state::keyspace::Holder;
 
+/// Minimum interval between two log lines about a stated load that can't be used.
+const LOAD_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Maximum number of reminders that are kept until their backend server registers.
 const MAX_REMINDERS: usize = 64;
 
@@ -64,10 +69,33 @@
             return;
         }
         let now = Instant::now();
+        self.record_stated_load(signals.load);
         let change = self.signals.borrow_mut().record(signals, sent, now);
         self.apply_signals(change, now);
     }
 
+    /// Records the load that a response of the local backend server states.
+    pub fn record_stated_load(&self, load: StatedLoad) {
+        let now = Instant::now();
+        match load {
+            StatedLoad::Stated(Some(slowdown)) => {
+                let mut queue = self.queue.borrow_mut();
+                queue.service_times.speed.record(slowdown, now);
+            }
+            StatedLoad::Malformed => {
+                let logged = self.load_logged.get();
+                if logged.is_none_or(|at| now.since(at) >= LOAD_LOG_INTERVAL) {
+                    self.load_logged.set(Some(now));
+                    tracing::warn!(
+                        event = 582,
+                        "ignored a load stated by the backend server that can't be decoded or is out of range"
+                    );
+                }
+            }
+            StatedLoad::Stated(None) | StatedLoad::Absent => {}
+        }
+    }
+
     /// Takes in what another node was told about the local backend server.
     pub fn recall(&self, reminder: Reminder) {
         let holder = &reminder.holder;
--- a/src/coordination/sidecar/mod.rs
+++ b/src/coordination/sidecar/mod.rs
@@ -8,7 +8,7 @@
 //!
 //! `admission`, `rate_limiter`, `service_times`, `signals`, `load_balancing`, `failure_rate`,
 //! `retry_budget`, `overload_retry`, `catchup`, `forwarders`, `granted_ranges`, `plan`, `replica`,
-//! `reports` and `warmup` do no input or output.
+//! `reports`, `speed` and `warmup` do no input or output.
 
 pub mod admission;
 pub mod backoff;
@@ -42,6 +42,7 @@
 pub mod retry_budget;
 pub mod service_times;
 pub mod signals;
+pub mod speed;
 pub mod start;
 pub mod tables;
 pub mod targets;
--- a/src/coordination/sidecar/planner.rs
+++ b/src/coordination/sidecar/planner.rs
@@ -241,19 +241,25 @@
 /// Returns the backend servers that may hold keys, with their capacities.
 #[must_use]
 pub fn members(loads: &[(Option<Holder>, Load)]) -> Vec<Member> {
-    let known = loads.iter().map(|l| l.1).filter(|l| l.service_ms > 0.0);
-    let times: Vec<f64> = known.map(|l| f64::from(l.service_ms)).collect();
+    // The present speed of a backend server changes faster than keys can move.
+    let service_ms = |load: &Load| match load.steady_ms {
+        ms if ms > 0.0 => f64::from(ms),
+        _ => f64::from(load.service_ms),
+    };
+    let times: Vec<f64> = loads
+        .iter()
+        .map(|l| service_ms(&l.1))
+        .filter(|ms| *ms > 0.0)
+        .collect();
     let mean = match times.len() {
         0 => DEFAULT_SERVICE_MS,
         n => times.iter().sum::<f64>() / n as f64,
     };
     let baseline = failure_rate::baseline(loads.iter().map(|l| l.1.failing));
     let member = |(holder, load): &(Option<Holder>, Load)| {
-        let ms = if load.service_ms > 0.0 {
-            f64::from(load.service_ms)
-        } else {
-            mean
-        };
+        let ms = Some(service_ms(load))
+            .filter(|ms| *ms > 0.0)
+            .unwrap_or(mean);
         let healthy = 1.0 - failure_rate::excess(load.failing, baseline);
         let capacity = f64::from(load.slots) * 1000.0 / ms * healthy.max(MIN_CAPACITY_FRACTION);
         let limit = load.limit.per_second().unwrap_or(f64::INFINITY);
--- a/src/coordination/sidecar/probe.rs
+++ b/src/coordination/sidecar/probe.rs
@@ -121,8 +121,12 @@
             (Some(path), Some(backend)) => {
                 let response = self.client.get(backend.address, &path, CHECK_TIMEOUT).await;
                 let left = response.map(|head| {
-                    let accepted = (200..300).contains(&head.status);
-                    accepted.then(|| self.adapter.decode_warmup(&head.headers))?
+                    if !(200..300).contains(&head.status) {
+                        return None;
+                    }
+                    let signals = self.adapter.decode_signals(&head.headers);
+                    dispatcher.record_stated_load(signals.load);
+                    self.adapter.decode_warmup(&head.headers)
                 });
                 match left {
                     Ok(Some(left)) => Ok(left.min(MAX_WARMUP)),
--- a/src/coordination/sidecar/reports.rs
+++ b/src/coordination/sidecar/reports.rs
@@ -26,6 +26,9 @@
 /// Change of the number of running and queued requests that triggers a report.
 const MIN_REQUEST_CHANGE: u32 = 2;
 
+/// Ratio of the present speed of a backend server to the reported one that triggers a report.
+const MIN_SPEED_CHANGE: f64 = 1.5;
+
 /// Maximum number of nodes of a small fleet. Above it, reports depend on the receiver, and their
 /// interval grows with the number of nodes.
 const SMALL_FLEET_NODES: usize = 20;
@@ -64,10 +67,13 @@
     let availability = load.health != sent.health || load.stopping != sent.stopping;
     // Nodes request newer state from their own failure domain first.
     let limit = load.limit != sent.limit || load.effective_limit() != sent.effective_limit();
+    let slowdown = |l: &Load| if l.slowdown > 0.0 { l.slowdown } else { 1.0 };
+    let change = slowdown(load) / slowdown(sent);
+    let speed = !(1.0 / MIN_SPEED_CHANGE..=MIN_SPEED_CHANGE).contains(&change);
     let state = load.config != sent.config || load.store_up != sent.store_up;
     age >= max_interval
         || availability
-        || (prompt && limit)
+        || (prompt && (limit || speed))
         || (prompt && requests(load).abs_diff(requests(sent)) >= MIN_REQUEST_CHANGE)
         || ((prompt || is_watcher) && state)
         || (is_watcher && load.items != sent.items)
--- a/src/coordination/sidecar/service_times.rs
+++ b/src/coordination/sidecar/service_times.rs
@@ -6,11 +6,15 @@
 //! admits far more than the backend server can execute, and admitted requests run into their
 //! callers' deadlines.
 //!
+//! A backend server may state how much longer work takes at present. Means are kept as they would be at its
+//! normal speed, and multiplied by the present slowdown when they are read.
+//!
 //! Nothing here does input or output.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::coordination::sidecar::speed::SpeedTracker;
 use crate::state::clock::Instant;
 
 /// Largest weight of the mean, in requests; a new sample gets at least the inverse.
@@ -47,7 +51,7 @@
     /// Sum of the start times of running requests, in seconds since `epoch`.
     start_sum: f64,
     epoch: Instant,
-    /// Mean service time of completed requests, in seconds.
+    /// Mean service time of completed requests at normal speed, in seconds.
     mean: f64,
     /// Weight of the mean, in requests.
     weight: f64,
@@ -76,12 +80,18 @@
         self.start_sum += self.offset(now);
     }
 
-    fn record_end(&mut self, started: Instant, completion: Completion, now: Instant) {
+    fn record_end(
+        &mut self,
+        started: Instant,
+        completion: Completion,
+        slowdown: f64,
+        now: Instant,
+    ) {
         if started < self.epoch {
             // It ran on a previous incarnation of the backend server.
             return;
         }
-        let took = now.since(started).as_secs_f64();
+        let took = now.since(started).as_secs_f64() / slowdown;
         if self.running > 0 {
             self.running -= 1;
             self.start_sum -= self.offset(started);
@@ -96,16 +106,17 @@
         self.count = self.count.saturating_add(1);
     }
 
-    fn mean(&self, now: Instant) -> Duration {
+    /// Returns the mean at a present slowdown.
+    fn mean(&self, slowdown: f64, now: Instant) -> Duration {
         let n = self.running as f64;
-        let age = self.offset(now) - self.start_sum / n.max(1.0);
+        let age = (self.offset(now) - self.start_sum / n.max(1.0)) / slowdown;
         let mean = if n > 0.0 && age > self.mean {
             // Running requests will take at least their mean age, so each counts as a sample of it.
             (self.mean * self.weight + age * n) / (self.weight + n)
         } else {
             self.mean
         };
-        Duration::from_secs_f64(mean)
+        Duration::from_secs_f64(mean * slowdown)
     }
 }
 
@@ -115,6 +126,8 @@
     kinds: HashMap<u32, Estimator>,
     all: Option<Estimator>,
     warming: bool,
+    /// Speed of the backend server.
+    pub speed: SpeedTracker,
 }
 
 impl ServiceTimes {
@@ -122,6 +135,7 @@
     pub fn reset(&mut self) {
         self.kinds.clear();
         self.all = None;
+        self.speed = SpeedTracker::default();
     }
 
     /// Sets whether the backend server is still warming up.
@@ -151,26 +165,39 @@
         completion: Completion,
         now: Instant,
     ) {
+        let slowdown = self.speed.slowdown(now);
         let kind = self.kinds.get_mut(&kind);
         for estimator in kind.into_iter().chain(&mut self.all) {
-            estimator.record_end(started, completion, now);
+            estimator.record_end(started, completion, slowdown, now);
         }
     }
 
     /// Returns the estimated service time of a kind of request.
     #[must_use]
     pub fn estimate(&self, kind: u32, objective: Duration, now: Instant) -> Duration {
+        let slowdown = self.speed.slowdown(now);
         let known = self.kinds.get(&kind);
         known.map_or_else(
-            || self.initial_estimate(objective),
-            |estimator| estimator.mean(now),
+            || self.initial_estimate(objective).mul_f64(slowdown),
+            |estimator| estimator.mean(slowdown, now),
         )
     }
 
     /// Returns the mean service time of all requests, once enough have completed.
     #[must_use]
     pub fn mean(&self, now: Instant) -> Option<Duration> {
+        self.mean_at(self.speed.slowdown(now), now)
+    }
+
+    /// Returns that mean at the average speed of the last seconds; `None` if the backend server states no
+    /// speed.
+    #[must_use]
+    pub fn steady_mean(&self, now: Instant) -> Option<Duration> {
+        self.mean_at(self.speed.average()?, now)
+    }
+
+    fn mean_at(&self, slowdown: f64, now: Instant) -> Option<Duration> {
         let all = self.all.as_ref().filter(|e| e.count >= MIN_SAMPLES)?;
-        Some(all.mean(now))
+        Some(all.mean(slowdown, now))
     }
 }
--- a/src/protocol/adapter.rs
+++ b/src/protocol/adapter.rs
@@ -56,6 +56,21 @@
     pub limit: mesh::RateLimit,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// Its present load.
+    pub load: StatedLoad,
+}
+
+/// Load that a backend server states in a response.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum StatedLoad {
+    /// None.
+    #[default]
+    Absent,
+    /// Can't be decoded, or is out of range.
+    Malformed,
+    /// Load, and the duration of work relative to the normal one, if it is stated: 2 if work takes twice
+    /// as long.
+    Stated(Option<f64>),
 }
 
 /// Reason of a backend server for refusing a request.
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -361,6 +361,12 @@
     /// Requests per second that the backend server gets because it is cold; 0 if there is no such
     /// limit.
     pub cold_rate: f64,
+    /// Present duration of work on the backend server relative to the normal one, which `service_ms`
+    /// contains; 0 if it isn't known.
+    pub slowdown: f64,
+    /// Mean service time at the average speed of the last seconds, in milliseconds; 0 if the backend server
+    /// states no speed.
+    pub steady_ms: f32,
 }
 
 impl Load {
--- a/tests/sidecar/adapter.rs
+++ b/tests/sidecar/adapter.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use filbertflow::protocol::adapter::{
-    Adapter, DecodeError, GrantSet, Marks, Notice, Refusal, RequestMetadata, Signals, StoreCall,
-    StoreReply, Terms,
+    Adapter, DecodeError, GrantSet, Marks, Notice, Refusal, RequestMetadata, Signals, StatedLoad,
+    StoreCall, StoreReply, Terms,
 };
 use filbertflow::protocol::http::{Header, RequestHead, ResponseHead, header_value};
 use filbertflow::protocol::mesh::{RateLimit, StoreRequest, StoreResponse};
@@ -55,6 +55,7 @@
         Signals {
             limit,
             leaving: header_value(headers, "leaving").is_some(),
+            load: StatedLoad::Absent,
         }
     }
 
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -36,4 +36,5 @@
 mod routes;
 mod service_times;
 mod signals;
+mod speed;
 mod warmup;
--- a/tests/sidecar/signals.rs
+++ b/tests/sidecar/signals.rs
@@ -38,7 +38,7 @@
             let steps: &[Step] = &$steps;
             let mut tracker = SignalTracker::default();
             for (sent, arrived, limit) in steps {
-                let signals = Signals { limit: *limit, leaving: false };
+                let signals = Signals { limit: *limit, ..Signals::default() };
                 tracker.record(signals, at(*sent), at(*arrived));
             }
             assert_eq!(tracker.limit(), $limit);
@@ -91,7 +91,7 @@
         #[test]
         fn $name() {
             let signals: Option<(RateLimit, bool)> = $signals;
-            let signals = signals.map(|(limit, leaving)| Signals { limit, leaving });
+            let signals = signals.map(|(limit, leaving)| Signals { limit, leaving, ..Signals::default() });
             assert_eq!(signals_of($response), signals);
         }
     )*};
@@ -148,6 +148,7 @@
                 let signals = Signals {
                     limit: *limit,
                     leaving: *leaving,
+                    ..Signals::default()
                 };
                 memory.record_response(&holder(backend), signals, now);
             }
@@ -215,7 +216,7 @@
     assert_eq!(tracker.limit(), named(9.0));
     let none = Signals {
         limit: NO_LIMIT,
-        leaving: false,
+        ..Signals::default()
     };
     tracker.record(none, now, now);
     tracker.recall(&reminder(9.0, 0), now);
