Take a backend server whose port is closed for cold

Cause: a health check that found the port closed counted as failed, so the state of the previous incarnation held, without the budget, until a heartbeat; the next incarnation may have the same identifier and starts cold. Change: a refused connection makes the state unknown, so requests start at the warm-up rate until a check answers. Other failures are as before.

--- a/src/coordination/sidecar/dispatcher/warmup_state.rs
+++ b/src/coordination/sidecar/dispatcher/warmup_state.rs
@@ -84,7 +84,7 @@
     pub fn record_check_result(&self, check: Check) {
         let outcome = match check {
             Check::Answered(_) => "answered",
-            Check::Failed => "failed",
+            Check::Failed | Check::Unreachable => "failed",
         };
         let counter = &self.metrics.health_checks;
         counter.with_label_values(&[outcome]).inc();
--- a/src/coordination/sidecar/probe.rs
+++ b/src/coordination/sidecar/probe.rs
@@ -7,6 +7,7 @@
 //! [`Warmup::next_check`]: crate::coordination::sidecar::warmup::Warmup::next_check
 
 use std::cell::Cell;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -117,7 +118,8 @@
         let dispatcher = &self.dispatcher;
         dispatcher.record_check();
         let path = self.service().and_then(|s| s.health_path);
-        let result = match (path, dispatcher.backend()) {
+        let failed = |error: String| (Check::Failed, Some(error));
+        let (check, error) = match (path, dispatcher.backend()) {
             (Some(path), Some(backend)) => {
                 let response = self.client.get(backend.address, &path, CHECK_TIMEOUT).await;
                 let left = response.map(|head| {
@@ -129,23 +131,20 @@
                     self.adapter.decode_warmup(&head.headers)
                 });
                 match left {
-                    Ok(Some(left)) => Ok(left.min(MAX_WARMUP)),
-                    Ok(None) => Err("no warm-up time in the response".to_owned()),
-                    Err(e) => Err(e.to_string()),
-                }
-            }
-            _ => Err("no health path is known".to_owned()),
-        };
-        let failed = self.failed.replace(result.is_err());
-        let check = match result {
-            Ok(left) => Check::Answered(left),
-            Err(error) => {
-                if !failed {
-                    tracing::warn!(event = 581, error = %error, "a health check of the backend server failed; its last known state holds until a heartbeat");
+                    Ok(Some(left)) => (Check::Answered(left.min(MAX_WARMUP)), None),
+                    Ok(None) => failed("no warm-up time in the response".to_owned()),
+                    Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
+                        (Check::Unreachable, Some(e.to_string()))
+                    }
+                    Err(e) => failed(e.to_string()),
                 }
-                Check::Failed
             }
+            _ => failed("no health path is known".to_owned()),
         };
+        let failed_before = self.failed.replace(error.is_some());
+        if let Some(error) = error.filter(|_| !failed_before) {
+            tracing::warn!(event = 581, error = %error, "a health check of the backend server failed");
+        }
         dispatcher.record_check_result(check);
     }
 }
--- a/src/coordination/sidecar/warmup.rs
+++ b/src/coordination/sidecar/warmup.rs
@@ -108,6 +108,8 @@
     Answered(Duration),
     /// It was refused, late, or didn't state it.
     Failed,
+    /// The backend server's port is closed, so it will be cold when it is back.
+    Unreachable,
 }
 
 /// Warm-up of the local backend server.
@@ -207,7 +209,7 @@
             // It may concern the previous incarnation.
             return;
         }
-        self.failed = result == Check::Failed;
+        self.failed = matches!(result, Check::Failed | Check::Unreachable);
         let told_since = self.cold_heartbeat.is_some_and(|at| at > sent);
         match result {
             Check::Answered(left) if !left.is_zero() => {
@@ -219,6 +221,7 @@
                     self.phase = Phase::Warm;
                 }
             }
+            Check::Unreachable => self.phase = Phase::Unknown,
             // What heartbeats have said last holds.
             Check::Failed => match self.phase {
                 Phase::Cold { until } if until > now => {}
--- a/tests/sidecar/warmup.rs
+++ b/tests/sidecar/warmup.rs
@@ -43,6 +43,8 @@
     late: u64,
     /// Time at which the process is restarted.
     restart: Option<u64>,
+    /// From and until when the port of the backend server is closed.
+    down: (u64, u64),
     /// Limit that the backend server names.
     named: Option<f64>,
 }
@@ -55,6 +57,7 @@
     check: Some(3),
     late: 5,
     restart: None,
+    down: (0, 0),
     named: None,
 };
 
@@ -122,6 +125,7 @@
             queue.change_warmup(at, |w| w.record_check(at));
             seen.checks.push(now);
             check = Some(match play.check {
+                _ if (play.down.0..play.down.1).contains(&now) => (now + 1, Check::Unreachable),
                 Some(delay) => (now + delay, Check::Answered(ms(left(now)))),
                 None => (now + 1, Check::Failed),
             });
@@ -197,6 +201,9 @@
     /// Pattern: the process is restarted beside a cold backend server whose heartbeats are late. Guards
     /// against the usual rate of a process that doesn't know.
     restarted_beside_a_cold_server: Play { late: 2000, restart: Some(7000), ..USUAL };
+    /// Pattern: three times the usual rate; the backend server ends and starts again under the same
+    /// identifier, and its heartbeats are late. Guards against the state of the previous incarnation.
+    restarted_server: Play { interval: 11, late: 2000, down: (6100, 6900), cold: (6900, 9900), ..USUAL };
     /// Pattern: the process is restarted 0.3 s after its backend server became cold unnoticed. Guards
     /// against a second budget within the same second.
     restarted_soon_after: Play { interval: 11, restart: Some(6300), ..USUAL };
