--- a/src/coordination/sidecar/mod.rs
+++ b/src/coordination/sidecar/mod.rs
@@ -8,7 +8,7 @@
 //!
 //! `admission`, `rate_limiter`, `service_times`, `signals`, `load_balancing`, `failure_rate`,
 //! `retry_budget`, `overload_retry`, `catchup`, `forwarders`, `granted_ranges`, `plan`, `quarantine`,
-//! `replica`, `reports` and `warmup` do no input or output.
+//! `replica`, `reports`, `speed` and `warmup` do no input or output.
 
 pub mod admission;
 pub mod backoff;
@@ -45,6 +45,7 @@
 pub mod retry_budget;
 pub mod service_times;
 pub mod signals;
+pub mod speed;
 pub mod start;
 pub mod tables;
 pub mod targets;
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -38,4 +38,5 @@
 mod routes;
 mod service_times;
 mod signals;
+mod speed;
 mod warmup;
