--- a/src/coordination/sidecar/dispatcher.rs
+++ b/src/coordination/sidecar/dispatcher.rs
@@ -34,6 +34,7 @@
 use crate::state::key_rates::{KeyRateReport, KeyRates};
 use crate::state::keyspace::Key;
 use crate::transport::sidecar::backend::{self, Pool, SendError};
+use crate::transport::sidecar::byte_budget::ByteBudget;
 use crate::transport::sidecar::peer_server::Job;
 
 /// Weight of the newest request in the failure rate.
@@ -219,6 +220,11 @@
         self.drain_timeout.get()
     }
 
+    /// Sets the budget for responses of the backend server.
+    pub fn set_budget(&self, budget: &Rc<ByteBudget>) {
+        self.pool.set_budget(budget);
+    }
+
     /// Sets the drain timeout of the backend server.
     pub fn set_drain_timeout(&self, timeout: Duration) {
         self.drain_timeout.set(timeout);
@@ -567,12 +573,21 @@
         };
         let mut headers = call.headers.clone();
         headers.extend(self.adapter.metadata_headers(metadata));
-        let bytes = http::write_request(&call.method, &call.target, &headers, &call.body);
+        let (method, target) = (&call.method, &call.target);
+        let mut bytes = http::write_request_head(method, target, &headers, call.body.len());
+        // A large body is written from where it is.
+        let (joined, body) = if call.body.len() <= http::JOINED_BYTES {
+            (&*call.body, &[][..])
+        } else {
+            (&[][..], &*call.body)
+        };
+        bytes.extend_from_slice(joined);
         let request = backend::Request {
             id: &call.id,
             method: &call.method,
             repeat: call.repeat,
             bytes: &bytes,
+            body,
             on_signals: &|signals| self.record_signals(backend, signals, sent),
         };
         let service = [backend.service.as_str()];
--- a/src/coordination/sidecar/ingress.rs
+++ b/src/coordination/sidecar/ingress.rs
@@ -38,6 +38,10 @@
 /// Retry delay, in milliseconds, of a request that no node or holder is known for.
 const NO_TARGET_RETRY_MS: u32 = 400;
 
+/// Retry delay, in milliseconds, of a request whose body has no room in memory. Bodies without progress can
+/// be closed after a second.
+const SHORTAGE_RETRY_MS: u32 = 1000;
+
 /// Shortest Retry-After, in seconds.
 const MIN_RETRY_AFTER: f64 = 0.05;
 
@@ -541,6 +545,17 @@
         Box::pin(async move { ingress.process(request).await })
     }
 
+    fn refuse(&self, head: &http::RequestHead) -> Response {
+        let failure = Failure::before_send(Cause::Full, SHORTAGE_RETRY_MS);
+        let terms = self.0.adapter.decode_terms(head);
+        let id = terms.as_ref().map_or("", |t| &t.id);
+        let mut response = Ingress::unavailable_response(id, "", failure);
+        if !id.is_empty() {
+            response.headers.push(self.0.adapter.request_id_header(id));
+        }
+        response
+    }
+
     fn limits(&self) -> Option<Limits> {
         self.0.configuration.get().map(|c| c.limits)
     }
--- a/src/coordination/sidecar/membership.rs
+++ b/src/coordination/sidecar/membership.rs
@@ -12,6 +12,7 @@
 use crate::protocol::mesh::Hello;
 use crate::protocol::ownership::NodeEntry;
 use crate::state::clock::Instant;
+use crate::transport::sidecar::byte_budget::ByteBudget;
 use crate::transport::sidecar::links::{ItemsHandler, Link, Report};
 
 /// Time for which a disconnected node without an entry is kept.
@@ -36,6 +37,7 @@
 pub struct MembershipView {
     hello: Hello,
     items_handler: RefCell<ItemsHandler>,
+    budget: RefCell<Option<Rc<ByteBudget>>>,
     peers: RefCell<BTreeMap<String, Peer>>,
     /// Notified of new reports and lost connections.
     pub report_changed: Rc<Notify>,
@@ -57,6 +59,7 @@
         Self {
             hello,
             items_handler: RefCell::new(Rc::new(|_, _| ())),
+            budget: RefCell::default(),
             peers: RefCell::new(BTreeMap::new()),
             report_changed: Rc::new(Notify::new()),
         }
@@ -68,6 +71,11 @@
         &self.hello.node
     }
 
+    /// Sets the budget for large responses of other nodes; to be called before any node is known.
+    pub fn set_budget(&self, budget: &Rc<ByteBudget>) {
+        *self.budget.borrow_mut() = Some(Rc::clone(budget));
+    }
+
     /// Sets the handler of items that other nodes send.
     pub fn set_items_handler(&self, handler: ItemsHandler) {
         *self.items_handler.borrow_mut() = handler;
@@ -102,6 +110,7 @@
             let hello = self.hello.clone();
             let handler = self.items_handler.borrow().clone();
             let link = Link::start(address, &entry.domain, hello, Rc::clone(&self.report_changed), handler);
+            link.set_budget(self.budget.borrow().clone());
             Peer { link, service: String::new(), listed: true }
         });
         peer.listed = true;
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -36,6 +36,7 @@
 use crate::protocol::ownership::NodeEntry;
 use crate::state::clock::Instant;
 use crate::state::sidecar_settings::SidecarSettings;
+use crate::transport::sidecar::byte_budget::ByteBudget;
 use crate::transport::sidecar::caller;
 use crate::transport::sidecar::http_server;
 use crate::transport::sidecar::links::{self, Link};
@@ -253,7 +254,7 @@
         }));
         let handler = Rc::new(CallerHandler(Rc::clone(&self.ingress)));
         let open = Rc::clone(&self.connections);
-        task::spawn_local(caller::accept(callers, handler, open));
+        task::spawn_local(caller::accept(callers, handler, open, self.share_budget()));
         task::spawn_local(Rc::clone(&self.peers).accept(peers));
         task::spawn_local(http_server::serve(
             ready,
@@ -279,6 +280,17 @@
         Ok(())
     }
 
+    /// Creates the budget of the process and passes it to all parts that hold bodies; to be called before
+    /// any connection is open.
+    fn share_budget(&self) -> Rc<ByteBudget> {
+        let budget = ByteBudget::of_process(self.settings.limits);
+        budget.set_metric(self.metrics.dropped.clone());
+        self.membership.set_budget(&budget);
+        self.dispatcher.set_budget(&budget);
+        self.peers.set_budget(&budget);
+        budget
+    }
+
     fn spawn<F: Future<Output = ()> + 'static>(self: &Rc<Self>, run: impl FnOnce(Rc<Self>) -> F) {
         task::spawn_local(run(Rc::clone(self)));
     }
--- /dev/null
+++ b/src/protocol/body.rs
@@ -0,0 +1,110 @@
+//! Body of a request or response on its way through the process.
+//!
+//! Clones share the bytes and the reservation that counts them, so a body costs its length once, however
+//! many attempts, queues and retained outcomes refer to it. A body decoded from a frame refers to the
+//! bytes of the frame.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::ops::Deref;
+use std::rc::Rc;
+
+use bytes::Bytes;
+
+use crate::state::reservation::Reservation;
+
+/// Size up to which a body is copied out of its frame, in bytes, so that it doesn't keep the rest.
+const COPIED_BYTES: usize = 1024;
+
+thread_local! {
+    /// Frame that is being decoded, and the reservation of its bytes.
+    static FRAME: RefCell<Option<Frame>> = const { RefCell::new(None) };
+}
+
+type Frame = (Bytes, Option<Rc<Reservation>>);
+
+/// Bytes of a body.
+#[derive(Clone, Default)]
+pub struct Body {
+    bytes: Bytes,
+    #[expect(dead_code, reason = "counts the bytes until the last clone is dropped")]
+    held: Option<Rc<Reservation>>,
+}
+
+impl Body {
+    /// Creates a body whose bytes are counted by a reservation.
+    #[must_use]
+    pub fn new(bytes: impl Into<Bytes>, held: Option<Rc<Reservation>>) -> Self {
+        Self {
+            bytes: bytes.into(),
+            held,
+        }
+    }
+
+    /// Calls `decode`, which may create bodies that refer to the bytes of `frame`.
+    pub fn decoding<T>(
+        frame: &Bytes,
+        held: Option<&Rc<Reservation>>,
+        decode: impl FnOnce() -> T,
+    ) -> T {
+        FRAME.set(Some((frame.clone(), held.cloned())));
+        let decoded = decode();
+        FRAME.set(None);
+        decoded
+    }
+
+    /// Returns the body for bytes of the frame that is being decoded, or of a copy of them.
+    fn within_frame(bytes: &[u8]) -> Self {
+        FRAME.with_borrow(|frame| match frame {
+            Some((frame, held))
+                if bytes.len() > COPIED_BYTES
+                    && frame.as_ptr_range().contains(&bytes.as_ptr())
+                    && bytes.as_ptr_range().end <= frame.as_ptr_range().end =>
+            {
+                Self::new(frame.slice_ref(bytes), held.clone())
+            }
+            _ => Self::new(Bytes::copy_from_slice(bytes), None),
+        })
+    }
+}
+
+impl Deref for Body {
+    type Target = [u8];
+
+    fn deref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl From<Vec<u8>> for Body {
+    fn from(bytes: Vec<u8>) -> Self {
+        Self::new(bytes, None)
+    }
+}
+
+impl PartialEq for Body {
+    fn eq(&self, other: &Self) -> bool {
+        self.bytes == other.bytes
+    }
+}
+
+impl Eq for Body {}
+
+impl fmt::Debug for Body {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Body({} bytes)", self.bytes.len())
+    }
+}
+
+impl serde::Serialize for Body {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(&self.bytes)
+    }
+}
+
+impl<'de> serde::Deserialize<'de> for Body {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let bytes = <&[u8]>::deserialize(deserializer)?;
+        Ok(Self::within_frame(bytes))
+    }
+}
--- a/src/protocol/http.rs
+++ b/src/protocol/http.rs
@@ -14,6 +14,10 @@
 /// Maximum length of a chunk-size or trailer line, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 
+/// Size up to which a body is copied behind its head, in bytes, so that both are sent at once. Larger ones
+/// are sent from where they are.
+pub const JOINED_BYTES: usize = 16 * 1024;
+
 /// Hop-by-hop headers, which apply to a single connection.
 const HOP_BY_HOP_HEADERS: [&str; 9] = [
     "connection",
@@ -357,6 +361,27 @@
         }
     }
 
+    /// Allocates exactly the announced length of a body, which would else grow by doubling.
+    pub fn allocate(&mut self) {
+        if let BodyLength::Length(length) = self.body
+            && length <= self.limit
+        {
+            self.content.reserve_exact(length - self.content.len());
+        }
+    }
+
+    /// Returns the bytes of memory that the body needs once it has read `further` bytes.
+    #[must_use]
+    pub fn needed(&self, further: usize) -> usize {
+        match self.body {
+            BodyLength::Length(length) if length > self.limit => 0,
+            BodyLength::Length(length) => length,
+            BodyLength::Chunked | BodyLength::UntilClose => {
+                (self.content.len() + further).min(self.limit)
+            }
+        }
+    }
+
     /// Returns the number of body bytes read so far.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -390,34 +415,53 @@
 /// Encodes a request.
 #[must_use]
 pub fn write_request(method: &str, target: &str, headers: &[Header], body: &[u8]) -> Vec<u8> {
-    let mut out = Vec::with_capacity(256 + body.len());
+    let mut out = write_request_head(method, target, headers, body.len());
+    out.extend_from_slice(body);
+    out
+}
+
+/// Encodes the head of a request with a body of `length` bytes.
+#[must_use]
+pub fn write_request_head(
+    method: &str,
+    target: &str,
+    headers: &[Header],
+    length: usize,
+) -> Vec<u8> {
+    let mut out = Vec::with_capacity(256 + length.min(JOINED_BYTES));
     out.extend_from_slice(method.as_bytes());
     out.push(b' ');
     out.extend_from_slice(target.as_bytes());
     out.extend_from_slice(b" HTTP/1.1\r\n");
     write_headers(&mut out, headers);
-    if !body.is_empty() || !matches!(method, "GET" | "HEAD" | "DELETE" | "OPTIONS") {
-        out.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+    if length > 0 || !matches!(method, "GET" | "HEAD" | "DELETE" | "OPTIONS") {
+        out.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes());
     }
     out.extend_from_slice(b"\r\n");
-    out.extend_from_slice(body);
     out
 }
 
 /// Encodes a response; `close` adds `Connection: close`.
 #[must_use]
 pub fn write_response(status: u16, headers: &[Header], body: &[u8], close: bool) -> Vec<u8> {
-    let mut out = Vec::with_capacity(256 + body.len());
+    let mut out = write_response_head(status, headers, body.len(), close);
+    out.extend_from_slice(body);
+    out
+}
+
+/// Encodes the head of a response with a body of `length` bytes.
+#[must_use]
+pub fn write_response_head(status: u16, headers: &[Header], length: usize, close: bool) -> Vec<u8> {
+    let mut out = Vec::with_capacity(256 + length.min(JOINED_BYTES));
     out.extend_from_slice(format!("HTTP/1.1 {status} {}\r\n", reason_phrase(status)).as_bytes());
     write_headers(&mut out, headers);
     if !matches!(status, 204 | 304) {
-        out.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+        out.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes());
     }
     if close {
         out.extend_from_slice(b"Connection: close\r\n");
     }
     out.extend_from_slice(b"\r\n");
-    out.extend_from_slice(body);
     out
 }
 
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -4,6 +4,7 @@
 //! A call is identified by its sequence number and the incarnation of the calling node, so that its
 //! outcome can be requested again over a new connection.
 
+use crate::protocol::body::Body;
 use crate::protocol::http;
 use crate::state::fingerprint::Fingerprint;
 use crate::state::key_rates;
@@ -107,7 +108,7 @@
     /// Header lines to pass on.
     pub headers: Vec<http::Header>,
     /// Body.
-    pub body: Vec<u8>,
+    pub body: Body,
 }
 
 impl Call {
@@ -128,7 +129,7 @@
     /// Header lines to pass on.
     pub headers: Vec<http::Header>,
     /// Body.
-    pub body: Vec<u8>,
+    pub body: Body,
 }
 
 /// Outcome of a call.
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -3,6 +3,7 @@
 pub mod adapter;
 pub mod admin;
 pub mod backend;
+pub mod body;
 pub mod caller;
 pub mod compression;
 pub mod config;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -12,6 +12,7 @@
 pub mod keyspace;
 pub mod members;
 pub mod record;
+pub mod reservation;
 pub mod routes;
 pub mod settings;
 pub mod sidecar_settings;
--- a/src/transport/sidecar/backend.rs
+++ b/src/transport/sidecar/backend.rs
@@ -18,11 +18,13 @@
 use tokio::time;
 
 use crate::protocol::adapter;
+use crate::protocol::body::Body;
 use crate::protocol::http;
 use crate::protocol::mesh::{Cause, RateLimit, Response};
 use crate::state::clock::Instant;
 use crate::state::routes::Repeat;
-use crate::transport::sidecar::socket::{BodyBudget, ReadError, Socket};
+use crate::transport::sidecar::byte_budget::ByteBudget;
+use crate::transport::sidecar::socket::{ReadError, Socket};
 
 /// Maximum time to open a connection to the backend server, which is on the same host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -43,7 +45,7 @@
 /// Maximum size of a response body, in bytes; equal to the default limit on request bodies.
 const MAX_RESPONSE: usize = 16 << 20;
 
-/// Memory budget for all response bodies that are read concurrently, in bytes; a quarter of the
+/// Memory budget for all responses until the one of the process is set, in bytes; a quarter of the
 /// memory of the smallest hosts.
 const BODY_BUDGET: usize = 40 << 20;
 
@@ -72,8 +74,10 @@
     pub method: &'a str,
     /// Whether it may run more than once.
     pub repeat: Repeat,
-    /// Request as written to the connection.
+    /// Head as written to the connection; it may have a small body behind it.
     pub bytes: &'a [u8],
+    /// Body that is written after it.
+    pub body: &'a [u8],
     /// Called with what the backend server says of itself, once the head of its response is there.
     pub on_signals: &'a dyn Fn(adapter::Signals),
 }
@@ -125,7 +129,7 @@
 /// Complete response to the request in progress, and its decoded headers.
 struct OwnResponse {
     head: http::ResponseHead,
-    body: Vec<u8>,
+    body: Body,
     marks: adapter::Marks,
 }
 
@@ -134,7 +138,7 @@
 pub struct Pool {
     adapter: Rc<dyn adapter::Adapter>,
     idle: RefCell<Vec<IdleConnection>>,
-    budget: BodyBudget,
+    budget: RefCell<Rc<ByteBudget>>,
 }
 
 impl Pool {
@@ -144,10 +148,15 @@
         Self {
             adapter,
             idle: RefCell::new(Vec::new()),
-            budget: BodyBudget::new(BODY_BUDGET),
+            budget: RefCell::new(ByteBudget::new(BODY_BUDGET, 0)),
         }
     }
 
+    /// Sets the budget of the process.
+    pub fn set_budget(&self, budget: &Rc<ByteBudget>) {
+        *self.budget.borrow_mut() = Rc::clone(budget);
+    }
+
     /// Closes all idle connections; to be called when another backend server takes the address.
     pub fn clear(&self) {
         self.idle.borrow_mut().clear();
@@ -254,6 +263,7 @@
         let mut head_received = false;
         let response = async {
             connection.socket.write(request.bytes).await?;
+            connection.socket.write(request.body).await?;
             self.read_response(connection, request, &mut head_received)
                 .await
         };
@@ -310,7 +320,8 @@
                 (request.on_signals)(signals);
             }
             let limit = if own { MAX_RESPONSE } else { MAX_SKIPPED_BODY };
-            let body = socket.read_body(head.body, limit, &self.budget).await?;
+            let budget = Rc::clone(&self.budget.borrow());
+            let body = socket.read_body(head.body, limit, &budget).await?;
             if own {
                 return Ok(OwnResponse { head, body, marks });
             }
--- a/src/transport/sidecar/caller.rs
+++ b/src/transport/sidecar/caller.rs
@@ -17,9 +17,12 @@
 use tokio::sync::Notify;
 use tokio::{task, time};
 
+use crate::protocol::body::Body;
 use crate::protocol::http;
 use crate::state::clock::Instant;
+use crate::state::reservation::Reservation;
 use crate::state::routes;
+use crate::transport::sidecar::byte_budget::{ByteBudget, Connection, Phase, Purpose, Registered};
 use crate::transport::sidecar::writing;
 
 /// Maximum number of requests of one connection that run concurrently.
@@ -46,6 +49,16 @@
 /// Initial size of a read buffer, in bytes.
 const INITIAL_BUFFER_SIZE: usize = 1024;
 
+/// Retry-After of a request that was refused because the memory is used up, in seconds. Stalled bodies can
+/// be closed after one second.
+const SHORTAGE_RETRY_AFTER: &str = "1.000";
+
+/// Step by which the reservation of a body of unknown length grows, in bytes.
+const BODY_STEP: usize = 64 * 1024;
+
+/// Size of the pieces in which a response is written, in bytes, after each of which progress is recorded.
+const WRITE_PIECE: usize = 64 * 1024;
+
 /// Wait without an effective limit, while requests run; their responses end it.
 const NO_LIMIT: Duration = Duration::from_hours(1);
 
@@ -66,7 +79,7 @@
     /// Head.
     pub head: http::RequestHead,
     /// Body.
-    pub body: Vec<u8>,
+    pub body: Body,
     /// Time at which the head was complete.
     pub arrived: Instant,
 }
@@ -79,7 +92,7 @@
     /// Headers, without those that concern the connection.
     pub headers: Vec<http::Header>,
     /// Body.
-    pub body: Vec<u8>,
+    pub body: Body,
 }
 
 impl Response {
@@ -89,7 +102,7 @@
         Self {
             status,
             headers: Vec::new(),
-            body: Vec::new(),
+            body: Body::default(),
         }
     }
 }
@@ -102,6 +115,15 @@
     /// Starts to answer a request; the future is dropped if the caller disconnects.
     fn answer(&self, request: Request) -> ResponseFuture;
 
+    /// Returns the refusal of a request whose body has no room.
+    fn refuse(&self, head: &http::RequestHead) -> Response {
+        let _ = head;
+        Response {
+            headers: vec![http::Header::new("Retry-After", SHORTAGE_RETRY_AFTER)],
+            ..Response::empty(503)
+        }
+    }
+
     /// Returns the limits of the active configuration.
     fn limits(&self) -> Option<routes::Limits>;
 
@@ -131,8 +153,14 @@
     }
 }
 
-/// Accepts callers until the node terminates; `open` counts their connections.
-pub async fn accept(listener: TcpListener, handler: Rc<dyn Handler>, open: Rc<Cell<usize>>) {
+/// Accepts callers until the node terminates; `open` counts their connections, `budget` bounds what they
+/// hold.
+pub async fn accept(
+    listener: TcpListener,
+    handler: Rc<dyn Handler>,
+    open: Rc<Cell<usize>>,
+    budget: Rc<ByteBudget>,
+) {
     let stage_changed = handler.stage_changed();
     while !handler.is_terminating() {
         let accepted = tokio::select! {
@@ -140,7 +168,7 @@
             () = stage_changed.notified() => continue,
         };
         match accepted {
-            Ok((io, _)) => spawn_connection(io, &handler, &open),
+            Ok((io, _)) => spawn_connection(io, &handler, &open, &budget).await,
             Err(e) => {
                 tracing::warn!(event = 252, error = %e, open = open.get(), "failed to accept a connection from a caller");
                 time::sleep(ACCEPT_BACKOFF).await;
@@ -151,15 +179,25 @@
     let end = Instant::now() + ACCEPT_DRAIN_LIMIT;
     while let Ok(Ok((io, _))) = time::timeout(BACKLOG_WAIT.min(end.left()), listener.accept()).await
     {
-        spawn_connection(io, &handler, &open);
+        spawn_connection(io, &handler, &open, &budget).await;
     }
 }
 
-fn spawn_connection(io: TcpStream, handler: &Rc<dyn Handler>, open: &Rc<Cell<usize>>) {
+/// Serves a connection in the background; closes it if there are too many and none is idle.
+async fn spawn_connection(
+    io: TcpStream,
+    handler: &Rc<dyn Handler>,
+    open: &Rc<Cell<usize>>,
+    budget: &Rc<ByteBudget>,
+) {
+    let Some(registered) = budget.register().await else {
+        return;
+    };
     let handler = Rc::clone(handler);
+    let budget = Rc::clone(budget);
     let counted = OpenGuard::new(open);
     task::spawn_local(async move {
-        if let Err(e) = serve_connection(io, &*handler).await {
+        if let Err(e) = serve_connection(io, &*handler, budget, registered).await {
             tracing::debug!(event = 251, error = %e, "connection from a caller failed");
         }
         drop(counted);
@@ -173,45 +211,112 @@
 enum Input {
     Request(Request),
     Rejected(u16),
+    /// The memory for the body of this request is used up.
+    Refused(Box<http::RequestHead>),
     Closed,
     Idle,
 }
 
+/// Request whose body is being read.
+struct Partial {
+    head: http::RequestHead,
+    body: http::BodyReader,
+    arrived: Instant,
+    /// Reserved bytes, `None` until there are any.
+    held: Option<Reservation>,
+}
+
+impl Partial {
+    /// Returns the bytes that have to be reserved before `buffered` further bytes are taken.
+    fn needed(&self, buffered: usize) -> usize {
+        let needed = self.body.needed(buffered);
+        match self.head.body {
+            http::BodyLength::Length(_) => needed,
+            http::BodyLength::Chunked | http::BodyLength::UntilClose => {
+                needed.next_multiple_of(BODY_STEP)
+            }
+        }
+    }
+}
+
+/// Outcome of parsing what has been received.
+enum Parsed {
+    Input(Input),
+    /// The body needs more memory than is reserved for it.
+    Needs(usize),
+    Incomplete,
+}
+
 /// Read half of a connection with its buffer and a partially read request.
 struct Reader {
     io: OwnedReadHalf,
     buffer: BytesMut,
-    partial: Option<(http::RequestHead, http::BodyReader, Instant)>,
+    partial: Option<Partial>,
+    budget: Rc<ByteBudget>,
+    connection: Rc<Connection>,
     /// Start of the current wait for a request or for the rest of its head.
     since: Instant,
     limits: routes::Limits,
 }
 
 impl Reader {
-    fn parse(&mut self) -> Option<Input> {
+    fn parse(&mut self) -> Parsed {
         if self.partial.is_none() {
             match http::RequestHead::parse(&mut self.buffer, self.limits.head_bytes) {
-                Ok(None) => return None,
+                Ok(None) => return Parsed::Incomplete,
                 Ok(Some(head)) => {
                     let body = http::BodyReader::new(head.body, self.limits.body_bytes);
-                    self.partial = Some((head, body, Instant::now()));
+                    self.partial = Some(Partial {
+                        head,
+                        body,
+                        arrived: Instant::now(),
+                        held: None,
+                    });
                 }
-                Err(e) => return Some(Input::Rejected(status_of(e))),
+                Err(e) => return Parsed::Input(Input::Rejected(status_of(e))),
             }
         }
-        let (_, body, _) = self.partial.as_mut()?;
-        match body.feed(&mut self.buffer) {
-            Ok(false) => None,
-            Ok(true) => {
-                let (head, body, arrived) = self.partial.take()?;
-                self.since = Instant::now();
-                Some(Input::Request(Request {
-                    head,
-                    body: body.into_body(),
-                    arrived,
-                }))
+        let Some(partial) = self.partial.as_mut() else {
+            return Parsed::Incomplete;
+        };
+        let needed = partial.needed(self.buffer.len());
+        if needed > 0 {
+            let none = || Reservation::new(self.budget.count(), 0);
+            let held = partial.held.get_or_insert_with(none);
+            if held.bytes() < needed {
+                if !self.budget.try_grow(held, needed, Purpose::Request) {
+                    return Parsed::Needs(needed);
+                }
+                partial.body.allocate();
+            }
+            self.connection.enter(Phase::Receiving, held.bytes());
+        }
+        match partial.body.feed(&mut self.buffer) {
+            Ok(false) => Parsed::Incomplete,
+            Ok(true) => match self.partial.take() {
+                Some(partial) => {
+                    self.since = Instant::now();
+                    self.connection.enter(Phase::Running, 0);
+                    Parsed::Input(Input::Request(Request {
+                        head: partial.head,
+                        body: Body::new(partial.body.into_body(), partial.held.map(Rc::new)),
+                        arrived: partial.arrived,
+                    }))
+                }
+                None => Parsed::Incomplete,
+            },
+            Err(e) => {
+                self.partial = None;
+                Parsed::Input(Input::Rejected(status_of(e)))
             }
-            Err(e) => Some(Input::Rejected(status_of(e))),
+        }
+    }
+
+    /// Ends the partial request, which has not run, and releases its body.
+    fn refuse(&mut self) -> Input {
+        match self.partial.take() {
+            Some(partial) => Input::Refused(Box::new(partial.head)),
+            None => Input::Closed,
         }
     }
 
@@ -228,15 +333,27 @@
         let stage_changed = handler.stage_changed();
         loop {
             let stage_changed = stage_changed.notified();
-            if accept && let Some(input) = self.parse() {
-                return input;
+            if accept {
+                match self.parse() {
+                    Parsed::Input(input) => return input,
+                    Parsed::Incomplete => {}
+                    Parsed::Needs(bytes) => {
+                        let partial = self.partial.as_mut();
+                        if let Some(held) = partial.and_then(|p| p.held.as_mut())
+                            && self.budget.grow(held, bytes, Purpose::Request).await
+                        {
+                            continue;
+                        }
+                        return self.refuse();
+                    }
+                }
             }
             if self.buffer.len() >= READ_AHEAD && !accept {
                 std::future::pending::<()>().await;
             }
             let clean = self.buffer.is_empty() && self.partial.is_none();
             let wait = match &self.partial {
-                Some((_, _, start)) => (*start + BODY_TIMEOUT).left(),
+                Some(partial) => (partial.arrived + BODY_TIMEOUT).left(),
                 None if busy || !accept => NO_LIMIT,
                 None if clean => (self.since + self.limits.idle_time).left(),
                 None => (self.since + self.limits.head_time).left(),
@@ -254,19 +371,39 @@
                 }
             }
             if self.buffer.capacity() == self.buffer.len() {
-                self.buffer.reserve(INITIAL_BUFFER_SIZE);
+                // A large body arrives in larger pieces than a head.
+                let held = self.partial.as_ref().and_then(|p| p.held.as_ref());
+                let large = held.is_some_and(|h| h.bytes() > READ_AHEAD);
+                self.buffer.reserve(if large {
+                    READ_AHEAD
+                } else {
+                    INITIAL_BUFFER_SIZE
+                });
             }
             let read = tokio::select! {
                 read = self.io.read_buf(&mut self.buffer) => Some(read),
                 () = time::sleep(wait) => None,
                 () = stage_changed => continue,
+                () = self.connection.closed() => {
+                    self.connection.acknowledge_close();
+                    if busy && self.partial.is_none() {
+                        continue;
+                    }
+                    return self.refuse();
+                }
             };
+            if let Some(Ok(bytes)) = read {
+                self.connection.record_moved(bytes);
+            }
             match read {
                 Some(Ok(0) | Err(_)) => return Input::Closed,
                 Some(Ok(_)) if clean => self.since = Instant::now(),
                 Some(Ok(_)) => {}
                 None if clean => return Input::Idle,
-                None => return Input::Rejected(408),
+                None => {
+                    self.partial = None;
+                    return Input::Rejected(408);
+                }
             }
         }
     }
@@ -284,13 +421,21 @@
     matches!(request.head.method.as_str(), "GET" | "HEAD")
 }
 
-async fn serve_connection(io: TcpStream, handler: &dyn Handler) -> std::io::Result<()> {
+async fn serve_connection(
+    io: TcpStream,
+    handler: &dyn Handler,
+    budget: Rc<ByteBudget>,
+    registered: Registered,
+) -> std::io::Result<()> {
     io.set_nodelay(true)?;
+    let connection = Rc::clone(&registered.connection);
     let (read, write) = io.into_split();
     let mut reader = Reader {
         io: read,
         buffer: BytesMut::new(),
         partial: None,
+        budget,
+        connection: Rc::clone(&connection),
         since: Instant::now(),
         limits: handler.limits().unwrap_or(DEFAULT_LIMITS),
     };
@@ -320,14 +465,17 @@
             Some((response, close)) = running.next(), if busy => {
                 let last_response = running.is_empty() && deferred.is_none();
                 let close = close || (last_response && handler.is_draining());
-                let bytes = http::write_response(response.status, &response.headers, &response.body, close);
                 // A caller that doesn't read its response is idle.
                 let stall_limit = reader.limits.idle_time;
-                writing::write_all(write.as_ref(), &bytes, stall_limit, || ()).await?;
+                write_response(write.as_ref(), response, close, stall_limit, &connection).await?;
                 reader.since = Instant::now();
                 if close {
                     return close_gracefully(reader, write).await;
                 }
+                if reader.partial.is_none() {
+                    let idle = running.is_empty() && deferred.is_none();
+                    connection.enter(if idle { Phase::Idle } else { Phase::Running }, 0);
+                }
             }
             input = reader.next(accept, busy, handler) => match input {
                 Input::Request(request) if running.is_empty() || is_pipelinable(&request) => {
@@ -341,12 +489,51 @@
                     last_received = true;
                     running.push_back(Box::pin(async move { (Response::empty(status), true) }));
                 }
+                Input::Refused(head) => {
+                    last_received = true;
+                    let response = handler.refuse(&head);
+                    running.push_back(Box::pin(async move { (response, true) }));
+                }
                 Input::Closed | Input::Idle => return Ok(()),
             }
         }
     }
 }
 
+/// Writes a response. A large body is written from where it is, and given up if the connection is closed
+/// to free its memory.
+async fn write_response(
+    io: &TcpStream,
+    response: Response,
+    close: bool,
+    stall_limit: Duration,
+    connection: &Connection,
+) -> std::io::Result<()> {
+    let Response {
+        status,
+        headers,
+        body,
+    } = response;
+    if body.len() <= http::JOINED_BYTES {
+        let bytes = http::write_response(status, &headers, &body, close);
+        return writing::write_all(io, &bytes, stall_limit, || ()).await;
+    }
+    connection.enter(Phase::Sending, body.len());
+    let head = http::write_response_head(status, &headers, body.len(), close);
+    let written = async {
+        writing::write_all(io, &head, stall_limit, || ()).await?;
+        for piece in body.chunks(WRITE_PIECE) {
+            writing::write_all(io, piece, stall_limit, || ()).await?;
+            connection.record_moved(piece.len());
+        }
+        Ok(())
+    };
+    tokio::select! {
+        written = written => written,
+        () = connection.closed() => Err(std::io::ErrorKind::TimedOut.into()),
+    }
+}
+
 fn enqueue(running: &mut FuturesOrdered<PendingResponse>, handler: &dyn Handler, request: Request) {
     let close = !request.head.keep_alive;
     let response = handler.answer(request);
--- a/src/transport/sidecar/frames.rs
+++ b/src/transport/sidecar/frames.rs
@@ -2,6 +2,11 @@
 //!
 //! Both halves of a connection record when the other host last showed that it is reachable. That is
 //! judged by bytes, not by frames, since a large frame takes long on a slow link.
+//!
+//! A large body isn't copied: it is written from where it is, behind the encoded rest of its frame, and
+//! read into a buffer of exactly the frame's size, to which the decoded body then refers. Before that, the
+//! bytes are reserved from the budget of the process. Without room, the frame is skipped, and only its
+//! kind and sequence number are kept, so that the call ends on both sides.
 
 use std::cell::Cell;
 use std::io;
@@ -10,13 +15,17 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use tokio::io::{AsyncRead, ReadBuf};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use tokio::io::{AsyncRead, AsyncReadExt, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio_util::codec::{FramedRead, LengthDelimitedCodec};
 
-use crate::protocol::mesh::{Frame, MAX_FRAME};
+use crate::protocol::body::Body;
+use crate::protocol::http;
+use crate::protocol::mesh::{Cause, Failure, Frame, MAX_FRAME, Outcome, Seq};
 use crate::state::clock::Instant;
+use crate::state::reservation::Reservation;
+use crate::transport::sidecar::byte_budget::{ByteBudget, Purpose, SMALL_BODY};
 use crate::transport::sidecar::writing;
 
 /// Initial size of a connection's read buffer, in bytes; a node has two connections per peer, most
@@ -73,8 +82,180 @@
     }
 }
 
+/// Size of the length before each frame, in bytes.
+const PREFIX: usize = 4;
+
+/// Numbers by which the kinds of frames with bodies are encoded: their positions in [`Frame`].
+const CALL_KIND: u32 = 1;
+const REPLY_KIND: u32 = 4;
+
+/// Number of bytes kept of a frame that is skipped: enough for its kind and sequence number.
+const KEPT_OF_SKIPPED: usize = 16;
+
+/// Encoded frame.
+#[derive(Debug)]
+pub struct RawFrame {
+    bytes: Bytes,
+    held: Option<Rc<Reservation>>,
+    /// Whether `bytes` are only the beginning of it, since there was no room for the rest.
+    skipped: bool,
+}
+
+impl From<Vec<u8>> for RawFrame {
+    fn from(bytes: Vec<u8>) -> Self {
+        Self {
+            bytes: bytes.into(),
+            held: None,
+            skipped: false,
+        }
+    }
+}
+
+impl RawFrame {
+    /// Returns the sequence number of a call that was skipped and thus hasn't run.
+    #[must_use]
+    pub fn skipped_call(&self) -> Option<Seq> {
+        let (kind, seq) = self.skipped.then(|| self.kind())??;
+        (kind == CALL_KIND).then_some(seq)
+    }
+
+    /// Returns the number of the frame's kind, and the sequence number behind it.
+    fn kind(&self) -> Option<(u32, Seq)> {
+        let decoded = postcard::take_from_bytes::<(u32, Seq)>(&self.bytes);
+        decoded.ok().map(|(kind, _)| kind)
+    }
+}
+
+/// Large frame that is being read.
+#[derive(Debug)]
+struct LargeFrame {
+    bytes: BytesMut,
+    /// Bytes that are still to be read.
+    left: usize,
+    /// Reservation of the frame; `None` if it is skipped.
+    held: Option<Reservation>,
+}
+
 /// Read half of a connection.
-pub type FrameReader = FramedRead<ActiveRead, LengthDelimitedCodec>;
+#[derive(Debug)]
+pub struct FrameReader {
+    io: ActiveRead,
+    buffer: BytesMut,
+    large: Option<LargeFrame>,
+    budget: Option<Rc<ByteBudget>>,
+}
+
+impl FrameReader {
+    /// Sets the budget for large frames.
+    pub fn set_budget(&mut self, budget: Option<Rc<ByteBudget>>) {
+        self.budget = budget;
+    }
+
+    /// Reads the next frame; returns `None` at the end of the connection. The future can be dropped without
+    /// a loss of bytes.
+    pub async fn next(&mut self) -> Option<io::Result<RawFrame>> {
+        loop {
+            match self.take().await {
+                Ok(Some(frame)) => return Some(Ok(frame)),
+                Ok(None) => {}
+                Err(e) => return Some(Err(e)),
+            }
+            let read = match &mut self.large {
+                Some(large) if large.held.is_some() => {
+                    let mut room = (&mut large.bytes).limit(large.left);
+                    let read = self.io.read_buf(&mut room).await;
+                    large.left -= *read.as_ref().unwrap_or(&0);
+                    read
+                }
+                _ => {
+                    self.buffer.reserve(INITIAL_BUFFER_SIZE);
+                    self.io.read_buf(&mut self.buffer).await
+                }
+            };
+            match read {
+                Ok(0) if self.buffer.is_empty() && self.large.is_none() => return None,
+                Ok(0) => return Some(Err(io::ErrorKind::UnexpectedEof.into())),
+                Ok(_) => {}
+                Err(e) => return Some(Err(e)),
+            }
+        }
+    }
+
+    /// Takes a complete frame from what has been read.
+    async fn take(&mut self) -> io::Result<Option<RawFrame>> {
+        if self.large.is_none() {
+            let Some(prefix) = self.buffer.first_chunk::<PREFIX>() else {
+                return Ok(None);
+            };
+            let length = usize::try_from(u32::from_be_bytes(*prefix)).map_err(io::Error::other)?;
+            if length > MAX_FRAME {
+                return Err(io::ErrorKind::InvalidData.into());
+            }
+            if length <= SMALL_BODY {
+                if self.buffer.len() < PREFIX + length {
+                    self.buffer.reserve(PREFIX + length - self.buffer.len());
+                    return Ok(None);
+                }
+                self.buffer.advance(PREFIX);
+                // A copy, so that a body which refers to the frame doesn't keep the buffer.
+                let bytes = Bytes::copy_from_slice(&self.buffer[..length]);
+                self.buffer.advance(length);
+                return Ok(Some(RawFrame {
+                    bytes,
+                    held: None,
+                    skipped: false,
+                }));
+            }
+            let Some(kind) = self.buffer.get(PREFIX) else {
+                return Ok(None);
+            };
+            let purpose = match u32::from(*kind) {
+                CALL_KIND => Purpose::Request,
+                _ => Purpose::Response,
+            };
+            let held = match &self.budget {
+                Some(budget) => {
+                    let mut held = Reservation::new(budget.count(), 0);
+                    budget
+                        .grow(&mut held, length, purpose)
+                        .await
+                        .then_some(held)
+                }
+                None => Some(Reservation::new(&Rc::default(), length)),
+            };
+            self.buffer.advance(PREFIX);
+            let kept = if held.is_some() {
+                length
+            } else {
+                KEPT_OF_SKIPPED
+            };
+            self.large = Some(LargeFrame {
+                bytes: BytesMut::with_capacity(kept),
+                left: length,
+                held,
+            });
+        }
+        let Some(large) = &mut self.large else {
+            return Ok(None);
+        };
+        let buffered = self.buffer.len().min(large.left);
+        let room = large.bytes.capacity() - large.bytes.len();
+        large
+            .bytes
+            .extend_from_slice(&self.buffer[..buffered.min(room)]);
+        self.buffer.advance(buffered);
+        large.left -= buffered;
+        if large.left > 0 {
+            return Ok(None);
+        }
+        let complete = self.large.take();
+        Ok(complete.map(|large| RawFrame {
+            bytes: large.bytes.freeze(),
+            skipped: large.held.is_none(),
+            held: large.held.map(Rc::new),
+        }))
+    }
+}
 
 /// Splits a connection into its read half and its write half.
 ///
@@ -89,14 +270,17 @@
         io: read,
         activity: activity.clone(),
     };
-    let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME)
-        .new_codec();
-    let frames = FramedRead::with_capacity(read, codec, INITIAL_BUFFER_SIZE);
+    let frames = FrameReader {
+        io: read,
+        buffer: BytesMut::with_capacity(INITIAL_BUFFER_SIZE),
+        large: None,
+        budget: None,
+    };
     let writer = FrameWriter {
         io,
         activity,
         buffer: Vec::new(),
+        bodies: Vec::new(),
     };
     Ok((frames, writer))
 }
@@ -107,6 +291,30 @@
     io: OwnedWriteHalf,
     activity: Activity,
     buffer: Vec<u8>,
+    /// Large bodies, each with its place in the buffer.
+    bodies: Vec<(usize, Body)>,
+}
+
+/// Returns a copy of a frame without its large body, which is at the end of the encoded frame, and the
+/// body.
+fn split_body(frame: &Frame) -> Option<(Frame, Body)> {
+    match frame {
+        Frame::Call(seq, call) if call.body.len() > http::JOINED_BYTES => {
+            let mut call = call.clone();
+            let body = std::mem::take(&mut call.body);
+            Some((Frame::Call(*seq, call), body))
+        }
+        Frame::Reply(seq, outcome) => match &**outcome {
+            Outcome::Answered(response) if response.body.len() > http::JOINED_BYTES => {
+                let mut response = response.clone();
+                let body = std::mem::take(&mut response.body);
+                let outcome = Box::new(Outcome::Answered(response));
+                Some((Frame::Reply(*seq, outcome), body))
+            }
+            _ => None,
+        },
+        _ => None,
+    }
 }
 
 impl FrameWriter {
@@ -123,11 +331,22 @@
     /// Returns an error if the frame can't be encoded.
     pub fn add(&mut self, frame: &Frame) -> io::Result<()> {
         let start = self.buffer.len();
-        self.buffer.extend_from_slice(&[0; 4]);
+        self.buffer.extend_from_slice(&[0; PREFIX]);
         let buffer = std::mem::take(&mut self.buffer);
+        let split = split_body(frame);
+        let frame = split.as_ref().map_or(frame, |(frame, _)| frame);
         self.buffer = postcard::to_extend(frame, buffer).map_err(io::Error::other)?;
-        let length = u32::try_from(self.buffer.len() - start - 4).map_err(io::Error::other)?;
-        self.buffer[start..start + 4].copy_from_slice(&length.to_be_bytes());
+        let mut length = self.buffer.len() - start - PREFIX;
+        if let Some((_, body)) = split {
+            // The length of the empty body, one byte, is replaced by that of the body.
+            self.buffer.pop();
+            let buffer = std::mem::take(&mut self.buffer);
+            self.buffer = postcard::to_extend(&body.len(), buffer).map_err(io::Error::other)?;
+            length = self.buffer.len() - start - PREFIX + body.len();
+            self.bodies.push((self.buffer.len(), body));
+        }
+        let length = u32::try_from(length).map_err(io::Error::other)?;
+        self.buffer[start..start + PREFIX].copy_from_slice(&length.to_be_bytes());
         Ok(())
     }
 
@@ -139,7 +358,15 @@
     /// `STALL_LIMIT`.
     pub async fn flush(&mut self) -> io::Result<()> {
         let on_drained = || self.activity.record();
-        writing::write_all(self.io.as_ref(), &self.buffer, STALL_LIMIT, on_drained).await?;
+        let mut written = 0;
+        for (at, body) in self.bodies.drain(..) {
+            let before = &self.buffer[written..at];
+            writing::write_all(self.io.as_ref(), before, STALL_LIMIT, on_drained).await?;
+            writing::write_all(self.io.as_ref(), &body, STALL_LIMIT, on_drained).await?;
+            written = at;
+        }
+        let rest = &self.buffer[written..];
+        writing::write_all(self.io.as_ref(), rest, STALL_LIMIT, on_drained).await?;
         self.buffer.clear();
         if self.buffer.capacity() > MAX_KEPT_CAPACITY {
             self.buffer = Vec::new();
@@ -148,11 +375,22 @@
     }
 }
 
-/// Decodes a frame.
+/// Decodes a frame. A skipped response becomes an unknown outcome of its call.
 ///
 /// # Errors
 ///
-/// Returns an error if the bytes are not a valid frame.
-pub fn decode(bytes: &[u8]) -> io::Result<Frame> {
-    postcard::from_bytes(bytes).map_err(io::Error::other)
+/// Returns an error if the bytes are not a valid frame, or of another skipped one.
+pub fn decode(raw: &RawFrame) -> io::Result<Frame> {
+    if !raw.skipped {
+        let decode = || postcard::from_bytes(&raw.bytes).map_err(io::Error::other);
+        return Body::decoding(&raw.bytes, raw.held.as_ref(), decode);
+    }
+    let lost = |seq| {
+        let failure = Failure::after_send(Cause::Garbled);
+        Frame::Reply(seq, Box::new(Outcome::Unknown(failure)))
+    };
+    match raw.kind() {
+        Some((REPLY_KIND, seq)) => Ok(lost(seq)),
+        _ => Err(io::ErrorKind::OutOfMemory.into()),
+    }
 }
--- a/src/transport/sidecar/links.rs
+++ b/src/transport/sidecar/links.rs
@@ -15,7 +15,6 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use futures::StreamExt;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::{task, time};
@@ -29,6 +28,7 @@
 use crate::state::keyspace::Holder;
 use crate::state::routes::Repeat;
 use crate::transport::sidecar::backend_memory::BackendMemory;
+use crate::transport::sidecar::byte_budget::ByteBudget;
 use crate::transport::sidecar::frames::{self, FrameReader, FrameWriter};
 
 /// Maximum time to connect and exchange the first frames.
@@ -99,6 +99,7 @@
     report: Cell<Option<(Load, Instant)>>,
     memory: RefCell<BackendMemory>,
     items_handler: ItemsHandler,
+    budget: RefCell<Option<Rc<ByteBudget>>>,
     /// Calls sent minus calls ended since the last report.
     since_report: Cell<i32>,
     pinged_at: Cell<Option<Instant>>,
@@ -142,6 +143,7 @@
             report: Cell::new(None),
             memory: RefCell::default(),
             items_handler,
+            budget: RefCell::default(),
             since_report: Cell::new(0),
             pinged_at: Cell::new(None),
             lost_at: Cell::new(Some(now)),
@@ -153,6 +155,11 @@
         link
     }
 
+    /// Sets the budget for large responses; takes effect with the next connection.
+    pub fn set_budget(&self, budget: Option<Rc<ByteBudget>>) {
+        *self.budget.borrow_mut() = budget;
+    }
+
     /// Returns whether the link is connected.
     #[must_use]
     pub fn is_connected(&self) -> bool {
@@ -439,6 +446,7 @@
     let opened = async {
         let io = TcpStream::connect(link.address).await?;
         let (mut read, mut write) = frames::split(io)?;
+        read.set_budget(link.budget.borrow().clone());
         write.add(&Frame::Hello(link.hello.clone()))?;
         write.flush().await?;
         let first = read.next().await;
--- a/src/transport/sidecar/mod.rs
+++ b/src/transport/sidecar/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod backend;
 pub mod backend_memory;
+pub mod byte_budget;
 pub mod call_delay;
 pub mod caller;
 pub mod frames;
--- a/src/transport/sidecar/peer_server.rs
+++ b/src/transport/sidecar/peer_server.rs
@@ -17,7 +17,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures::StreamExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::{task, time};
@@ -29,6 +28,7 @@
 use crate::state::clock::{self, Instant};
 use crate::state::routes::Repeat;
 use crate::state::store_revision::Revision;
+use crate::transport::sidecar::byte_budget::ByteBudget;
 use crate::transport::sidecar::call_delay::CallDelay;
 use crate::transport::sidecar::frames::{self, FrameReader, FrameWriter};
 
@@ -49,6 +49,9 @@
 /// Delay before the next accept after a failed one.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
+/// Retry delay of a call for whose body there was no memory, in milliseconds.
+const SHORTAGE_RETRY_MS: u32 = 1000;
+
 /// Call to run.
 pub struct Job {
     /// Future of the outcome.
@@ -239,6 +242,7 @@
 pub struct PeerServer {
     handler: Rc<dyn Handler>,
     hello: Hello,
+    budget: RefCell<Option<Rc<ByteBudget>>>,
     sessions: RefCell<HashMap<String, NodeSessions>>,
 }
 
@@ -257,10 +261,16 @@
         Rc::new(Self {
             handler,
             hello,
+            budget: RefCell::default(),
             sessions: RefCell::new(HashMap::new()),
         })
     }
 
+    /// Sets the budget for large calls; takes effect with the next connections.
+    pub fn set_budget(&self, budget: &Rc<ByteBudget>) {
+        *self.budget.borrow_mut() = Some(Rc::clone(budget));
+    }
+
     /// Accepts connections until the task is dropped.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
@@ -369,6 +379,7 @@
     /// wait for each other, as in a link.
     async fn serve(self: Rc<Self>, io: TcpStream) -> std::io::Result<()> {
         let (mut read, mut write) = frames::split(io)?;
+        read.set_budget(self.budget.borrow().clone());
         let greeting = time::timeout(HELLO_TIMEOUT, self.greet(&mut read, &mut write)).await;
         let hello = greeting.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
         let (out, mut queued) = mpsc::unbounded_channel();
@@ -383,6 +394,12 @@
                 if !current {
                     return Ok(());
                 }
+                if let Some(seq) = bytes.skipped_call() {
+                    let failure = Failure::before_send(Cause::Full, SHORTAGE_RETRY_MS);
+                    let outcome = Outcome::NotRun(failure);
+                    session.borrow_mut().finish(seq, Repeat::Once, outcome);
+                    continue;
+                }
                 self.receive(&session, frames::decode(&bytes)?);
             }
         };
--- a/src/transport/sidecar/socket.rs
+++ b/src/transport/sidecar/socket.rs
@@ -3,9 +3,9 @@
 //! A faulty server may send an endless head or body, so every read is bounded: a head by a maximum
 //! size, a body by its own limit and by a memory budget that all concurrently read bodies share.
 
-use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -13,7 +13,10 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time;
 
+use crate::protocol::body::Body;
 use crate::protocol::http;
+use crate::state::reservation::Reservation;
+use crate::transport::sidecar::byte_budget::{ByteBudget, Purpose};
 
 /// Backlog of connections that are not accepted yet.
 const BACKLOG: u32 = 1024;
@@ -60,52 +63,6 @@
     }
 }
 
-/// Memory budget shared by the bodies that are read concurrently.
-#[derive(Debug)]
-pub struct BodyBudget {
-    left: Cell<usize>,
-}
-
-impl BodyBudget {
-    /// Creates a budget of `bytes` bytes.
-    #[must_use]
-    pub fn new(bytes: usize) -> Self {
-        Self {
-            left: Cell::new(bytes),
-        }
-    }
-
-    /// Returns the number of bytes that are not reserved.
-    #[must_use]
-    pub fn available(&self) -> usize {
-        self.left.get()
-    }
-}
-
-/// Part of the budget that one body has reserved; released on drop.
-struct Reservation<'a> {
-    budget: &'a BodyBudget,
-    bytes: usize,
-}
-
-impl Reservation<'_> {
-    fn grow_to(&mut self, bytes: usize) -> Result<(), http::ParseError> {
-        let more = bytes.saturating_sub(self.bytes);
-        let left = self.budget.left.get().checked_sub(more);
-        self.budget
-            .left
-            .set(left.ok_or(http::ParseError::BodyTooLarge)?);
-        self.bytes += more;
-        Ok(())
-    }
-}
-
-impl Drop for Reservation<'_> {
-    fn drop(&mut self) {
-        self.budget.left.set(self.budget.left.get() + self.bytes);
-    }
-}
-
 /// Buffered connection to a server.
 #[derive(Debug)]
 pub struct Socket {
@@ -181,12 +138,21 @@
         &mut self,
         body: http::BodyLength,
         limit: usize,
-        budget: &BodyBudget,
-    ) -> Result<Vec<u8>, ReadError> {
+        budget: &ByteBudget,
+    ) -> Result<Body, ReadError> {
         let mut reader = http::BodyReader::new(body, limit);
-        let mut reservation = Reservation { budget, bytes: 0 };
-        while !reader.feed(&mut self.buffer)? {
-            reservation.grow_to(reader.len())?;
+        let mut held = Reservation::new(budget.count(), 0);
+        loop {
+            let needed = reader.needed(self.buffer.len());
+            if held.bytes() < needed {
+                if !budget.grow(&mut held, needed, Purpose::Response).await {
+                    return Err(http::ParseError::BodyTooLarge.into());
+                }
+                reader.allocate();
+            }
+            if reader.feed(&mut self.buffer)? {
+                break;
+            }
             if self.fill().await? == 0 {
                 if body == http::BodyLength::UntilClose {
                     break;
@@ -194,7 +160,8 @@
                 return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
             }
         }
-        Ok(reader.into_body())
+        let held = (held.bytes() > 0).then(|| Rc::new(held));
+        Ok(Body::new(reader.into_body(), held))
     }
 
     /// Reads one complete response of at most `limit` body bytes.
@@ -208,9 +175,8 @@
         limit: usize,
     ) -> Result<(http::ResponseHead, Vec<u8>), ReadError> {
         let head = self.read_head(method).await?;
-        let body = self
-            .read_body(head.body, limit, &BodyBudget::new(limit))
-            .await?;
-        Ok((head, body))
+        let budget = ByteBudget::new(limit, 0);
+        let body = self.read_body(head.body, limit, &budget).await?;
+        Ok((head, body.to_vec()))
     }
 }
--- a/tests/sidecar/backend.rs
+++ b/tests/sidecar/backend.rs
@@ -46,11 +46,15 @@
         method: "GET",
         repeat,
         bytes: b"GET / HTTP/1.1\r\nid: 7\r\n\r\n",
+        body: &[],
         on_signals: &|_| (),
     };
     let deadline = Instant::now() + Duration::from_millis(500);
     let response = pool.send(address, &request, deadline).await?;
-    Ok((response.status, String::from_utf8(response.body).unwrap()))
+    Ok((
+        response.status,
+        String::from_utf8(response.body.to_vec()).unwrap(),
+    ))
 }
 
 pub fn block_on<F: Future>(test: F) -> F::Output {
--- a/tests/sidecar/caller.rs
+++ b/tests/sidecar/caller.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use filbertflow::state::routes::Limits;
+use filbertflow::state::sidecar_settings::ProcessLimits;
+use filbertflow::transport::sidecar::byte_budget::ByteBudget;
 use filbertflow::transport::sidecar::caller::{self, Handler, Request, Response, ResponseFuture};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -27,7 +29,7 @@
 impl Handler for DelayHandler {
     fn answer(&self, request: Request) -> ResponseFuture {
         self.started.set(self.started.get() + 1);
-        self.bodies.borrow_mut().push(request.body);
+        self.bodies.borrow_mut().push(request.body.to_vec());
         let completed = Rc::clone(&self.completed);
         let padding = vec![b' '; self.padding.get()];
         let wait = request.head.target.trim_start_matches('/').parse().unwrap();
@@ -35,7 +37,7 @@
             time::sleep(Duration::from_millis(wait)).await;
             completed.set(completed.get() + 1);
             Response {
-                body: [wait.to_string().into_bytes(), padding].concat(),
+                body: [wait.to_string().into_bytes(), padding].concat().into(),
                 ..Response::empty(200)
             }
         })
@@ -106,7 +108,9 @@
             address: listener.local_addr().unwrap(),
         };
         let handler = Rc::clone(&fixture.handler) as Rc<dyn Handler>;
-        task::spawn_local(caller::accept(listener, handler, Rc::clone(&fixture.open)));
+        let budget = ByteBudget::of_process(ProcessLimits::default());
+        let open = Rc::clone(&fixture.open);
+        task::spawn_local(caller::accept(listener, handler, open, budget));
         test(fixture).await;
     });
 }
--- a/tests/sidecar/cut_heads.rs
+++ b/tests/sidecar/cut_heads.rs
@@ -60,6 +60,7 @@
         method,
         repeat: Repeat::Once,
         bytes,
+        body: &[],
         on_signals: &|_| (),
     };
     if kept {
@@ -70,7 +71,7 @@
     let cut = request(method, bytes.as_bytes());
     let response = pool.send(address, &cut, Instant::now() + LIMIT).await;
     serving.abort();
-    response.map(|r| (r.status, String::from_utf8(r.body).unwrap()))
+    response.map(|r| (r.status, String::from_utf8(r.body.to_vec()).unwrap()))
 }
 
 /// Asserts that no part of a response counts as the whole one, except one that ends within a body whose
--- a/tests/sidecar/endless.rs
+++ b/tests/sidecar/endless.rs
@@ -9,7 +9,8 @@
 use filbertflow::state::clock::Instant;
 use filbertflow::state::routes::Repeat;
 use filbertflow::transport::sidecar::backend::{Pool, Request, SendError};
-use filbertflow::transport::sidecar::socket::{BodyBudget, Socket};
+use filbertflow::transport::sidecar::byte_budget::ByteBudget;
+use filbertflow::transport::sidecar::socket::Socket;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::{runtime, task, time};
@@ -84,6 +85,7 @@
                     method: "GET",
                     repeat: Repeat::Once,
                     bytes: b"GET / HTTP/1.1\r\nid: 7\r\n\r\n",
+                    body: &[],
                     on_signals: &|_| (),
                 };
                 let start = Instant::now();
@@ -143,7 +145,7 @@
             pause: Duration::ZERO,
         };
         let (address, _closed) = endless(stream).await;
-        let budget = Rc::new(BodyBudget::new(256 * 1024));
+        let budget = ByteBudget::new(256 * 1024, 0);
         let reads = (0..18).map(|_| {
             let budget = Rc::clone(&budget);
             async move {
--- a/tests/sidecar/full_buffers.rs
+++ b/tests/sidecar/full_buffers.rs
@@ -13,7 +13,6 @@
 use filbertflow::transport::sidecar::frames::{self, FrameReader, FrameWriter};
 use filbertflow::transport::sidecar::links::{self, Link};
 use filbertflow::transport::sidecar::writing;
-use futures::StreamExt;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
--- a/tests/sidecar/incarnations.rs
+++ b/tests/sidecar/incarnations.rs
@@ -5,7 +5,6 @@
 use filbertflow::protocol::mesh::{Call, Frame, Outcome, StoreRequest};
 use filbertflow::state::routes::Repeat;
 use filbertflow::transport::sidecar::frames;
-use futures::StreamExt;
 use tokio::net::TcpStream;
 use tokio::time;
 
@@ -36,7 +35,7 @@
 
     async fn call(&mut self, seq: u64, run_ms: u32, body: &str) {
         let call = Call {
-            body: body.as_bytes().to_vec(),
+            body: body.as_bytes().to_vec().into(),
             ..call(Repeat::Once, run_ms)
         };
         self.send(Frame::Call(seq, Box::new(call))).await;
@@ -66,7 +65,7 @@
 
 fn outcome_text(outcome: &Outcome) -> String {
     match outcome {
-        Outcome::Answered(r) => String::from_utf8(r.body.clone()).unwrap(),
+        Outcome::Answered(r) => String::from_utf8(r.body.to_vec()).unwrap(),
         Outcome::NotRun(f) => format!("not run: {}", f.cause.name()),
         Outcome::Unknown(f) => format!("unknown: {}", f.cause.name()),
     }
--- a/tests/sidecar/links.rs
+++ b/tests/sidecar/links.rs
@@ -18,7 +18,6 @@
 use filbertflow::transport::sidecar::frames;
 use filbertflow::transport::sidecar::links::{self, Link};
 use filbertflow::transport::sidecar::peer_server::{Handler, Job, PeerServer};
-use futures::StreamExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::{io, runtime, task, time};
@@ -132,7 +131,7 @@
         method: "GET".to_owned(),
         target: "/".to_owned(),
         headers: Vec::new(),
-        body: b"whole".to_vec(),
+        body: b"whole".to_vec().into(),
     }
 }
 
@@ -219,7 +218,7 @@
     Outcome::Answered(Response {
         status: 200,
         headers: Vec::new(),
-        body: b"whole".to_vec(),
+        body: b"whole".to_vec().into(),
     })
 }
 
@@ -505,7 +504,7 @@
 
 fn first_call(run_ms: u32) -> Call {
     Call {
-        body: b"first".to_vec(),
+        body: b"first".to_vec().into(),
         ..call(Repeat::Once, run_ms)
     }
 }
--- a/tests/sidecar/refusals.rs
+++ b/tests/sidecar/refusals.rs
@@ -28,11 +28,12 @@
                 method: "GET",
                 repeat: *repeat,
                 bytes: bytes.as_bytes(),
+                body: &[],
                 on_signals: &|_| (),
             };
             let deadline = Instant::now() + Duration::from_millis(300);
             let response = pool.send(address, &request, deadline).await;
-            all.push(response.map(|r| (r.status, String::from_utf8(r.body).unwrap())));
+            all.push(response.map(|r| (r.status, String::from_utf8(r.body.to_vec()).unwrap())));
             time::sleep(Duration::from_millis(20)).await;
         }
         all
--- a/tests/sidecar/replies.rs
+++ b/tests/sidecar/replies.rs
@@ -7,7 +7,6 @@
 use filbertflow::state::routes::Repeat;
 use filbertflow::transport::sidecar::frames::{self, FrameReader};
 use filbertflow::transport::sidecar::links::Link;
-use futures::StreamExt;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -115,7 +114,7 @@
         let length = usize::try_from(io.read_u32().await.unwrap()).unwrap();
         let mut bytes = vec![0; length];
         io.read_exact(&mut bytes).await.unwrap();
-        if let Frame::Call(seq, _) = frames::decode(&bytes).unwrap() {
+        if let Frame::Call(seq, _) = frames::decode(&bytes.into()).unwrap() {
             return seq;
         }
     }
--- a/tests/sidecar/signals.rs
+++ b/tests/sidecar/signals.rs
@@ -74,6 +74,7 @@
             method: "GET",
             repeat: Repeat::Once,
             bytes: b"GET / HTTP/1.1\r\nid: 7\r\n\r\n",
+            body: &[],
             on_signals: &|signals| seen.set(Some(signals)),
         };
         let deadline = Instant::now() + Duration::from_millis(500);
