Release retained outcomes when the memory for bodies is short

Cause: Outcomes of requests that may not run twice are retained, 128 for each process of a node, and kept their large bodies reserved: after ten responses of 8 MiB every further one was an unknown outcome. Change: Without room, retained outcomes with bodies above 4 KiB are evicted first; a node that asks for one learns that it is unknown. Skipped frames are read in larger pieces, progress of slow readers is recorded every 16 KiB, small frames aren't copied. Tests of the retention, of the response to a refused body, and of the budget's decisions. Conclusion: Large responses no longer use up the budget for good.

--- a/src/protocol/body.rs
+++ b/src/protocol/body.rs
@@ -1,8 +1,8 @@
 //! Body of a request or response on its way through the process.
 //!
 //! Clones share the bytes and the reservation that counts them, so a body costs its length once, however
-//! many attempts, queues and retained outcomes refer to it. A body decoded from a frame refers to the
-//! bytes of the frame.
+//! many attempts, queues and retained outcomes refer to it. A body decoded from a large frame refers to
+//! the bytes of the frame.
 
 use std::cell::RefCell;
 use std::fmt;
@@ -13,15 +13,12 @@
 
 use crate::state::reservation::Reservation;
 
-/// Size up to which a body is copied out of its frame, in bytes, so that it doesn't keep the rest.
-const COPIED_BYTES: usize = 1024;
-
 thread_local! {
-    /// Frame that is being decoded, and the reservation of its bytes.
+    /// Large frame that is being decoded, and the reservation of its bytes.
     static FRAME: RefCell<Option<Frame>> = const { RefCell::new(None) };
 }
 
-type Frame = (Bytes, Option<Rc<Reservation>>);
+type Frame = (Bytes, Rc<Reservation>);
 
 /// Bytes of a body.
 #[derive(Clone, Default)]
@@ -42,12 +39,8 @@
     }
 
     /// Calls `decode`, which may create bodies that refer to the bytes of `frame`.
-    pub fn decoding<T>(
-        frame: &Bytes,
-        held: Option<&Rc<Reservation>>,
-        decode: impl FnOnce() -> T,
-    ) -> T {
-        FRAME.set(Some((frame.clone(), held.cloned())));
+    pub fn decoding<T>(frame: &Bytes, held: &Rc<Reservation>, decode: impl FnOnce() -> T) -> T {
+        FRAME.set(Some((frame.clone(), Rc::clone(held))));
         let decoded = decode();
         FRAME.set(None);
         decoded
@@ -57,11 +50,10 @@
     fn within_frame(bytes: &[u8]) -> Self {
         FRAME.with_borrow(|frame| match frame {
             Some((frame, held))
-                if bytes.len() > COPIED_BYTES
-                    && frame.as_ptr_range().contains(&bytes.as_ptr())
+                if frame.as_ptr_range().contains(&bytes.as_ptr())
                     && bytes.as_ptr_range().end <= frame.as_ptr_range().end =>
             {
-                Self::new(frame.slice_ref(bytes), held.clone())
+                Self::new(frame.slice_ref(bytes), Some(Rc::clone(held)))
             }
             _ => Self::new(Bytes::copy_from_slice(bytes), None),
         })
--- a/src/transport/sidecar/byte_budget.rs
+++ b/src/transport/sidecar/byte_budget.rs
@@ -5,7 +5,7 @@
 //! body is held once, whatever refers to it. Heads, buffers and the process itself live in the rest of
 //! the memory, which the bound on connections keeps sufficient.
 //!
-//! When the budget is short, connections of callers that hold a body without progress are closed,
+//! When the budget is short, retained outcomes are released first. Then connections of callers that hold a body without progress are closed,
 //! the longest without progress first. When the connections are short, idle ones are closed: those
 //! that have never sent a whole request first, then the longest idle.
 
@@ -161,7 +161,6 @@
 }
 
 /// Budget of one process.
-#[derive(Debug)]
 pub struct ByteBudget {
     limit: usize,
     used: SharedCount,
@@ -170,6 +169,16 @@
     last: Cell<u64>,
     logged_at: Cell<Option<Instant>>,
     refused: RefCell<Option<prometheus::IntCounterVec>>,
+    release_retained: RefCell<Option<Box<dyn Fn()>>>,
+}
+
+impl std::fmt::Debug for ByteBudget {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("ByteBudget")
+            .field("limit", &self.limit)
+            .field("used", &self.used)
+            .finish_non_exhaustive()
+    }
 }
 
 impl ByteBudget {
@@ -184,6 +193,7 @@
             last: Cell::new(0),
             logged_at: Cell::new(None),
             refused: RefCell::default(),
+            release_retained: RefCell::default(),
         })
     }
 
@@ -202,6 +212,12 @@
         *self.refused.borrow_mut() = Some(refused);
     }
 
+    /// Sets what releases bodies that are retained only in case that a connection is lost; it is called
+    /// before any connection is closed.
+    pub fn set_release(&self, release: impl Fn() + 'static) {
+        *self.release_retained.borrow_mut() = Some(Box::new(release));
+    }
+
     /// Returns the count of reserved bytes, for reservations that begin empty.
     #[must_use]
     pub fn count(&self) -> &SharedCount {
@@ -240,6 +256,12 @@
     /// Grows a reservation to `bytes`, after connections without progress were closed if necessary;
     /// returns whether there is room.
     pub async fn grow(&self, held: &mut Reservation, bytes: usize, purpose: Purpose) -> bool {
+        if self.try_grow(held, bytes, purpose) {
+            return true;
+        }
+        if let Some(release) = &*self.release_retained.borrow() {
+            release();
+        }
         if self.try_grow(held, bytes, purpose) {
             return true;
         }
--- a/src/transport/sidecar/caller.rs
+++ b/src/transport/sidecar/caller.rs
@@ -57,7 +57,7 @@
 const BODY_STEP: usize = 64 * 1024;
 
 /// Size of the pieces in which a response is written, in bytes, after each of which progress is recorded.
-const WRITE_PIECE: usize = 64 * 1024;
+const WRITE_PIECE: usize = 16 * 1024;
 
 /// Wait without an effective limit, while requests run; their responses end it.
 const NO_LIMIT: Duration = Duration::from_hours(1);
--- a/src/transport/sidecar/frames.rs
+++ b/src/transport/sidecar/frames.rs
@@ -167,8 +167,13 @@
                     large.left -= *read.as_ref().unwrap_or(&0);
                     read
                 }
-                _ => {
-                    self.buffer.reserve(INITIAL_BUFFER_SIZE);
+                large => {
+                    let skips = large.is_some();
+                    self.buffer.reserve(if skips {
+                        SMALL_BODY
+                    } else {
+                        INITIAL_BUFFER_SIZE
+                    });
                     self.io.read_buf(&mut self.buffer).await
                 }
             };
@@ -197,9 +202,7 @@
                     return Ok(None);
                 }
                 self.buffer.advance(PREFIX);
-                // A copy, so that a body which refers to the frame doesn't keep the buffer.
-                let bytes = Bytes::copy_from_slice(&self.buffer[..length]);
-                self.buffer.advance(length);
+                let bytes = self.buffer.split_to(length).freeze();
                 return Ok(Some(RawFrame {
                     bytes,
                     held: None,
@@ -383,7 +386,10 @@
 pub fn decode(raw: &RawFrame) -> io::Result<Frame> {
     if !raw.skipped {
         let decode = || postcard::from_bytes(&raw.bytes).map_err(io::Error::other);
-        return Body::decoding(&raw.bytes, raw.held.as_ref(), decode);
+        return match &raw.held {
+            Some(held) => Body::decoding(&raw.bytes, held, decode),
+            None => decode(),
+        };
     }
     let lost = |seq| {
         let failure = Failure::after_send(Cause::Garbled);
--- a/src/transport/sidecar/peer_server.rs
+++ b/src/transport/sidecar/peer_server.rs
@@ -42,6 +42,9 @@
 /// Maximum number of outcomes retained per process of a node.
 const MAX_RETAINED_OUTCOMES: usize = 128;
 
+/// Size of a body up to which an outcome is retained while memory is short, in bytes.
+const MAX_KEPT_BODY: usize = 4 * 1024;
+
 /// Number of processes retained per node. The first frame of a killed process may be read after
 /// that of its successor, so the latest first frame doesn't tell which process is alive.
 const MAX_SESSIONS: usize = 4;
@@ -189,6 +192,18 @@
         }
     }
 
+    /// Evicts the retained outcomes with large bodies.
+    fn release_bodies(&mut self) {
+        let evicted = &mut self.evicted;
+        self.retained.retain(|(seq, outcome)| {
+            let large = matches!(outcome, Outcome::Answered(r) if r.body.len() > MAX_KEPT_BODY);
+            if large {
+                *evicted = (*evicted).max(*seq);
+            }
+            !large
+        });
+    }
+
     /// Replies to a resume request for a call from an earlier connection.
     fn resume(&self, seq: Seq) {
         if self.running.contains_key(&seq) {
@@ -267,8 +282,21 @@
     }
 
     /// Sets the budget for large calls; takes effect with the next connections.
-    pub fn set_budget(&self, budget: &Rc<ByteBudget>) {
+    pub fn set_budget(self: &Rc<Self>, budget: &Rc<ByteBudget>) {
         *self.budget.borrow_mut() = Some(Rc::clone(budget));
+        let peers = Rc::downgrade(self);
+        budget.set_release(move || {
+            if let Some(peers) = peers.upgrade() {
+                peers.release_bodies();
+            }
+        });
+    }
+
+    /// Evicts the retained outcomes with large bodies of all sessions.
+    fn release_bodies(&self) {
+        for (_, session) in self.sessions.borrow().values().flatten() {
+            session.borrow_mut().release_bodies();
+        }
     }
 
     /// Accepts connections until the task is dropped.
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod backend;
 mod backoff;
+mod byte_budget;
 mod call_delay;
 mod caller;
 mod catchup;
