Count the read buffers of large bodies, and read less ahead

Cause: A connection that receives a large body has a read buffer of 64 KiB, which was not counted; a thousand such connections would hold 64 MiB besides the budget. As much could be read ahead while requests run. Change: The buffer is reserved with the body; at most 16 KiB are read ahead. Conclusion: What a connection can hold besides its body is within the share for heads.

--- a/src/transport/sidecar/caller.rs
+++ b/src/transport/sidecar/caller.rs
@@ -22,7 +22,9 @@
 use crate::state::clock::Instant;
 use crate::state::reservation::Reservation;
 use crate::state::routes;
-use crate::transport::sidecar::byte_budget::{ByteBudget, Connection, Phase, Purpose, Registered};
+use crate::transport::sidecar::byte_budget::{
+    ByteBudget, Connection, Phase, Purpose, Registered, SMALL_BODY,
+};
 use crate::transport::sidecar::writing;
 
 /// Maximum number of requests of one connection that run concurrently.
@@ -30,7 +32,10 @@
 
 /// Maximum number of bytes that are read ahead while requests run; further ones stay in the
 /// system's buffers.
-const READ_AHEAD: usize = 64 * 1024;
+const READ_AHEAD: usize = 16 * 1024;
+
+/// Size of the read buffer of a connection that receives a large body, in bytes; reserved with the body.
+const BODY_BUFFER: usize = 64 * 1024;
 
 /// Maximum time to receive a body after its head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -230,11 +235,16 @@
     /// Returns the bytes that have to be reserved before `buffered` further bytes are taken.
     fn needed(&self, buffered: usize) -> usize {
         let needed = self.body.needed(buffered);
-        match self.head.body {
+        let needed = match self.head.body {
             http::BodyLength::Length(_) => needed,
             http::BodyLength::Chunked | http::BodyLength::UntilClose => {
                 needed.next_multiple_of(BODY_STEP)
             }
+        };
+        if needed > SMALL_BODY {
+            needed + BODY_BUFFER
+        } else {
+            needed
         }
     }
 }
@@ -373,9 +383,9 @@
             if self.buffer.capacity() == self.buffer.len() {
                 // A large body arrives in larger pieces than a head.
                 let held = self.partial.as_ref().and_then(|p| p.held.as_ref());
-                let large = held.is_some_and(|h| h.bytes() > READ_AHEAD);
+                let large = held.is_some_and(|h| h.bytes() > SMALL_BODY);
                 self.buffer.reserve(if large {
-                    READ_AHEAD
+                    BODY_BUFFER
                 } else {
                     INITIAL_BUFFER_SIZE
                 });
