--- a/src/transport/sidecar/peer_server.rs
+++ b/src/transport/sidecar/peer_server.rs
@@ -17,7 +17,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures::StreamExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::{task, time};
@@ -30,6 +29,7 @@
 use crate::state::clock::{self, Instant};
 use crate::state::routes::Repeat;
 use crate::state::store_revision::Revision;
+use crate::transport::sidecar::byte_budget::ByteBudget;
 use crate::transport::sidecar::call_delay::CallDelay;
 use crate::transport::sidecar::frames::{self, FrameReader, FrameWriter};
 
@@ -43,6 +43,9 @@
 /// Maximum number of outcomes retained per process of a node.
 const MAX_RETAINED_OUTCOMES: usize = 128;
 
+/// Size of a body up to which an outcome is retained while memory is short, in bytes.
+const MAX_KEPT_BODY: usize = 4 * 1024;
+
 /// Number of processes retained per node. The first frame of a killed process may be read after
 /// that of its successor, so the latest first frame doesn't tell which process is alive.
 const MAX_SESSIONS: usize = 4;
@@ -50,6 +53,9 @@
 /// Delay before the next accept after a failed one.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
+/// Retry delay of a call for whose body there was no memory, in milliseconds.
+const SHORTAGE_RETRY_MS: u32 = 1000;
+
 /// Call to run.
 pub struct Job {
     /// Future of the outcome.
@@ -196,6 +202,18 @@
         }
     }
 
+    /// Evicts the retained outcomes with large bodies.
+    fn release_bodies(&mut self) {
+        let evicted = &mut self.evicted;
+        self.retained.retain(|(seq, outcome)| {
+            let large = matches!(outcome, Outcome::Answered(r) if r.body.len() > MAX_KEPT_BODY);
+            if large {
+                *evicted = (*evicted).max(*seq);
+            }
+            !large
+        });
+    }
+
     /// Replies to a resume request for a call from an earlier connection.
     fn resume(&self, seq: Seq) {
         if self.running.contains_key(&seq) {
@@ -249,6 +267,7 @@
 pub struct PeerServer {
     handler: Rc<dyn Handler>,
     hello: Hello,
+    budget: RefCell<Option<Rc<ByteBudget>>>,
     sessions: RefCell<HashMap<String, NodeSessions>>,
 }
 
@@ -267,10 +286,29 @@
         Rc::new(Self {
             handler,
             hello,
+            budget: RefCell::default(),
             sessions: RefCell::new(HashMap::new()),
         })
     }
 
+    /// Sets the budget for large calls; takes effect with the next connections.
+    pub fn set_budget(self: &Rc<Self>, budget: &Rc<ByteBudget>) {
+        *self.budget.borrow_mut() = Some(Rc::clone(budget));
+        let peers = Rc::downgrade(self);
+        budget.set_release(move || {
+            if let Some(peers) = peers.upgrade() {
+                peers.release_bodies();
+            }
+        });
+    }
+
+    /// Evicts the retained outcomes with large bodies of all sessions.
+    fn release_bodies(&self) {
+        for (_, session) in self.sessions.borrow().values().flatten() {
+            session.borrow_mut().release_bodies();
+        }
+    }
+
     /// Accepts connections until the task is dropped.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
@@ -379,6 +417,7 @@
     /// wait for each other, as in a link.
     async fn serve(self: Rc<Self>, io: TcpStream) -> std::io::Result<()> {
         let (mut read, mut write) = frames::split(io)?;
+        read.set_budget(self.budget.borrow().clone());
         let greeting = time::timeout(HELLO_TIMEOUT, self.greet(&mut read, &mut write)).await;
         let hello = greeting.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
         let (out, mut queued) = mpsc::unbounded_channel();
@@ -393,6 +432,12 @@
                 if !current {
                     return Ok(());
                 }
+                if let Some(seq) = bytes.skipped_call() {
+                    let failure = Failure::before_send(Cause::Full, SHORTAGE_RETRY_MS);
+                    let outcome = Outcome::NotRun(failure);
+                    session.borrow_mut().finish(seq, Repeat::Once, outcome);
+                    continue;
+                }
                 self.receive(&session, frames::decode(&bytes)?);
             }
         };
--- a/tests/sidecar/links.rs
+++ b/tests/sidecar/links.rs
@@ -19,7 +19,6 @@
 use filbertflow::transport::sidecar::frames;
 use filbertflow::transport::sidecar::links::{self, Link};
 use filbertflow::transport::sidecar::peer_server::{Handler, Job, PeerServer};
-use futures::StreamExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::{io, runtime, task, time};
@@ -146,7 +145,7 @@
         method: "GET".to_owned(),
         target: "/".to_owned(),
         headers: Vec::new(),
-        body: b"whole".to_vec(),
+        body: b"whole".to_vec().into(),
         nested: false,
     }
 }
@@ -234,7 +233,7 @@
     Outcome::Answered(Response {
         status: 200,
         headers: Vec::new(),
-        body: b"whole".to_vec(),
+        body: b"whole".to_vec().into(),
     })
 }
 
@@ -520,7 +519,7 @@
 
 fn first_call(run_ms: u32) -> Call {
     Call {
-        body: b"first".to_vec(),
+        body: b"first".to_vec().into(),
         ..call(Repeat::Once, run_ms)
     }
 }
