Order incarnations of a backend server by their start

Cause: a sidecar that has just started took the first message for the present state. A late heartbeat of an earlier incarnation made the later one, which holds the keys, count as an earlier one, and its keys were revoked at once. A leave notice of a server that the process didn't know was acknowledged and forgotten. Change: `Holder::start_order` tells which of two incarnations is the later one. Only one that started earlier than the registered one has its keys revoked at once; the expiry of grants is kept per holder. A first heartbeat waits for the departure record and the tables, and is refused if they name a later incarnation. An unknown leave notice is recorded, with its start or for the identifier. Reminders and memories of a later incarnation survive a late heartbeat of an earlier one. Where no start is named, another server replaces one that is silent and holds no grant.

--- a/src/coordination/sidecar/departures.rs
+++ b/src/coordination/sidecar/departures.rs
@@ -5,10 +5,14 @@
 //! server. So a departure is recorded in the store before it is acknowledged, and a new process loads
 //! the record before it accepts its first heartbeat. While the store doesn't respond, writing the record
 //! is retried. A restored store may have lost the record, which is written again then.
+//!
+//! A leave notice may be the first message to a process, or name no incarnation. It is recorded then as
+//! well, without a start for all incarnations of the identifier that had started when it arrived. Such a
+//! record holds for `RECORD_TTL`, since a server without a start can't be told from its successor.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use tokio::sync::{Mutex, Notify};
 use tokio::time;
@@ -42,11 +46,62 @@
 const MAX_ATTEMPTS: usize = 3;
 
 /// Incarnation of a backend server that has departed.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
-struct Departed {
-    backend: String,
-    born: u64,
+pub struct Departed {
+    /// Identifier of the backend server.
+    pub backend: String,
+    /// Start of the incarnation, in Unix milliseconds; 0 if unknown.
+    pub born: u64,
+    /// Latest start of the incarnations that the departure covers, in Unix milliseconds; 0 if `born`
+    /// tells.
+    #[serde(default)]
+    pub until: u64,
+}
+
+impl Departed {
+    /// Returns the departure that a leave notice tells of, at a time in Unix milliseconds.
+    #[must_use]
+    pub fn from_notice(backend: &str, born: Option<u64>, now_ms: u64) -> Self {
+        let born = born.unwrap_or_default();
+        Self {
+            backend: backend.to_owned(),
+            born,
+            until: if born == 0 { now_ms } else { 0 },
+        }
+    }
+
+    /// Returns whether an incarnation has departed; `age` is the time since the departure.
+    #[must_use]
+    pub fn covers(&self, holder: &Holder, age: Duration) -> bool {
+        let known = self.born > 0 && self.born == holder.born;
+        let same = known || (age < RECORD_TTL && holder.born <= self.until.max(self.born));
+        self.backend == holder.backend && same
+    }
+
+    /// Returns whether an incarnation has ended, since one that started later has departed; `age` is the
+    /// time since the departure.
+    #[must_use]
+    pub fn succeeds(&self, holder: &Holder, age: Duration) -> bool {
+        let earlier = 0 < holder.born && holder.born < self.born;
+        earlier && age < RECORD_TTL
+    }
+
+    /// Returns whether this departure is of a later incarnation than another one.
+    #[must_use]
+    pub fn is_later_than(&self, other: &Self) -> bool {
+        self.born > other.born.max(other.until)
+    }
+}
+
+impl From<&Holder> for Departed {
+    fn from(holder: &Holder) -> Self {
+        Self {
+            backend: holder.backend.clone(),
+            born: holder.born,
+            until: 0,
+        }
+    }
 }
 
 /// Departure record of one node's backend server.
@@ -95,9 +150,11 @@
                     if let Some(departed) = &found {
                         tracing::info!(event = 375, backend = %departed.backend, born = departed.born, "loaded a departure that an earlier process acknowledged");
                     }
-                    // A departure that this process has recorded meanwhile is newer.
+                    // A departure that this process has recorded meanwhile is newer, unless its notice was
+                    // late.
                     let mut last = self.last.borrow_mut();
-                    if last.is_none() {
+                    let known = last.as_ref();
+                    if known.is_none_or(|l| found.as_ref().is_some_and(|f| f.is_later_than(l))) {
                         let era = self.revision.get().era;
                         self.written.set(found.is_some().then_some(era));
                         *last = found;
@@ -139,9 +196,15 @@
         }
     }
 
+    /// Returns for how long a heartbeat waits for what the store knows of earlier incarnations.
+    #[must_use]
+    pub fn load_wait(&self) -> Duration {
+        (self.started + LOAD_TIMEOUT).left().min(HEARTBEAT_WAIT)
+    }
+
     /// Waits until the record of earlier processes is loaded or the wait has timed out.
     pub async fn wait_loaded(&self) {
-        let end = (self.started + LOAD_TIMEOUT).left().min(HEARTBEAT_WAIT);
+        let end = self.load_wait();
         let load_done = self.load_done.notified();
         if !self.loaded.get() && time::timeout(end, load_done).await.is_err() {
             tracing::warn!(
@@ -154,53 +217,76 @@
     /// Returns whether an incarnation of a backend server has departed.
     #[must_use]
     pub fn has_left(&self, holder: &Holder) -> bool {
+        let age = Instant::now().since(self.departed_at.get());
         let last = self.last.borrow();
-        let same = |d: &Departed| d.backend == holder.backend && d.born == holder.born;
-        last.as_ref().is_some_and(same)
+        last.as_ref().is_some_and(|d| d.covers(holder, age))
     }
 
-    /// Returns whether the departure of an incarnation is recorded in the store.
+    /// Returns whether an incarnation has ended, since a later one has departed.
+    #[must_use]
+    pub fn has_ended(&self, holder: &Holder) -> bool {
+        let age = Instant::now().since(self.departed_at.get());
+        let last = self.last.borrow();
+        last.as_ref().is_some_and(|d| d.succeeds(holder, age))
+    }
+
+    /// Returns whether the departure of an incarnation, or of a later one, is recorded in the store.
     #[must_use]
     pub fn is_recorded(&self, holder: &Holder) -> bool {
-        self.is_written() && self.has_left(holder)
+        let last = self.last.borrow();
+        let covers =
+            |d: &Departed| d.covers(holder, Duration::ZERO) || d.succeeds(holder, Duration::ZERO);
+        self.is_written() && last.as_ref().is_some_and(covers)
     }
 
     fn is_written(&self) -> bool {
         self.written.get() == Some(self.store.era())
     }
 
-    /// Returns the last departure if the store has lost its record while that still matters. `node` is
-    /// the address of this node.
+    /// Returns the last departure if the store doesn't have its record, or has lost it, while that still
+    /// matters.
     #[must_use]
-    pub fn lost_record(&self, node: &str) -> Option<Holder> {
+    pub fn missing_record(&self) -> Option<Departed> {
         let departed = self.last.borrow().clone()?;
         let is_recent = Instant::now().since(self.departed_at.get()) < RECORD_TTL;
-        let was_written = self.written.get().is_some();
-        (is_recent && was_written && !self.is_written()).then(|| Holder {
-            node: node.to_owned(),
-            backend: departed.backend,
-            born: departed.born,
-        })
+        (is_recent && !self.is_written()).then_some(departed)
     }
 
     /// Records a departure in the store unless it is recorded already; takes at most `RECORD_TIMEOUT`.
     pub async fn record(&self, holder: &Holder) {
-        let departed = Departed {
-            backend: holder.backend.clone(),
-            born: holder.born,
-        };
-        if !self.has_left(holder) {
+        let known = self.last.borrow().clone().filter(|_| self.has_left(holder));
+        self.record_departed(known.unwrap_or_else(|| holder.into()))
+            .await;
+    }
+
+    /// Records the departure that a leave notice of a backend server tells of which this process doesn't
+    /// know, like [`Departures::record`].
+    pub async fn record_notice(&self, backend: &str, born: Option<u64>) {
+        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let now_ms = u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(u64::MAX);
+        self.record_departed(Departed::from_notice(backend, born, now_ms))
+            .await;
+    }
+
+    /// Writes the record of a departure unless that is done already or a later one is known.
+    pub async fn record_departed(&self, departed: Departed) {
+        let known = self.last.borrow().clone();
+        if known.as_ref().is_some_and(|k| k.is_later_than(&departed)) {
+            return;
+        }
+        if known.as_ref() != Some(&departed) {
             *self.last.borrow_mut() = Some(departed.clone());
             self.departed_at.set(Instant::now());
             self.written.set(None);
         }
         let write = async {
             let _writing = self.writing.lock().await;
-            if self.is_recorded(holder) {
+            let is_last = || self.last.borrow().as_ref() == Some(&departed);
+            if !is_last() || self.is_written() {
                 return Ok(());
             }
             let era = self.write(&departed).await?;
-            self.written.set(self.has_left(holder).then_some(era));
+            self.written.set(is_last().then_some(era));
             Ok::<_, store::Error>(())
         };
         let error = match time::timeout(RECORD_TIMEOUT, write).await {
@@ -244,7 +330,7 @@
                 }
                 StoreReply::Conflict { items } => {
                     let other = self.decode(&items, era);
-                    if let Some(other) = other.filter(|d| d.born > departed.born) {
+                    if let Some(other) = other.filter(|d| d.is_later_than(departed)) {
                         tracing::info!(event = 380, backend = %departed.backend, born = departed.born, later = other.born, "kept the record of a later departure");
                         return Ok(era);
                     }
--- a/src/coordination/sidecar/dispatcher/backend_state.rs
+++ b/src/coordination/sidecar/dispatcher/backend_state.rs
@@ -4,6 +4,8 @@
 //! remember them, add the limit that it has named and that it is leaving. All of it ends with the
 //! incarnation.
 
+use std::cmp::Ordering;
+
 use crate::coordination::sidecar::dispatcher::Dispatcher;
 use crate::coordination::sidecar::local_backend::Backend;
 use crate::coordination::sidecar::signals::SignalChange;
@@ -85,11 +87,19 @@
         self.apply_signals(change, since);
     }
 
-    /// Applies the reminders about a backend server that has just registered, and drops the others.
+    /// Applies the reminders about a backend server that has just registered, and drops those about
+    /// earlier ones. It may itself be an earlier one whose heartbeat was late, so the others are kept.
     fn apply_reminders(&self) {
+        let Some(current) = self.backend().map(|b| b.holder) else {
+            return;
+        };
         for (reminder, received) in self.reminders.take() {
-            if self.is_current(&reminder.holder) {
-                self.apply_reminder(&reminder, received);
+            match reminder.holder.start_order(&current) {
+                Some(Ordering::Equal) => self.apply_reminder(&reminder, received),
+                Some(Ordering::Less) => {}
+                Some(Ordering::Greater) | None => {
+                    self.reminders.borrow_mut().push_back((reminder, received));
+                }
             }
         }
     }
--- a/src/coordination/sidecar/grant_manager.rs
+++ b/src/coordination/sidecar/grant_manager.rs
@@ -2,9 +2,12 @@
 //!
 //! The assignment table says which keys the backend server may hold. While the node's entry exists,
 //! only this node takes keys away from the backend server: when it has reported their release, when
-//! its grant has expired without a heartbeat, or when a new incarnation of it has started.
+//! its grant has expired without a heartbeat, or when a new incarnation of it has started. Which of two
+//! incarnations is the new one is told by their start: the first heartbeat that reaches a restarted node
+//! may be an old one, while the table already has a later incarnation.
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Ordering;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -32,7 +35,7 @@
 
 /// Time without a heartbeat after which a backend server counts as disconnected; above two heartbeat
 /// intervals.
-const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(2);
+pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Maximum number of ranges in a heartbeat's reply, which is limited to 4 KiB.
 const MAX_RANGES: usize = 90;
@@ -47,8 +50,8 @@
     tables: Rc<Tables>,
     registration: Rc<Registration>,
     started: Instant,
-    /// Time at which all grants of this process have expired.
-    last_expiry: Cell<Option<Instant>>,
+    /// Time at which all grants of this process have expired, by holder; the last ones only.
+    expiries: RefCell<Vec<(Holder, Instant)>>,
     withheld: RefCell<WithheldRanges>,
     released: RefCell<Vec<Released>>,
     /// Set while a change of a table is in flight.
@@ -93,7 +96,7 @@
             tables,
             registration,
             started: Instant::now(),
-            last_expiry: Cell::new(None),
+            expiries: RefCell::default(),
             withheld: RefCell::default(),
             released: RefCell::new(Vec::new()),
             updating: Cell::new(false),
@@ -106,13 +109,26 @@
     /// Returns whether all grants of this process and of earlier processes of the node have expired.
     #[must_use]
     pub fn all_expired(&self) -> bool {
+        let expiries = self.expiries.borrow();
+        self.is_expired(expiries.iter().map(|(_, expiry)| *expiry).max())
+    }
+
+    /// Returns whether the grants of one holder have expired.
+    fn has_expired(&self, holder: &Holder) -> bool {
+        let expiries = self.expiries.borrow();
+        let own = expiries.iter().find(|(h, _)| h == holder);
+        self.is_expired(own.map(|(_, expiry)| *expiry))
+    }
+
+    fn is_expired(&self, last_expiry: Option<Instant>) -> bool {
         let max_grant = self.max_hold.min(GRANT_DURATION);
-        grants_expired(
-            self.last_expiry.get(),
-            self.started,
-            max_grant,
-            Instant::now(),
-        )
+        grants_expired(last_expiry, self.started, max_grant, Instant::now())
+    }
+
+    fn record_expiry(&self, holder: &Holder, expiry: Instant) {
+        let mut expiries = self.expiries.borrow_mut();
+        expiries.retain(|(h, e)| h != holder && e.is_ahead());
+        expiries.push((holder.clone(), expiry));
     }
 
     /// Processes the ranges of a heartbeat. Returns the grants of the reply, or `None` to renew nothing,
@@ -157,8 +173,7 @@
                 .mul_f64(GRANT_FRACTION),
         };
         let expiry = now + grants.valid_for.mul_f64(SLOW_CLOCK_FACTOR) + EXPIRY_MARGIN;
-        self.last_expiry
-            .set(self.last_expiry.get().max(Some(expiry)));
+        self.record_expiry(&backend.holder, expiry);
         let mine = table.assignments.held_by(&backend.holder);
         let moving = mine.filter(|s| s.target.is_some());
         let moving = moving.map(|s| (s.from, s.to)).collect();
@@ -257,7 +272,6 @@
         }
         self.resolve_change().await;
         let current = self.dispatcher.backend();
-        let expired = self.all_expired();
         for service in self.tables.services() {
             let Some(table) = self.tables.confirmed(&service) else {
                 continue;
@@ -266,13 +280,9 @@
             let mine = holders.into_iter().filter(|h| h.node == self.node);
             for holder in mine {
                 let live = current.as_ref().filter(|b| b.holder == *holder);
-                let incarnation = match (&current, live) {
-                    (_, Some(_)) => Incarnation::Current,
-                    (Some(_), None) => Incarnation::Previous,
-                    (None, None) => Incarnation::Unknown,
-                };
+                let incarnation = Incarnation::of(holder, current.as_ref().map(|b| &b.holder));
                 let silence = live.map_or(Duration::MAX, |b| now.since(b.last_heartbeat));
-                if should_revoke(incarnation, expired, silence) {
+                if should_revoke(incarnation, self.has_expired(holder), silence) {
                     let next = current.as_ref().filter(|b| {
                         b.service == service && b.draining_since.is_none() && live.is_none()
                     });
@@ -396,10 +406,23 @@
     Current,
     /// An earlier one, which has ended.
     Previous,
-    /// No heartbeat has arrived since this process started.
+    /// No heartbeat has arrived since this process started, or it isn't known to have started before the
+    /// one that sends them: the heartbeats may be late ones, and this one may be up.
     Unknown,
 }
 
+impl Incarnation {
+    /// Returns how a holder on this node relates to the backend server that has registered, if any has.
+    #[must_use]
+    pub fn of(holder: &Holder, current: Option<&Holder>) -> Self {
+        match current.and_then(|c| holder.start_order(c)) {
+            Some(Ordering::Equal) => Self::Current,
+            Some(Ordering::Less) => Self::Previous,
+            Some(Ordering::Greater) | None => Self::Unknown,
+        }
+    }
+}
+
 /// Returns whether a holder's ranges are to be revoked. One that still sends heartbeats keeps them,
 /// also after an outage in which nothing could be granted, since its next heartbeat renews them.
 #[must_use]
--- a/src/coordination/sidecar/heartbeats.rs
+++ b/src/coordination/sidecar/heartbeats.rs
@@ -3,18 +3,29 @@
 //! Heartbeats may be late, repeated or from an earlier incarnation of the backend server. They are
 //! ordered by the start time of the incarnation and the sequence number within it. One that is not
 //! newer than the last is acknowledged or refused without any effect.
+//!
+//! A process that has just started knows no last heartbeat, so the first one may be of an earlier
+//! incarnation. Before it is applied, the departure record and the assignment tables are read, which name
+//! later incarnations; if the store doesn't respond, it is applied after a limited wait. A leave notice
+//! may be the first message too, and is recorded before it is acknowledged.
+//!
+//! Where a start is missing, incarnations can't be ordered. Then one replaces another when that has been
+//! silent and its grants have expired.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
-use tokio::task;
+use tokio::{task, time};
 
 use crate::coordination::sidecar::configuration::Configuration;
 use crate::coordination::sidecar::departures::Departures;
 use crate::coordination::sidecar::dispatcher::Dispatcher;
-use crate::coordination::sidecar::grant_manager::GrantManager;
+use crate::coordination::sidecar::grant_manager::{self, GrantManager};
 use crate::coordination::sidecar::local_backend::Backend;
+use crate::coordination::sidecar::replication::Replicator;
+use crate::coordination::sidecar::tables::Tables;
 use crate::protocol::adapter::{Adapter, Heartbeat, Notice, Phase};
 use crate::protocol::http;
 use crate::state::clock::Instant;
@@ -27,6 +38,38 @@
 /// Maximum difference between the clocks of a backend server and its node.
 const MAX_CLOCK_SKEW: Duration = Duration::from_hours(24);
 
+/// Interval at which a first heartbeat checks whether the tables are read.
+const TABLES_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Order of a heartbeat relative to the last one that was applied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Freshness {
+    /// It is newer, or of a later incarnation.
+    Newer,
+    /// It is not newer than the last one of its incarnation.
+    Repeated,
+    /// It is of an earlier incarnation.
+    Earlier,
+    /// A start is missing or isn't unique, so the order can't be told.
+    Unordered,
+}
+
+impl Freshness {
+    /// Returns the order of a heartbeat by the start of its incarnation, then by its sequence number.
+    #[must_use]
+    pub fn of(holder: &Holder, sequence: u64, last: &Holder, last_sequence: u64) -> Self {
+        match holder.start_order(last) {
+            Some(Ordering::Equal) if sequence > last_sequence => Self::Newer,
+            Some(Ordering::Equal) if holder.born == 0 => Self::Unordered,
+            Some(Ordering::Equal) => Self::Repeated,
+            Some(Ordering::Greater) => Self::Newer,
+            Some(Ordering::Less) => Self::Earlier,
+            None if last.born == 0 && holder.born > 0 => Self::Newer,
+            None => Self::Unordered,
+        }
+    }
+}
+
 /// Handler of heartbeats and leave notices.
 #[derive(Debug)]
 pub struct HeartbeatHandler {
@@ -46,6 +89,10 @@
     pub grant_manager: Rc<GrantManager>,
     /// Departures that this process or an earlier one has acknowledged.
     pub departures: Rc<Departures>,
+    /// Replica of the store's items.
+    pub replicator: Rc<Replicator>,
+    /// Assignment tables.
+    pub tables: Rc<Tables>,
 }
 
 impl HeartbeatHandler {
@@ -54,7 +101,7 @@
         match self.adapter.decode_notice(head, body) {
             Ok(Notice::Heartbeat(heartbeat)) => {
                 if self.dispatcher.backend().is_none() {
-                    self.departures.wait_loaded().await;
+                    self.wait_until_read(&heartbeat.service).await;
                 }
                 self.heartbeat(&heartbeat)
             }
@@ -66,16 +113,45 @@
         }
     }
 
+    /// Waits until the departure record and the tables of a service with keys are read, or the wait has
+    /// timed out.
+    async fn wait_until_read(&self, service: &str) {
+        let wait = self.departures.load_wait();
+        let tables = async {
+            while self.is_keyed(service) && self.replicator.revision().is_none() {
+                time::sleep(TABLES_POLL_INTERVAL).await;
+            }
+        };
+        let (_, read) = tokio::join!(self.departures.wait_loaded(), time::timeout(wait, tables));
+        if read.is_err() {
+            tracing::warn!(
+                event = 384,
+                "accepted a heartbeat before the assignment tables were read"
+            );
+        }
+    }
+
     async fn leave(&self, id: &str, born: Option<u64>) -> Reply {
-        if let Some(mut backend) = self.dispatcher.backend()
-            && backend.holder.backend == id
-            && born.is_none_or(|b| b == backend.holder.born)
-        {
-            tracing::info!(event = 372, backend = %id, "the backend server is leaving");
-            backend.draining_since.get_or_insert_with(Instant::now);
-            let holder = backend.holder.clone();
-            self.dispatcher.set_backend(backend);
-            self.departures.record(&holder).await;
+        let current = self.dispatcher.backend();
+        let started = born.unwrap_or_default();
+        match current {
+            Some(mut backend)
+                if backend.holder.backend == id
+                    && (started == 0 || started == backend.holder.born) =>
+            {
+                tracing::info!(event = 372, backend = %id, "the backend server is leaving");
+                backend.draining_since.get_or_insert_with(Instant::now);
+                let holder = backend.holder.clone();
+                self.dispatcher.set_backend(backend);
+                self.departures.record(&holder).await;
+            }
+            Some(backend) if 0 < started && started < backend.holder.born => {
+                tracing::info!(event = 381, backend = %id, born, "ignored a leave notice of an earlier incarnation");
+            }
+            _ => {
+                tracing::info!(event = 382, backend = %id, born, "a backend server is leaving that has not registered with this process");
+                self.departures.record_notice(id, born).await;
+            }
         }
         (200, self.adapter.encode_grants(None))
     }
@@ -108,16 +184,39 @@
         if heartbeat.born > latest_start() {
             return Some((400, "started in the future"));
         }
-        let current = self.dispatcher.backend()?;
-        let same =
-            current.holder.backend == heartbeat.backend && current.holder.born == heartbeat.born;
-        if same && heartbeat.sequence <= current.sequence {
-            return Some((200, "older than the last one"));
+        let holder = self.holder(heartbeat);
+        if self.departures.has_ended(&holder) {
+            return Some((409, "a later life has left"));
         }
-        if !same && heartbeat.born <= current.holder.born {
-            return Some((409, "from an earlier life"));
+        let Some(current) = self.dispatcher.backend() else {
+            return self
+                .has_successor(&holder)
+                .then_some((409, "a later life holds keys"));
+        };
+        match Freshness::of(
+            &holder,
+            heartbeat.sequence,
+            &current.holder,
+            current.sequence,
+        ) {
+            Freshness::Newer => None,
+            Freshness::Unordered if self.may_replace(&current) => {
+                tracing::info!(event = 383, backend = %holder.backend, born = holder.born, before = %current.holder.backend, "a backend server that can't be ordered by its start replaces a silent one");
+                None
+            }
+            Freshness::Unordered if holder.backend != current.holder.backend => {
+                Some((409, "not known to be of a later life"))
+            }
+            Freshness::Repeated | Freshness::Unordered => Some((200, "older than the last one")),
+            Freshness::Earlier => Some((409, "from an earlier life")),
         }
-        None
+    }
+
+    /// Returns whether a backend server of unknown order may replace the current one, which is silent
+    /// and holds no keys any more.
+    fn may_replace(&self, current: &Backend) -> bool {
+        let silence = Instant::now().since(current.last_heartbeat);
+        silence > grant_manager::HEARTBEAT_TIMEOUT && self.grant_manager.all_expired()
     }
 
     /// Returns whether a service is that of this host or one of the active configuration.
@@ -126,14 +225,39 @@
         name == self.service || routes.is_some_and(|r| r.service(name).is_some())
     }
 
-    fn describe(&self, heartbeat: &Heartbeat) -> Backend {
-        let now = Instant::now();
-        let holder = Holder {
+    fn is_keyed(&self, service: &str) -> bool {
+        let routes = self.configuration.get();
+        let service = routes.as_ref().and_then(|r| r.service(service));
+        service.is_some_and(|s| s.keyed)
+    }
+
+    fn holder(&self, heartbeat: &Heartbeat) -> Holder {
+        Holder {
             node: self.node.clone(),
             backend: heartbeat.backend.clone(),
             born: heartbeat.born,
-        };
-        let before = self.dispatcher.backend().filter(|b| b.holder == holder);
+        }
+    }
+
+    /// Returns whether the tables assign keys to a later incarnation on this node.
+    fn has_successor(&self, holder: &Holder) -> bool {
+        let services = self.tables.services().into_iter();
+        let mut tables = services.filter_map(|s| self.tables.route(&s));
+        tables.any(|table| {
+            let holders = table.assignments.holders().into_iter();
+            let mut local = holders.filter(|h| h.node == self.node);
+            local.any(|h| h.start_order(holder) == Some(Ordering::Greater))
+        })
+    }
+
+    fn describe(&self, heartbeat: &Heartbeat) -> Backend {
+        let now = Instant::now();
+        let holder = self.holder(heartbeat);
+        // Without a start, a lower sequence number is that of a restarted backend server.
+        let before = self
+            .dispatcher
+            .backend()
+            .filter(|b| b.holder == holder && heartbeat.sequence > b.sequence);
         let known = before.is_some();
         let before = before.and_then(|b| b.draining_since);
         // An earlier process may have acknowledged the drain up to any time ago.
@@ -151,8 +275,6 @@
         if !known || draining_since != before {
             tracing::info!(event = 374, backend = %heartbeat.backend, born = heartbeat.born, sequence = heartbeat.sequence, service = %heartbeat.service, phase = ?heartbeat.phase, "the backend server's state changed");
         }
-        let routes = self.configuration.get();
-        let service = routes.as_ref().and_then(|r| r.service(&heartbeat.service));
         Backend {
             holder,
             sequence: heartbeat.sequence,
@@ -160,7 +282,7 @@
             address: self.address,
             slots: heartbeat.slots,
             draining_since,
-            keyed: service.is_some_and(|s| s.keyed),
+            keyed: self.is_keyed(&heartbeat.service),
             warmup_end: now + heartbeat.warmup.min(MAX_WARMUP),
             last_heartbeat: now,
         }
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -14,7 +14,7 @@
 use crate::coordination::sidecar::catchup::{Action, CatchUp, Source};
 use crate::coordination::sidecar::configuration::Configuration;
 use crate::coordination::sidecar::confirmation::{self, Confirmation};
-use crate::coordination::sidecar::departures::Departures;
+use crate::coordination::sidecar::departures::{Departed, Departures};
 use crate::coordination::sidecar::dispatcher::Dispatcher;
 use crate::coordination::sidecar::forwarders;
 use crate::coordination::sidecar::grant_manager::GrantManager;
@@ -314,6 +314,8 @@
             dispatcher: Rc::clone(&self.dispatcher),
             grant_manager: Rc::clone(&self.grant_manager),
             departures: Rc::clone(&self.departures),
+            replicator: Rc::clone(&self.replicator),
+            tables: Rc::clone(&self.tables),
         });
         Rc::new(move |head, body| {
             let heartbeats = Rc::clone(&heartbeats);
@@ -431,13 +433,7 @@
     async fn record_departures(&self) {
         let mut backoff = Backoff::default();
         loop {
-            let backend = self.dispatcher.backend();
-            let leaving = backend.filter(|b| b.draining_since.is_some());
-            let unrecorded = leaving
-                .map(|b| b.holder)
-                .filter(|h| !self.departures.is_recorded(h))
-                .or_else(|| self.departures.lost_record(self.membership.node()));
-            match unrecorded {
+            match self.unrecorded_departure() {
                 None => {
                     backoff = Backoff::default();
                     tokio::select! {
@@ -445,9 +441,9 @@
                         () = self.store.era_changed.notified() => {}
                     }
                 }
-                Some(holder) => {
-                    self.departures.record(&holder).await;
-                    if !self.departures.is_recorded(&holder) {
+                Some(departed) => {
+                    self.departures.record_departed(departed).await;
+                    if self.unrecorded_departure().is_some() {
                         backoff.wait(&self.store).await;
                     }
                 }
@@ -455,6 +451,15 @@
         }
     }
 
+    fn unrecorded_departure(&self) -> Option<Departed> {
+        let backend = self.dispatcher.backend();
+        let leaving = backend.filter(|b| b.draining_since.is_some());
+        leaving
+            .filter(|b| !self.departures.is_recorded(&b.holder))
+            .map(|b| Departed::from(&b.holder))
+            .or_else(|| self.departures.missing_record())
+    }
+
     async fn check_links(&self) {
         loop {
             time::sleep(links::SILENCE_CHECK_INTERVAL).await;
--- a/src/state/keyspace.rs
+++ b/src/state/keyspace.rs
@@ -11,6 +11,7 @@
 //! names the era of the store for which it is confirmed; in a later era nobody grants by it until
 //! [`AssignmentTable::confirm`] has put together what all nodes still hold.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeSet, HashSet};
 
 use xxhash_rust::xxh3;
@@ -43,6 +44,20 @@
 }
 
 impl Holder {
+    /// Returns the order in which two backend servers beside one node have started, by `born` and not by
+    /// the arrival of their messages. Returns `None` if it is unknown: a start is missing (0), or both
+    /// started at the same time under different identifiers.
+    #[must_use]
+    pub fn start_order(&self, other: &Self) -> Option<Ordering> {
+        let same = self.backend == other.backend && self.born == other.born;
+        match self.born.cmp(&other.born) {
+            _ if same => Some(Ordering::Equal),
+            _ if self.born == 0 || other.born == 0 => None,
+            Ordering::Equal => None,
+            order => Some(order),
+        }
+    }
+
     /// Returns a number that tells this life of the backend server from others.
     #[must_use]
     pub fn life(&self) -> u64 {
--- a/src/transport/sidecar/backend_memory.rs
+++ b/src/transport/sidecar/backend_memory.rs
@@ -3,7 +3,11 @@
 //! A sidecar that is restarted beside a running backend server has forgotten what that one said of
 //! itself. The nodes that it serves remember it from load reports and from the responses that they
 //! passed on, and remind the new process over their next connection, before their calls.
+//!
+//! The new process may have registered an earlier incarnation, whose heartbeat was late. What is known
+//! of a later one is kept meanwhile.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use crate::protocol::adapter::Signals;
@@ -26,21 +30,30 @@
 pub struct BackendMemory(Option<Known>);
 
 impl BackendMemory {
-    /// Returns the memory of an incarnation; forgets any earlier one.
-    fn of(&mut self, holder: &Holder, now: Instant) -> &mut Known {
-        let known = self.0.take().filter(|k| k.holder == *holder);
-        self.0.insert(known.unwrap_or_else(|| Known {
-            holder: holder.clone(),
-            limit: RateLimit::Unknown,
-            limit_at: now,
-            leaving_at: None,
-        }))
+    /// Returns the memory of an incarnation, and forgets any earlier one; `None` if a later one is known.
+    fn of(&mut self, holder: &Holder, now: Instant) -> Option<&mut Known> {
+        let order = self.0.as_ref().map(|k| holder.start_order(&k.holder));
+        match order {
+            Some(Some(Ordering::Equal)) => {}
+            Some(Some(Ordering::Less)) => return None,
+            Some(Some(Ordering::Greater) | None) | None => {
+                self.0 = Some(Known {
+                    holder: holder.clone(),
+                    limit: RateLimit::Unknown,
+                    limit_at: now,
+                    leaving_at: None,
+                });
+            }
+        }
+        self.0.as_mut()
     }
 
     /// Records a load report. A process that has just started doesn't know the limit, and may not know
     /// that the backend server is leaving.
     pub fn record_load(&mut self, holder: &Holder, load: &Load, now: Instant) {
-        let known = self.of(holder, now);
+        let Some(known) = self.of(holder, now) else {
+            return;
+        };
         if load.limit != RateLimit::Unknown {
             (known.limit, known.limit_at) = (load.limit, now);
         }
@@ -55,7 +68,9 @@
         if signals.limit.per_second().is_none() && !signals.leaving {
             return;
         }
-        let known = self.of(holder, now);
+        let Some(known) = self.of(holder, now) else {
+            return;
+        };
         if signals.limit.per_second().is_some() {
             (known.limit, known.limit_at) = (signals.limit, now);
         }
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -32,6 +32,7 @@
 mod replica;
 mod replies;
 mod reports;
+mod restarts;
 mod retry_budget;
 mod routes;
 mod service_times;
--- a/tests/sidecar/signals.rs
+++ b/tests/sidecar/signals.rs
@@ -112,11 +112,13 @@
     stray_answer: "HTTP/1.1 200 OK\r\nid: 6\r\nsig: s\r\nleaving: 1\r\nContent-Length: 3\r\n\r\nbad" => None;
 }
 
+/// Returns an incarnation; a digit at the end of its identifier is its start, which is 1 otherwise.
 fn holder(backend: &str) -> Holder {
+    let digit = backend.chars().last().and_then(|c| c.to_digit(10));
     Holder {
         node: "n".to_owned(),
         backend: backend.to_owned(),
-        born: 1,
+        born: digit.unwrap_or(1).into(),
     }
 }
 
@@ -192,6 +194,17 @@
     next_incarnation: [
         Lesson::Response("a", named(5.0), true), Lesson::Load("b", Health::Ready, RateLimit::Unknown)
     ] => None;
+    /// A restarted node takes a late heartbeat of the earlier incarnation for the present one. Guards
+    /// against forgetting what the later one has said.
+    late_report_of_the_incarnation_before: [
+        Lesson::Load("b2", Health::Leaving, named(5.0)), Lesson::Load("a", Health::Ready, RateLimit::Unknown)
+    ] => Some(("b2", Some(5.0), Some(1000)));
+    late_response_of_the_incarnation_before: [
+        Lesson::Response("b2", named(5.0), false), Lesson::Response("a", named(9.0), true)
+    ] => Some(("b2", Some(5.0), None));
+    later_incarnation: [
+        Lesson::Response("a", named(9.0), true), Lesson::Response("b2", named(5.0), false)
+    ] => Some(("b2", Some(5.0), None));
 }
 
 fn reminder(limit: f64, limit_ms: u32) -> Reminder {
