Claim and release keys by incarnation

Cause: after a restore of the store, a process without a table claimed what the first heartbeat held, which may be a late one of an earlier incarnation; the later one's ranges were left out. Handover proofs were kept without their holder, so those of one incarnation could go with ranges of the next one. Change: a process without a table claims once all grants of earlier processes have expired. Proofs are kept with their holder, and those that arrive while a release is written are kept for the next one. Measured: tests/sidecar restarts: 41 passed, among them late_heartbeat_is_no_claim and proofs_are_those_of_the_holder; the functions they test are new, so they weren't seen to fail.

--- a/src/coordination/sidecar/grant_manager.rs
+++ b/src/coordination/sidecar/grant_manager.rs
@@ -53,7 +53,8 @@
     /// Time at which all grants of this process have expired, by holder; the last ones only.
     expiries: RefCell<Vec<(Holder, Instant)>>,
     withheld: RefCell<WithheldRanges>,
-    released: RefCell<Vec<Released>>,
+    /// Ranges that a holder has reported as released.
+    released: RefCell<Vec<(Holder, Released)>>,
     /// Set while a change of a table is in flight.
     updating: Cell<bool>,
     /// Set while ranges are being revoked; none is granted meanwhile.
@@ -138,9 +139,10 @@
         heartbeat: &Heartbeat,
         backend: &Backend,
     ) -> (Option<GrantSet>, FreeRanges) {
+        let released = heartbeat.released.iter().cloned();
         self.released
             .borrow_mut()
-            .extend(heartbeat.released.iter().cloned());
+            .extend(released.map(|r| (backend.holder.clone(), r)));
         let reported = (backend.holder.clone(), heartbeat.holds.clone());
         *self.reported.borrow_mut() = Some(reported);
         let reply = self.reply(heartbeat, backend);
@@ -216,22 +218,11 @@
         })
     }
 
-    /// Returns the ranges that the backend server has reported as held. Returns `None` if it has not
-    /// reported since the start of this process, and may still hold what an earlier one has granted.
+    /// Returns the ranges that the backend server has reported as held, once it tells all that may be
+    /// held.
     fn reported_slices(&self) -> Option<Vec<Slice>> {
         let reported = self.reported.borrow();
-        let Some((holder, holds)) = &*reported else {
-            return self.all_expired().then(Vec::new);
-        };
-        let slice = |hold: &Hold| Slice {
-            from: hold.from,
-            to: hold.to,
-            token: hold.token,
-            holder: Some(holder.clone()),
-            target: None,
-            handover: String::new(),
-        };
-        Some(holds.iter().map(slice).collect())
+        claimed_slices(reported.as_ref(), self.is_expired(None))
     }
 
     /// Records the ranges that the backend server has freed in the table.
@@ -239,8 +230,8 @@
         if free.is_empty() || self.updating.replace(true) {
             return;
         }
-        let releases = self.released.borrow().clone();
         let holder = backend.holder.clone();
+        let releases = released_by(&self.released.borrow(), &holder);
         let done = self
             .tables
             .update(&backend.service, &[], |table| {
@@ -251,7 +242,8 @@
         match done {
             Ok(true) => {
                 tracing::info!(event = 451, backend = %holder.backend, ranges = ?free, "passed released ranges on to their next holders");
-                self.released.borrow_mut().clear();
+                let recorded = |(h, r): &(Holder, Released)| *h == holder && releases.contains(r);
+                self.released.borrow_mut().retain(|r| !recorded(r));
             }
             Ok(false) => {}
             Err(e) => {
@@ -458,6 +450,39 @@
     now > last_expiry.unwrap_or(earlier).max(earlier)
 }
 
+/// Returns what a backend server holds, as it has reported itself. Returns `None` as long as grants of an
+/// earlier process may be in force: a first heartbeat may be a late one of an earlier incarnation, and
+/// then doesn't tell what the later one holds.
+#[must_use]
+pub fn claimed_slices(
+    reported: Option<&(Holder, Vec<Hold>)>,
+    earlier_expired: bool,
+) -> Option<Vec<Slice>> {
+    if !earlier_expired {
+        return None;
+    }
+    let Some((holder, holds)) = reported else {
+        return Some(Vec::new());
+    };
+    let slice = |hold: &Hold| Slice {
+        from: hold.from,
+        to: hold.to,
+        token: hold.token,
+        holder: Some(holder.clone()),
+        target: None,
+        handover: String::new(),
+    };
+    Some(holds.iter().map(slice).collect())
+}
+
+/// Returns the releases that one incarnation has reported. The proofs of another one don't count for its
+/// ranges.
+#[must_use]
+pub fn released_by(released: &[(Holder, Released)], holder: &Holder) -> Vec<Released> {
+    let own = released.iter().filter(|(h, _)| h == holder);
+    own.map(|(_, r)| r.clone()).collect()
+}
+
 /// Returns the ranges to grant to a backend server: all that it holds, except those being moved.
 fn grants(table: &AssignmentTable, holder: &Holder, holds: &[Hold]) -> Vec<RangeGrant> {
     let already_holds = |s: &Slice| {
--- a/tests/sidecar/restarts.rs
+++ b/tests/sidecar/restarts.rs
@@ -8,10 +8,11 @@
 
 use filbertflow::coordination::sidecar::departures::Departed;
 use filbertflow::coordination::sidecar::dispatcher::Dispatcher;
-use filbertflow::coordination::sidecar::grant_manager::Incarnation;
+use filbertflow::coordination::sidecar::grant_manager::{self, Incarnation};
 use filbertflow::coordination::sidecar::heartbeats::Freshness;
 use filbertflow::coordination::sidecar::local_backend::Backend;
 use filbertflow::metrics::Metrics;
+use filbertflow::protocol::adapter::{Hold, Released};
 use filbertflow::protocol::mesh::{Health, RateLimit, Reminder};
 use filbertflow::state::clock::Instant;
 use filbertflow::state::keyspace::Holder;
@@ -206,3 +207,37 @@
     assert_eq!(dispatcher.load().limit, RateLimit::PerSecond(5.0));
     assert_eq!(dispatcher.health(), Health::Leaving);
 }
+
+/// The store was restored, and a restarted node doesn't know the table. Its first heartbeat is a late one
+/// of an earlier incarnation. Guards against a claim that leaves out what the later one holds.
+#[test]
+fn late_heartbeat_is_no_claim() {
+    let hold = Hold {
+        from: 0,
+        to: 9,
+        token: 3,
+    };
+    let reported = (holder("i", 5), vec![hold]);
+    assert_eq!(grant_manager::claimed_slices(Some(&reported), false), None);
+    assert_eq!(grant_manager::claimed_slices(None, false), None);
+    let claimed = grant_manager::claimed_slices(Some(&reported), true).unwrap();
+    let holders: Vec<_> = claimed.into_iter().map(|s| s.holder).collect();
+    assert_eq!(holders, [Some(holder("i", 5))]);
+    assert_eq!(grant_manager::claimed_slices(None, true), Some(Vec::new()));
+}
+
+/// Guards against passing the handover proof of an earlier incarnation on for the ranges of a later one.
+#[test]
+fn proofs_are_those_of_the_holder() {
+    let proof = |text: &str| Released {
+        from: 0,
+        to: 9,
+        handover: text.to_owned(),
+    };
+    let released = [
+        (holder("i", 5), proof("early")),
+        (holder("j", 9), proof("late")),
+    ];
+    let own = grant_manager::released_by(&released, &holder("j", 9));
+    assert_eq!(own, [proof("late")]);
+}
