Send the request's identifier with the refusals of the test server

Cause: the test double of a backend server left `filbert-id` out of its refusals, which docs/design.md requires of all responses to requests. The node took each refusal for a response to another request (event 513, "response has request id None"), so the outcome of a request that was refused without running was unknown ("mismatch"). Change: refusals and the response to an incomplete body carry the identifier. The product is right to call such a response unknown.

--- a/standins/src/backend/server.rs
+++ b/standins/src/backend/server.rs
@@ -125,14 +125,15 @@
         let absolute = expires.map(Duration::from_millis);
         let deadline = relative.into_iter().chain(absolute).min();
         let Ok(body) = http::read_body(&mut request) else {
-            return http::respond(request, http::text_response(400, "body is incomplete"));
+            let response = http::text_response(400, "body is incomplete");
+            return http::respond(request, identified(response, &work.id));
         };
         let result = self
             .admit(&work, deadline)
             .and_then(|()| self.execute(&work, deadline));
         if let Err(reason) = result {
             self.requests.record_refusal();
-            return http::respond(request, refusal_response(reason));
+            return http::respond(request, identified(refusal_response(reason), &work.id));
         }
         let echo = Echo {
             id: work.id.clone(),
@@ -224,12 +225,17 @@
     http::text_response(503, reason).with_header(http::header("filbert-refused", reason))
 }
 
+/// Adds the identifier of the request, which all responses to requests carry: without it a node can't
+/// tell that a refusal is of this request, and takes its outcome for unknown.
+fn identified(response: http::BufferedResponse, id: &str) -> http::BufferedResponse {
+    response.with_header(http::header("filbert-id", id))
+}
+
 fn send_response(request: Request, mut echo: Echo, defect: mode::Defect) {
     if defect == mode::Defect::WrongId {
         OTHER_ID.clone_into(&mut echo.id);
     }
-    let response =
-        http::json_response(200, &echo).with_header(http::header("filbert-id", &echo.id));
+    let response = identified(http::json_response(200, &echo), &echo.id);
     if defect != mode::Defect::Truncated {
         return http::respond(request, response);
     }
