Report a rising failure rate at once

Cause: a load report was due for a changed number of requests, health or limit, but not for the failure rate. With requests one after the other, all nodes went on sending to a backend server that fails at once for up to 1 s. Change: a rise of 0.1, two failures in a row, makes a report due to the nodes that get prompt ones.

--- a/src/coordination/sidecar/reports.rs
+++ b/src/coordination/sidecar/reports.rs
@@ -26,6 +26,11 @@
 /// Change of the number of running and queued requests that triggers a report.
 const MIN_REQUEST_CHANGE: u32 = 2;
 
+/// Rise of the failure rate that triggers a report, about that of two failed requests in a row. Without
+/// it, all nodes go on sending to a backend server that fails at once for up to `MAX_INTERVAL`, since the
+/// number of its requests hardly changes.
+const MIN_FAILURE_RISE: f64 = 0.1;
+
 /// Maximum number of nodes of a small fleet. Above it, reports depend on the receiver, and their
 /// interval grows with the number of nodes.
 const SMALL_FLEET_NODES: usize = 20;
@@ -64,10 +69,11 @@
     let availability = load.health != sent.health || load.stopping != sent.stopping;
     // Nodes request newer state from their own failure domain first.
     let limit = load.limit != sent.limit;
+    let failing = load.failing - sent.failing >= MIN_FAILURE_RISE;
     let state = load.config != sent.config || load.store_up != sent.store_up;
     age >= max_interval
         || availability
-        || (prompt && limit)
+        || (prompt && (limit || failing))
         || (prompt && requests(load).abs_diff(requests(sent)) >= MIN_REQUEST_CHANGE)
         || ((prompt || is_watcher) && state)
         || (is_watcher && load.items != sent.items)
--- a/tests/sidecar/reports.rs
+++ b/tests/sidecar/reports.rs
@@ -58,6 +58,11 @@
     one_request_more: Load { running: 1, ..Load::default() }, false => false;
     two_requests_more: Load { running: 1, queued: 1, ..Load::default() }, false => true;
     leaving: Load { health: Health::Leaving, ..Load::default() }, false => true;
+    /// Guards against a report per failed request.
+    one_failure: Load { failing: 0.06, ..Load::default() }, false => false;
+    /// Requests come one after the other. Guards against sending them on to a backend server that fails
+    /// at once until the next report is due by age.
+    two_failures: Load { failing: 0.11, ..Load::default() }, false => true;
     limit: Load { limit: RateLimit::PerSecond(5.0), ..Load::default() }, false => true;
     /// Guards against a change of an assignment table that other nodes learn of late.
     table_seen_by_a_watcher: Load { items: Revision::new(Era(0), 7), ..Load::default() }, true => true;
@@ -81,6 +86,8 @@
     /// 194 hosts, each of which calls a few others. Guards against 193 reports of each host to nodes
     /// that don't call it.
     busier_is_not_due_to_idle: Load { running: 9, ..Load::default() }, false => false;
+    /// Guards against reports of each failing backend server to all nodes.
+    failures_are_not_due_to_idle: Load { failing: 0.5, ..Load::default() }, false => false;
     /// Guards against calls to a draining backend server or a stopping node.
     leaving_is_due_to_idle: Load { health: Health::Leaving, ..Load::default() }, false => true;
     stopping_is_due_to_idle: Load { stopping: true, ..Load::default() }, false => true;
