--- a/src/coordination/sidecar/grant_manager.rs
+++ b/src/coordination/sidecar/grant_manager.rs
@@ -14,6 +14,7 @@
 use crate::coordination::sidecar::dispatcher::Dispatcher;
 use crate::coordination::sidecar::local_backend::Backend;
 use crate::coordination::sidecar::registration::Registration;
+use crate::coordination::sidecar::reported_holds;
 use crate::coordination::sidecar::tables::{Table, Tables};
 use crate::protocol::adapter::{GrantSet, Heartbeat, Hold, RangeGrant, Released};
 use crate::protocol::mesh::Claim;
@@ -222,7 +223,7 @@
     /// held.
     fn reported_slices(&self) -> Option<Vec<Slice>> {
         let reported = self.reported.borrow();
-        claimed_slices(reported.as_ref(), self.is_expired(None))
+        reported_holds::claimed_slices(reported.as_ref(), self.is_expired(None))
     }
 
     /// Records the ranges that the backend server has freed in the table.
@@ -231,7 +232,7 @@
             return;
         }
         let holder = backend.holder.clone();
-        let releases = released_by(&self.released.borrow(), &holder);
+        let releases = reported_holds::released_by(&self.released.borrow(), &holder);
         let done = self
             .tables
             .update(&backend.service, &[], |table| {
@@ -450,39 +451,6 @@
     now > last_expiry.unwrap_or(earlier).max(earlier)
 }
 
-/// Returns what a backend server holds, as it has reported itself. Returns `None` as long as grants of an
-/// earlier process may be in force: a first heartbeat may be a late one of an earlier incarnation, and
-/// then doesn't tell what the later one holds.
-#[must_use]
-pub fn claimed_slices(
-    reported: Option<&(Holder, Vec<Hold>)>,
-    earlier_expired: bool,
-) -> Option<Vec<Slice>> {
-    if !earlier_expired {
-        return None;
-    }
-    let Some((holder, holds)) = reported else {
-        return Some(Vec::new());
-    };
-    let slice = |hold: &Hold| Slice {
-        from: hold.from,
-        to: hold.to,
-        token: hold.token,
-        holder: Some(holder.clone()),
-        target: None,
-        handover: String::new(),
-    };
-    Some(holds.iter().map(slice).collect())
-}
-
-/// Returns the releases that one incarnation has reported. The proofs of another one don't count for its
-/// ranges.
-#[must_use]
-pub fn released_by(released: &[(Holder, Released)], holder: &Holder) -> Vec<Released> {
-    let own = released.iter().filter(|(h, _)| h == holder);
-    own.map(|(_, r)| r.clone()).collect()
-}
-
 /// Returns the ranges to grant to a backend server: all that it holds, except those being moved.
 fn grants(table: &AssignmentTable, holder: &Holder, holds: &[Hold]) -> Vec<RangeGrant> {
     let already_holds = |s: &Slice| {
--- a/src/coordination/sidecar/heartbeats.rs
+++ b/src/coordination/sidecar/heartbeats.rs
@@ -122,7 +122,7 @@
                 time::sleep(TABLES_POLL_INTERVAL).await;
             }
         };
-        let (_, read) = tokio::join!(self.departures.wait_loaded(), time::timeout(wait, tables));
+        let ((), read) = tokio::join!(self.departures.wait_loaded(), time::timeout(wait, tables));
         if read.is_err() {
             tracing::warn!(
                 event = 384,
--- a/src/coordination/sidecar/mod.rs
+++ b/src/coordination/sidecar/mod.rs
@@ -36,6 +36,7 @@
 pub mod registration;
 pub mod replica;
 pub mod replication;
+pub mod reported_holds;
 pub mod reports;
 pub mod request_context;
 pub mod retry_budget;
--- a/standins/tests/refusals.rs
+++ b/standins/tests/refusals.rs
@@ -1,5 +1,7 @@
 //! Refusals of the backend server.
 
+#![expect(clippy::unwrap_used, reason = "a failed step ends the test")]
+
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
--- a/tests/sidecar/restarts.rs
+++ b/tests/sidecar/restarts.rs
@@ -8,9 +8,10 @@
 
 use filbertflow::coordination::sidecar::departures::Departed;
 use filbertflow::coordination::sidecar::dispatcher::Dispatcher;
-use filbertflow::coordination::sidecar::grant_manager::{self, Incarnation};
+use filbertflow::coordination::sidecar::grant_manager::Incarnation;
 use filbertflow::coordination::sidecar::heartbeats::Freshness;
 use filbertflow::coordination::sidecar::local_backend::Backend;
+use filbertflow::coordination::sidecar::reported_holds;
 use filbertflow::metrics::Metrics;
 use filbertflow::protocol::adapter::{Hold, Released};
 use filbertflow::protocol::mesh::{Health, RateLimit, Reminder};
@@ -218,12 +219,12 @@
         token: 3,
     };
     let reported = (holder("i", 5), vec![hold]);
-    assert_eq!(grant_manager::claimed_slices(Some(&reported), false), None);
-    assert_eq!(grant_manager::claimed_slices(None, false), None);
-    let claimed = grant_manager::claimed_slices(Some(&reported), true).unwrap();
+    assert_eq!(reported_holds::claimed_slices(Some(&reported), false), None);
+    assert_eq!(reported_holds::claimed_slices(None, false), None);
+    let claimed = reported_holds::claimed_slices(Some(&reported), true).unwrap();
     let holders: Vec<_> = claimed.into_iter().map(|s| s.holder).collect();
     assert_eq!(holders, [Some(holder("i", 5))]);
-    assert_eq!(grant_manager::claimed_slices(None, true), Some(Vec::new()));
+    assert_eq!(reported_holds::claimed_slices(None, true), Some(Vec::new()));
 }
 
 /// Guards against passing the handover proof of an earlier incarnation on for the ranges of a later one.
@@ -238,6 +239,6 @@
         (holder("i", 5), proof("early")),
         (holder("j", 9), proof("late")),
     ];
-    let own = grant_manager::released_by(&released, &holder("j", 9));
+    let own = reported_holds::released_by(&released, &holder("j", 9));
     assert_eq!(own, [proof("late")]);
 }
