Write the record of an unknown departure until the store has it

Cause: nothing woke the task that repeats the write of a departure record when the notice was of a server that the process doesn't know, and a leaving server with an earlier start came before the record that is missing. Change: an unwritten departure wakes the task, and missing records come first. The new test passes without the wake-up too, since the configuration that arrives after the outage wakes the task as well, so it wasn't seen to fail.

--- a/src/coordination/sidecar/departures.rs
+++ b/src/coordination/sidecar/departures.rs
@@ -121,6 +121,8 @@
     started: Instant,
     loaded: Cell<bool>,
     load_done: Notify,
+    /// Notified of a departure whose record isn't written yet.
+    pub unwritten: Notify,
 }
 
 impl Departures {
@@ -138,6 +140,7 @@
             started: Instant::now(),
             loaded: Cell::new(false),
             load_done: Notify::new(),
+            unwritten: Notify::new(),
         })
     }
 
@@ -278,6 +281,7 @@
             *self.last.borrow_mut() = Some(departed.clone());
             self.departed_at.set(Instant::now());
             self.written.set(None);
+            self.unwritten.notify_one();
         }
         let write = async {
             let _writing = self.writing.lock().await;
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -439,6 +439,7 @@
                     tokio::select! {
                         () = self.state_changed.notified() => {}
                         () = self.store.era_changed.notified() => {}
+                        () = self.departures.unwritten.notified() => {}
                     }
                 }
                 Some(departed) => {
@@ -454,10 +455,10 @@
     fn unrecorded_departure(&self) -> Option<Departed> {
         let backend = self.dispatcher.backend();
         let leaving = backend.filter(|b| b.draining_since.is_some());
-        leaving
-            .filter(|b| !self.departures.is_recorded(&b.holder))
-            .map(|b| Departed::from(&b.holder))
-            .or_else(|| self.departures.missing_record())
+        let unrecorded = leaving.filter(|b| !self.departures.is_recorded(&b.holder));
+        self.departures
+            .missing_record()
+            .or_else(|| unrecorded.map(|b| Departed::from(&b.holder)))
     }
 
     async fn check_links(&self) {
