--- a/src/coordination/sidecar/grant_manager.rs
+++ b/src/coordination/sidecar/grant_manager.rs
@@ -2,15 +2,19 @@
 //!
 //! The assignment table says which keys the backend server may hold. While the node's entry exists,
 //! only this node takes keys away from the backend server: when it has reported their release, when
-//! its grant has expired without a heartbeat, or when a new incarnation of it has started.
+//! its grant has expired without a heartbeat, or when a new incarnation of it has started. Which of two
+//! incarnations is the new one is told by their start: the first heartbeat that reaches a restarted node
+//! may be an old one, while the table already has a later incarnation.
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Ordering;
 use std::rc::Rc;
 use std::time::Duration;
 
 use crate::coordination::sidecar::dispatcher::Dispatcher;
 use crate::coordination::sidecar::local_backend::Backend;
 use crate::coordination::sidecar::registration::Registration;
+use crate::coordination::sidecar::reported_holds;
 use crate::coordination::sidecar::tables::{Table, Tables};
 use crate::protocol::adapter::{GrantSet, Heartbeat, Hold, RangeGrant, Released};
 use crate::protocol::mesh::Claim;
@@ -32,7 +36,7 @@
 
 /// Time without a heartbeat after which a backend server counts as disconnected; above two heartbeat
 /// intervals.
-const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(2);
+pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Maximum number of ranges in a heartbeat's reply, which is limited to 4 KiB.
 const MAX_RANGES: usize = 90;
@@ -47,10 +51,11 @@
     tables: Rc<Tables>,
     registration: Rc<Registration>,
     started: Instant,
-    /// Time at which all grants of this process have expired.
-    last_expiry: Cell<Option<Instant>>,
+    /// Time at which all grants of this process have expired, by holder; the last ones only.
+    expiries: RefCell<Vec<(Holder, Instant)>>,
     withheld: RefCell<WithheldRanges>,
-    released: RefCell<Vec<Released>>,
+    /// Ranges that a holder has reported as released.
+    released: RefCell<Vec<(Holder, Released)>>,
     /// Set while a change of a table is in flight.
     updating: Cell<bool>,
     /// Set while ranges are being revoked; none is granted meanwhile.
@@ -93,7 +98,7 @@
             tables,
             registration,
             started: Instant::now(),
-            last_expiry: Cell::new(None),
+            expiries: RefCell::default(),
             withheld: RefCell::default(),
             released: RefCell::new(Vec::new()),
             updating: Cell::new(false),
@@ -106,13 +111,26 @@
     /// Returns whether all grants of this process and of earlier processes of the node have expired.
     #[must_use]
     pub fn all_expired(&self) -> bool {
+        let expiries = self.expiries.borrow();
+        self.is_expired(expiries.iter().map(|(_, expiry)| *expiry).max())
+    }
+
+    /// Returns whether the grants of one holder have expired.
+    fn has_expired(&self, holder: &Holder) -> bool {
+        let expiries = self.expiries.borrow();
+        let own = expiries.iter().find(|(h, _)| h == holder);
+        self.is_expired(own.map(|(_, expiry)| *expiry))
+    }
+
+    fn is_expired(&self, last_expiry: Option<Instant>) -> bool {
         let max_grant = self.max_hold.min(GRANT_DURATION);
-        grants_expired(
-            self.last_expiry.get(),
-            self.started,
-            max_grant,
-            Instant::now(),
-        )
+        grants_expired(last_expiry, self.started, max_grant, Instant::now())
+    }
+
+    fn record_expiry(&self, holder: &Holder, expiry: Instant) {
+        let mut expiries = self.expiries.borrow_mut();
+        expiries.retain(|(h, e)| h != holder && e.is_ahead());
+        expiries.push((holder.clone(), expiry));
     }
 
     /// Processes the ranges of a heartbeat. Returns the grants of the reply, or `None` to renew nothing,
@@ -122,9 +140,10 @@
         heartbeat: &Heartbeat,
         backend: &Backend,
     ) -> (Option<GrantSet>, FreeRanges) {
+        let released = heartbeat.released.iter().cloned();
         self.released
             .borrow_mut()
-            .extend(heartbeat.released.iter().cloned());
+            .extend(released.map(|r| (backend.holder.clone(), r)));
         let reported = (backend.holder.clone(), heartbeat.holds.clone());
         *self.reported.borrow_mut() = Some(reported);
         let reply = self.reply(heartbeat, backend);
@@ -157,8 +176,7 @@
                 .mul_f64(GRANT_FRACTION),
         };
         let expiry = now + grants.valid_for.mul_f64(SLOW_CLOCK_FACTOR) + EXPIRY_MARGIN;
-        self.last_expiry
-            .set(self.last_expiry.get().max(Some(expiry)));
+        self.record_expiry(&backend.holder, expiry);
         let mine = table.assignments.held_by(&backend.holder);
         let moving = mine.filter(|s| s.target.is_some());
         let moving = moving.map(|s| (s.from, s.to)).collect();
@@ -201,22 +219,11 @@
         })
     }
 
-    /// Returns the ranges that the backend server has reported as held. Returns `None` if it has not
-    /// reported since the start of this process, and may still hold what an earlier one has granted.
+    /// Returns the ranges that the backend server has reported as held, once it tells all that may be
+    /// held.
     fn reported_slices(&self) -> Option<Vec<Slice>> {
         let reported = self.reported.borrow();
-        let Some((holder, holds)) = &*reported else {
-            return self.all_expired().then(Vec::new);
-        };
-        let slice = |hold: &Hold| Slice {
-            from: hold.from,
-            to: hold.to,
-            token: hold.token,
-            holder: Some(holder.clone()),
-            target: None,
-            handover: String::new(),
-        };
-        Some(holds.iter().map(slice).collect())
+        reported_holds::claimed_slices(reported.as_ref(), self.is_expired(None))
     }
 
     /// Records the ranges that the backend server has freed in the table.
@@ -224,8 +231,8 @@
         if free.is_empty() || self.updating.replace(true) {
             return;
         }
-        let releases = self.released.borrow().clone();
         let holder = backend.holder.clone();
+        let releases = reported_holds::released_by(&self.released.borrow(), &holder);
         let done = self
             .tables
             .update(&backend.service, &[], |table| {
@@ -236,7 +243,8 @@
         match done {
             Ok(true) => {
                 tracing::info!(event = 451, backend = %holder.backend, ranges = ?free, "passed released ranges on to their next holders");
-                self.released.borrow_mut().clear();
+                let recorded = |(h, r): &(Holder, Released)| *h == holder && releases.contains(r);
+                self.released.borrow_mut().retain(|r| !recorded(r));
             }
             Ok(false) => {}
             Err(e) => {
@@ -257,7 +265,6 @@
         }
         self.resolve_change().await;
         let current = self.dispatcher.backend();
-        let expired = self.all_expired();
         for service in self.tables.services() {
             let Some(table) = self.tables.confirmed(&service) else {
                 continue;
@@ -266,13 +273,9 @@
             let mine = holders.into_iter().filter(|h| h.node == self.node);
             for holder in mine {
                 let live = current.as_ref().filter(|b| b.holder == *holder);
-                let incarnation = match (&current, live) {
-                    (_, Some(_)) => Incarnation::Current,
-                    (Some(_), None) => Incarnation::Previous,
-                    (None, None) => Incarnation::Unknown,
-                };
+                let incarnation = Incarnation::of(holder, current.as_ref().map(|b| &b.holder));
                 let silence = live.map_or(Duration::MAX, |b| now.since(b.last_heartbeat));
-                if should_revoke(incarnation, expired, silence) {
+                if should_revoke(incarnation, self.has_expired(holder), silence) {
                     let next = current.as_ref().filter(|b| {
                         b.service == service && b.draining_since.is_none() && live.is_none()
                     });
@@ -396,10 +399,23 @@
     Current,
     /// An earlier one, which has ended.
     Previous,
-    /// No heartbeat has arrived since this process started.
+    /// No heartbeat has arrived since this process started, or it isn't known to have started before the
+    /// one that sends them: the heartbeats may be late ones, and this one may be up.
     Unknown,
 }
 
+impl Incarnation {
+    /// Returns how a holder on this node relates to the backend server that has registered, if any has.
+    #[must_use]
+    pub fn of(holder: &Holder, current: Option<&Holder>) -> Self {
+        match current.and_then(|c| holder.start_order(c)) {
+            Some(Ordering::Equal) => Self::Current,
+            Some(Ordering::Less) => Self::Previous,
+            Some(Ordering::Greater) | None => Self::Unknown,
+        }
+    }
+}
+
 /// Returns whether a holder's ranges are to be revoked. One that still sends heartbeats keeps them,
 /// also after an outage in which nothing could be granted, since its next heartbeat renews them.
 #[must_use]
--- a/src/coordination/sidecar/reports.rs
+++ b/src/coordination/sidecar/reports.rs
@@ -29,6 +29,11 @@
 /// Ratio of the present speed of a backend server to the reported one that triggers a report.
 const MIN_SPEED_CHANGE: f64 = 1.5;
 
+/// Rise of the failure rate that triggers a report, about that of two failed requests in a row. Without
+/// it, all nodes go on sending to a backend server that fails at once for up to `MAX_INTERVAL`, since the
+/// number of its requests hardly changes.
+const MIN_FAILURE_RISE: f64 = 0.1;
+
 /// Maximum number of nodes of a small fleet. Above it, reports depend on the receiver, and their
 /// interval grows with the number of nodes.
 const SMALL_FLEET_NODES: usize = 20;
@@ -74,9 +79,10 @@
     let state = load.config != sent.config
         || load.store_up != sent.store_up
         || evacuations(load) != evacuations(sent);
+    let failing = load.failing - sent.failing >= MIN_FAILURE_RISE;
     age >= max_interval
         || availability
-        || (prompt && (limit || speed))
+        || (prompt && (limit || speed || failing))
         || (prompt && requests(load).abs_diff(requests(sent)) >= MIN_REQUEST_CHANGE)
         || ((prompt || is_watcher) && state)
         || (is_watcher && load.items != sent.items)
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -35,6 +35,7 @@
 mod replica;
 mod replies;
 mod reports;
+mod restarts;
 mod retry_budget;
 mod routes;
 mod service_times;
