--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -115,10 +115,10 @@
     pub target: String,
     /// Header lines to pass on.
     pub headers: Vec<http::Header>,
-    /// Body.
-    pub body: Body,
     /// Whether a backend server makes the call for a request that it runs.
     pub nested: bool,
+    /// Body; the last field, since a large body is written behind the encoded rest of its frame.
+    pub body: Body,
 }
 
 impl Call {
--- a/tests/sidecar/restarts.rs
+++ b/tests/sidecar/restarts.rs
@@ -8,6 +8,7 @@
 
 use filbertflow::coordination::sidecar::departures::Departed;
 use filbertflow::coordination::sidecar::dispatcher::Dispatcher;
+use filbertflow::coordination::sidecar::evacuation::Evacuations;
 use filbertflow::coordination::sidecar::grant_manager::Incarnation;
 use filbertflow::coordination::sidecar::heartbeats::Freshness;
 use filbertflow::coordination::sidecar::local_backend::Backend;
@@ -193,6 +194,7 @@
         Rc::new(Plain),
         Duration::from_secs(2),
         Rc::new(Notify::new()),
+        Evacuations::new(Rc::new(Plain), "a", None, Metrics::default()),
         Metrics::default(),
     );
     dispatcher.recall(Reminder {
