Close stalled connections of few bytes when all places are taken

Cause: found in review: only idle connections made room for new callers, so 220 connections with one byte of a ten-byte body each kept ordinary callers out. Also, a body whose reservation grew only after relief was read into a buffer that doubles. Change: without an idle connection, the one that has been longest without progress is closed, however few bytes it holds. The buffer is allocated at its size in that case too. Measured: callers::tiny_bodies_that_stop_short, "an ordinary request gets no answer" before, passes after. Open: responses up to 64 KiB from other nodes and the heads of pipelined requests aren't counted (docs/design/byte-budget.md).

--- a/src/transport/sidecar/byte_budget.rs
+++ b/src/transport/sidecar/byte_budget.rs
@@ -297,14 +297,14 @@
         }
     }
 
-    /// Registers a caller's connection; closes an idle one if there are too many, and returns `None` if
-    /// there is none to close.
+    /// Registers a caller's connection; closes an idle one if there are too many, or one without progress,
+    /// and returns `None` if there is none to close.
     pub async fn register(self: &Rc<Self>) -> Option<Registered> {
         for round in 0..RELIEF_WAITS {
             if self.callers.borrow().len() < self.max_callers {
                 return Some(self.add());
             }
-            self.close_idle();
+            self.close_least_useful();
             wait_for_relief(round).await;
         }
         self.record_shortage("connections");
@@ -332,7 +332,10 @@
         }
     }
 
-    fn close_idle(&self) {
+    /// Closes an idle connection. If there is none, closes the one that has been longest without progress,
+    /// however few bytes it holds.
+    fn close_least_useful(&self) {
+        let now = Instant::now();
         let callers = self.callers.borrow();
         let idle = callers
             .values()
@@ -340,6 +343,12 @@
         if let Some(connection) = idle.min_by_key(|c| (c.served.get(), c.progressed.get())) {
             self.record("idle");
             connection.close();
+            return;
+        }
+        let stalled = callers.values().filter(|c| c.is_stalled(now));
+        if let Some(connection) = stalled.min_by_key(|c| c.progressed.get()) {
+            self.record("stalled");
+            connection.close();
         }
     }
 
--- a/src/transport/sidecar/caller.rs
+++ b/src/transport/sidecar/caller.rs
@@ -348,10 +348,11 @@
                     Parsed::Input(input) => return input,
                     Parsed::Incomplete => {}
                     Parsed::Needs(bytes) => {
-                        let partial = self.partial.as_mut();
-                        if let Some(held) = partial.and_then(|p| p.held.as_mut())
+                        if let Some(partial) = self.partial.as_mut()
+                            && let Some(held) = partial.held.as_mut()
                             && self.budget.grow(held, bytes, Purpose::Request).await
                         {
+                            partial.body.allocate();
                             continue;
                         }
                         return self.refuse();
