Report the running copies of a request that a retry makes suspected

Cause: found in review: a node whose retried request has crashed a backend server elsewhere usually has the reply before the report of the crash. It suspected the request then without naming the copy at its own backend server, so another one could be allowed beside it. Event 562 also hashed each body that a backend server refused, although nothing was suspected. Change: suspect_retry reports the running copies of a new suspect. 562 has `request` only for a connection that broke, or while something is suspected.

--- a/src/coordination/sidecar/dispatcher.rs
+++ b/src/coordination/sidecar/dispatcher.rs
@@ -676,7 +676,12 @@
                 Outcome::Unknown(Failure::after_send(cause))
             }
         };
-        tracing::info!(event = 562, id = %call.id, request = %call.fingerprint(), outcome = ?outcome, took_ms = took.as_millis(), failing = self.failure_rate(), "no response from the backend server");
+        let request = match &outcome {
+            Outcome::Unknown(f) if f.cause == Cause::Broken => Some(call.fingerprint()),
+            _ => self.isolation.fingerprint(call),
+        };
+        let request = request.map(tracing::field::display);
+        tracing::info!(event = 562, id = %call.id, request, outcome = ?outcome, took_ms = took.as_millis(), failing = self.failure_rate(), "no response from the backend server");
         outcome
     }
 }
--- a/src/coordination/sidecar/isolation.rs
+++ b/src/coordination/sidecar/isolation.rs
@@ -208,8 +208,13 @@
 
     /// Suspects a request that this node sends again after a backend server broke off under it.
     pub fn suspect_retry(&self, call: &Call) {
-        let mut quarantine = self.quarantine.borrow_mut();
-        quarantine.suspect_retry(call.fingerprint(), Instant::now());
+        let request = call.fingerprint();
+        let known = self.quarantine.borrow().contains(request);
+        self.update(|q| q.suspect_retry(request, Instant::now()));
+        if !known {
+            // The report of the crash doesn't make it a suspect here any more.
+            self.report_running(&[request]);
+        }
     }
 
     /// Sends a node what is known of a request before the request itself.
--- a/tests/sidecar/quarantine.rs
+++ b/tests/sidecar/quarantine.rs
@@ -1,11 +1,17 @@
 //! Requests that crash backend servers, as counted by several nodes. The pattern is a poison pill: work
 //! that takes down whoever picks it up, and is handed to the next one.
 
+use std::rc::Rc;
+use std::thread;
 use std::time::Duration;
 
+use filbertflow::coordination::sidecar::isolation::Isolation;
 use filbertflow::coordination::sidecar::quarantine::{MAX_CRASHES, Quarantine, Verdict};
 use filbertflow::state::clock::Instant;
 use filbertflow::state::fingerprint::Fingerprint;
+use filbertflow::state::routes::Repeat;
+
+use crate::links;
 
 const POISON: Fingerprint = Fingerprint(1);
 const OTHER: Fingerprint = Fingerprint(2);
@@ -350,3 +356,20 @@
         assert_ne!(one, other);
     }
 }
+
+/// A repeatable request runs at the local backend server while another node's crashes under a second copy,
+/// and the reply of that node arrives before its report of the crash. Guards against a further copy that is
+/// allowed beside the one that runs here.
+#[test]
+fn copies_of_a_retried_request_are_known() {
+    let isolation = Isolation::default();
+    let call = Rc::new(links::call(Repeat::Idempotent, 1000));
+    let deadline = Instant::now() + Duration::from_secs(5);
+    let running = isolation.register(&call, deadline);
+    isolation.suspect_retry(&call);
+    // The pause after a crash is over.
+    thread::sleep(Duration::from_millis(1300));
+    assert!(matches!(isolation.check(&call), Verdict::Busy(_)));
+    drop(running);
+    assert!(!matches!(isolation.check(&call), Verdict::Clear));
+}
