Keep the cold rate after a failed check of a server that was down

Cause: found in review: a closed port made the warm-up unknown, and the next check that failed, because the server was still starting, lifted the limit of a server that was about to be cold. Change: a failed check tells nothing until a heartbeat has come. Measured: warmup::failed_check_says_nothing_of_a_server_that_was_down failed before and passes after; quarantine and warmup tests: 34 passed.

--- a/src/coordination/sidecar/warmup.rs
+++ b/src/coordination/sidecar/warmup.rs
@@ -221,10 +221,14 @@
                     self.phase = Phase::Warm;
                 }
             }
-            Check::Unreachable => self.phase = Phase::Unknown,
-            // What heartbeats have said last holds.
+            Check::Unreachable => {
+                self.phase = Phase::Unknown;
+                self.heartbeat = None;
+            }
+            // What heartbeats have said last holds; without any, nothing is known.
             Check::Failed => match self.phase {
                 Phase::Cold { until } if until > now => {}
+                Phase::Unknown if self.heartbeat.is_none() => {}
                 Phase::Unknown | Phase::Cold { .. } | Phase::Warm => self.phase = Phase::Warm,
             },
         }
--- a/tests/sidecar/warmup.rs
+++ b/tests/sidecar/warmup.rs
@@ -316,3 +316,25 @@
     let unknown = WarmupLimits::new(None, EXCESS);
     assert!(unknown.rate <= EXCESS.slack, "{unknown:?}");
 }
+
+/// A backend server's port is closed, and the health check after it is answered without the warm-up time,
+/// since the server is still starting. Guards against the usual rate for a server that is cold.
+#[test]
+fn failed_check_says_nothing_of_a_server_that_was_down() {
+    let start = Instant::now();
+    let mut warmup = Warmup::new(WarmupLimits::new(Some(RATE), EXCESS));
+    let check = |warmup: &mut Warmup, result, at| {
+        warmup.record_check(start + ms(at));
+        warmup.record_result(result, start + ms(at + 3));
+    };
+    warmup.record_heartbeat(start, start);
+    check(&mut warmup, Check::Answered(Duration::ZERO), 100);
+    assert!(!warmup.is_cold());
+    check(&mut warmup, Check::Unreachable, 600);
+    check(&mut warmup, Check::Failed, 1100);
+    assert!(warmup.is_cold());
+    // A heartbeat shows that it is up; the next answer tells the rest.
+    warmup.record_heartbeat(start + ms(1300), start + ms(1300));
+    check(&mut warmup, Check::Answered(Duration::ZERO), 1400);
+    assert!(!warmup.is_cold());
+}
