--- a/src/coordination/sidecar/evacuation.rs
+++ b/src/coordination/sidecar/evacuation.rs
@@ -25,7 +25,7 @@
 use crate::state::keyspace::Holder;
 use crate::state::store_revision::{Era, Revision};
 
-pub use exchange::Told;
+pub use exchange::SentStates;
 
 /// Share of the bound for which a keyed backend server still serves the keys that it holds, while they
 /// move: with bounds of 5 s a move takes about 2.2 s, and news of the evacuation less than 2 s.
--- a/src/coordination/sidecar/evacuation/exchange.rs
+++ b/src/coordination/sidecar/evacuation/exchange.rs
@@ -8,13 +8,13 @@
 use crate::state::clock::Instant;
 use crate::transport::sidecar::links::Link;
 
-/// Process of each node that was told of a state, and the hash of that state.
-pub type Told = HashMap<String, (u64, u64)>;
+/// State that was last sent to each node: the incarnation of its process, and the hash of the state.
+pub type SentStates = HashMap<String, (u64, u64)>;
 
 impl Evacuations {
     /// Sends the state to each process that has just connected, and from a watcher of the store to all
     /// nodes when it has changed.
-    pub fn tell(&self, links: &[Rc<Link>], is_watcher: bool, told: &mut Told) {
+    pub fn notify_peers(&self, links: &[Rc<Link>], is_watcher: bool, sent: &mut SentStates) {
         let Some(digest) = self.digest() else {
             self.check_start();
             return;
@@ -22,17 +22,17 @@
         for link in links {
             let Some(incarnation) = link.incarnation().filter(|_| link.is_connected()) else {
                 // What was sent last may be lost with the connection.
-                told.remove(&link.node);
+                sent.remove(&link.node);
                 continue;
             };
-            let before = told.get(&link.node).filter(|t| t.0 == incarnation);
+            let before = sent.get(&link.node).filter(|t| t.0 == incarnation);
             let due = before.is_none_or(|t| is_watcher && t.1 != digest.content);
             if due && let Some(set) = self.to_set() {
                 link.send(Frame::Evacuations(Box::new(set)));
-                told.insert(link.node.clone(), (incarnation, digest.content));
+                sent.insert(link.node.clone(), (incarnation, digest.content));
             }
         }
-        told.retain(|node, _| links.iter().any(|l| l.node == *node));
+        sent.retain(|node, _| links.iter().any(|l| l.node == *node));
     }
 
     /// Logs once that requests are served although the state is unknown.
--- a/src/coordination/sidecar/isolation.rs
+++ b/src/coordination/sidecar/isolation.rs
@@ -51,7 +51,7 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Number of the connection to a node, and of the reports that were sent over it.
-type Told = (u64, usize);
+type SentReports = (u64, usize);
 
 /// Isolation of the requests that crash backend servers.
 #[derive(Debug)]
@@ -59,11 +59,11 @@
     quarantine: RefCell<Quarantine>,
     /// Other nodes; none until the node has started.
     membership: RefCell<Option<Rc<MembershipView>>>,
-    told: RefCell<HashMap<String, Told>>,
+    sent: RefCell<HashMap<String, SentReports>>,
     /// Requests that run here without a permit, by the number of the run, with their deadlines.
     running: RefCell<HashMap<u64, (Rc<Call>, Instant)>>,
-    /// Notified when there is something to report.
-    news: Notify,
+    /// Notified when a report to other nodes is due.
+    report_due: Notify,
     /// Notified when a suspected request may have become ready.
     changed: Notify,
     /// Permits one suspected request at a time at the local backend server, so that no two are blamed for
@@ -76,9 +76,9 @@
         Self {
             quarantine: RefCell::default(),
             membership: RefCell::default(),
-            told: RefCell::default(),
+            sent: RefCell::default(),
             running: RefCell::default(),
-            news: Notify::new(),
+            report_due: Notify::new(),
             changed: Notify::new(),
             lane: Semaphore::new(1),
         }
@@ -158,7 +158,7 @@
     /// Changes what is known, and wakes those that wait for it or report it.
     fn update<T>(&self, change: impl FnOnce(&mut Quarantine) -> T) -> T {
         let result = change(&mut self.quarantine.borrow_mut());
-        self.news.notify_one();
+        self.report_due.notify_one();
         self.changed.notify_waiters();
         result
     }
@@ -408,7 +408,7 @@
         suspected.retain(|request| quarantine.contains(*request));
         drop(quarantine);
         self.report_running(&suspected);
-        self.news.notify_one();
+        self.report_due.notify_one();
         self.changed.notify_waiters();
     }
 
@@ -418,11 +418,11 @@
         loop {
             if self.quarantine.borrow().is_empty() {
                 let count = self.quarantine.borrow().report_count();
-                self.news.notified().await;
+                self.report_due.notified().await;
                 self.skip_reports(&membership, count);
             } else {
                 tokio::select! {
-                    () = self.news.notified() => {}
+                    () = self.report_due.notified() => {}
                     () = membership.report_changed.notified() => {}
                     () = time::sleep(CHECK_INTERVAL) => {}
                 }
@@ -433,18 +433,18 @@
             for link in &links {
                 self.report_to(link, now);
             }
-            let mut told = self.told.borrow_mut();
-            told.retain(|node, _| links.iter().any(|link| link.node == *node));
+            let mut sent = self.sent.borrow_mut();
+            sent.retain(|node, _| links.iter().any(|link| link.node == *node));
         }
     }
 
-    /// Marks all connections as told the first `count` reports, after a time in which nothing was known.
-    /// Otherwise each node would send all others what one of them has just told all.
+    /// Marks the first `count` reports as sent over all connections, after a time in which nothing was known.
+    /// Otherwise each node would send all others what one of them has just sent to all.
     fn skip_reports(&self, membership: &MembershipView, count: usize) {
         let links = membership.links();
         let connected = links.iter().filter(|link| link.is_connected());
-        let told = connected.map(|link| (link.node.clone(), (link.connection_number(), count)));
-        *self.told.borrow_mut() = told.collect();
+        let sent = connected.map(|link| (link.node.clone(), (link.connection_number(), count)));
+        *self.sent.borrow_mut() = sent.collect();
     }
 
     /// Sends a node what this one has seen since, and all that is known over a connection that is new.
@@ -455,11 +455,11 @@
         }
         let quarantine = self.quarantine.borrow();
         let (connection, count) = (link.connection_number(), quarantine.report_count());
-        let mut told = self.told.borrow_mut();
+        let mut sent = self.sent.borrow_mut();
         let current = (connection, count);
-        let before = match told.get_mut(&link.node) {
-            Some(told) => Some(mem::replace(told, current)),
-            None => told.insert(link.node.clone(), current),
+        let before = match sent.get_mut(&link.node) {
+            Some(sent) => Some(mem::replace(sent, current)),
+            None => sent.insert(link.node.clone(), current),
         };
         let reports = match before {
             Some((known, reported)) if known == connection => quarantine.reports_after(reported),
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -15,7 +15,7 @@
 use crate::coordination::sidecar::confirmation::{self, Confirmation};
 use crate::coordination::sidecar::departures::{Departed, Departures};
 use crate::coordination::sidecar::dispatcher::Dispatcher;
-use crate::coordination::sidecar::evacuation::{Evacuations, Told};
+use crate::coordination::sidecar::evacuation::{Evacuations, SentStates};
 use crate::coordination::sidecar::forwarders;
 use crate::coordination::sidecar::grant_manager::GrantManager;
 use crate::coordination::sidecar::heartbeats::HeartbeatHandler;
@@ -282,7 +282,7 @@
         self.spawn(|node| async move { node.forward_updates().await });
         self.spawn(|node| async move { node.plan().await });
         if self.evacuations.is_enabled() {
-            self.spawn(|node| async move { node.spread_evacuations().await });
+            self.spawn(|node| async move { node.notify_of_evacuations().await });
         }
         Ok(())
     }
@@ -420,8 +420,8 @@
     }
 
     /// Tells other nodes of evacuations, and refuses queued requests that one concerns.
-    async fn spread_evacuations(&self) {
-        let mut told = Told::new();
+    async fn notify_of_evacuations(&self) {
+        let mut sent = SentStates::new();
         loop {
             tokio::select! {
                 () = self.evacuations.changed.notified() => {}
@@ -430,7 +430,7 @@
             self.dispatcher.refuse_evacuated();
             let is_watcher = self.replicator.is_watcher();
             self.evacuations
-                .tell(&self.membership.links(), is_watcher, &mut told);
+                .notify_peers(&self.membership.links(), is_watcher, &mut sent);
         }
     }
 
