Compute the expected time at a candidate in one place

Cause: Candidate::expected_ms and WaitCurve::time_ms had the same formula. Change: expected_ms uses the curve, which has the wait for a limit now too.

--- a/src/coordination/sidecar/load_balancing.rs
+++ b/src/coordination/sidecar/load_balancing.rs
@@ -95,23 +95,8 @@
     /// failure domain.
     #[must_use]
     pub fn expected_ms(&self, objective_ms: f64) -> f64 {
-        let slots = f64::from(self.slots.max(1));
-        let service_ms = self.current_service_ms(objective_ms);
-        let outstanding = f64::from(self.outstanding);
-        let occupancy = (outstanding / slots).min(1.0);
-        let slot_wait = (outstanding + 1.0 - slots).max(0.0) * service_ms / slots;
-        let wait = slot_wait.max(self.limit.map_or(0.0, Limit::wait_ms));
-        let penalty = if self.same_domain {
-            0.0
-        } else {
-            CROSS_DOMAIN_PENALTY * objective_ms
-        };
-        let attempt_ms = service_ms * (1.0 + SATURATION_SLOWDOWN * occupancy.powi(3))
-            + wait
-            + penalty
-            + self.delay_ms;
-        let success = 1.0 - self.failure_rate.min(MAX_FAILURE_RATE);
-        attempt_ms / (success * success * success)
+        let curve = WaitCurve::new(self, 0.0, objective_ms);
+        curve.time_ms(curve.outstanding)
     }
 }
 
@@ -227,7 +212,12 @@
     fn time_ms(&self, requests: f64) -> f64 {
         let occupancy = (requests / self.slots).min(1.0);
         let slowdown = SATURATION_SLOWDOWN * self.service_ms * occupancy.powi(3);
-        let wait = (requests + 1.0 - self.slots).max(0.0) * self.service_ms / self.slots;
+        let slot_wait = (requests + 1.0 - self.slots).max(0.0) * self.service_ms / self.slots;
+        let limit_wait = self.limit.map_or(0.0, |limit| {
+            let room = limit.room - (requests - self.outstanding);
+            Limit { room, ..limit }.wait_ms()
+        });
+        let wait = slot_wait.max(limit_wait);
         (self.fixed_ms + slowdown + wait) * self.failure_factor
     }
 
