Review case 6: the same as a script, with keyed stand-ins

Change: a script, instances that hold keys, a store that is restored, and a loopback network of its own for each run.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds what the scripts in review/7 to review/9 start besides the project's own program: one
+# Builds what the scripts in review/6 to review/9 start besides the project's own program: one
 # program with the stand-ins of the store, the instances, the clients and the platform. It uses the
 # standard library only.
 set -eu
--- a/review/standin-2/crowd.rs
+++ b/review/standin-2/crowd.rs
@@ -129,6 +129,7 @@
     let deployment = Deployment {
         machines: &MACHINES,
         lost: &[LOST_SERVICE],
+        keyed: &[LOST_SERVICE],
         config: CONFIG,
         memory_mb: MEMORY_MB,
         work: Duration::from_millis(20),
--- a/review/standin-2/instance.rs
+++ b/review/standin-2/instance.rs
@@ -9,8 +9,13 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use crate::http;
+use crate::json;
+use crate::keys::Keys;
 use crate::record::Record;
 
+/// Pause before the next heartbeat while keys are to be released.
+const SOON: Duration = Duration::from_millis(80);
+
 /// How an instance is set up.
 #[derive(Debug, Clone)]
 pub struct Config {
@@ -21,6 +26,8 @@
     /// Heartbeat address of the node on its machine.
     pub control: SocketAddr,
     pub heartbeat: Duration,
+    /// Whether it runs only requests whose keys it holds.
+    pub keyed: bool,
     /// Time that a request runs.
     pub work: Duration,
     /// Time after a crash until the next life.
@@ -31,9 +38,6 @@
 #[derive(Debug, Clone)]
 pub struct Run {
     pub at: Instant,
-    pub id: String,
-    /// Time at which it ended, or at which its connection was closed.
-    pub ended: Option<Instant>,
     /// Whether the instance crashed under it.
     pub crashed: bool,
 }
@@ -47,6 +51,9 @@
     sequence: Arc<AtomicU64>,
     born: Arc<AtomicU64>,
     next: Arc<AtomicU64>,
+    /// Whether it has ended for good.
+    ended: Arc<AtomicBool>,
+    keys: Arc<Mutex<Keys>>,
     connections: Arc<Mutex<HashMap<u64, TcpStream>>>,
     runs: Arc<Mutex<Vec<Run>>>,
     record: Record,
@@ -67,6 +74,8 @@
             sequence: Arc::default(),
             born: Arc::new(AtomicU64::new(unix_ms())),
             next: Arc::default(),
+            ended: Arc::default(),
+            keys: Arc::default(),
             connections: Arc::default(),
             runs: Arc::clone(runs),
             record: record.clone(),
@@ -94,7 +103,11 @@
                 thread::spawn(move || instance.connection(io));
             }
             drop(listener);
+            if self.ended.load(Ordering::SeqCst) {
+                return;
+            }
             thread::sleep(self.config.restart);
+            *self.keys.lock().unwrap() = Keys::default();
             self.life.fetch_add(1, Ordering::SeqCst);
             self.sequence.store(0, Ordering::SeqCst);
             self.born.store(unix_ms(), Ordering::SeqCst);
@@ -131,16 +144,15 @@
             return http::respond(io, 421, &echo, b"").is_ok();
         }
         let crashes = request.word(1).contains("/crash");
-        let number = {
-            let mut runs = self.runs.lock().unwrap();
-            runs.push(Run {
-                at: Instant::now(),
-                id: id.clone(),
-                ended: None,
-                crashed: crashes,
-            });
-            runs.len() - 1
-        };
+        let key = request.header("X-Shard-Key").parse::<u64>().ok().filter(|_| self.config.keyed);
+        if self.config.keyed && !key.is_some_and(|k| self.keys.lock().unwrap().begin(k)) {
+            let refusal = format!("{echo}X-Not-Executed: 1\r\n");
+            return http::respond(io, 421, &refusal, b"").is_ok();
+        }
+        self.runs.lock().unwrap().push(Run {
+            at: Instant::now(),
+            crashed: crashes,
+        });
         self.record.line(&format!(
             "instance {} ({}) runs {id} {} {}{}",
             self.id(),
@@ -154,7 +166,9 @@
             return false;
         }
         let whole = self.work(io);
-        self.runs.lock().unwrap()[number].ended = Some(Instant::now());
+        if let Some(key) = key {
+            self.keys.lock().unwrap().end(key);
+        }
         if !whole {
             self.record.line(&format!("instance {} drops {id}: its connection was closed", self.id()));
             return false;
@@ -198,21 +212,35 @@
         let _woken = TcpStream::connect(self.config.address);
     }
 
+    /// Ends the instance for good.
+    pub fn end(&self) {
+        self.ended.store(true, Ordering::SeqCst);
+        self.crash();
+    }
+
     fn beat(&self) {
-        loop {
+        while !self.ended.load(Ordering::SeqCst) {
+            let mut soon = false;
             if self.alive.load(Ordering::SeqCst) {
                 let (c, id) = (&self.config, self.id());
                 let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+                let (holds, released, count) = self.keys.lock().unwrap().rows();
+                let rows = match c.keyed {
+                    true => format!(r#","holds":[{holds}],"released":[{released}]"#),
+                    false => String::new(),
+                };
+                let sent = Instant::now();
                 let body = format!(
                     concat!(
                         r#"{{"address":"{}","info":{{"service":"{}","version":"v1","zone":"{}","slots":18}},"#,
-                        r#""status":{{"state":"ready","sequence":{},"warmup_left_ms":0}},"born":{}}}"#
+                        r#""status":{{"state":"ready","sequence":{},"warmup_left_ms":0}},"born":{}{}}}"#
                     ),
                     c.address,
                     c.service,
                     c.zone,
                     sequence,
-                    self.born.load(Ordering::SeqCst)
+                    self.born.load(Ordering::SeqCst),
+                    rows
                 );
                 let request = format!(
                     "PUT /v1/instances/{id} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\n\
@@ -221,9 +249,23 @@
                     body.len()
                 );
                 // A node that is down is tried again with the next heartbeat.
-                let _acknowledged = http::call(c.control, &request, Duration::from_secs(1));
+                if let Ok(reply) = http::call(c.control, &request, Duration::from_secs(1))
+                    && reply.status() == 200
+                {
+                    let reply = json::parse(&String::from_utf8_lossy(&reply.body));
+                    let mut keys = self.keys.lock().unwrap();
+                    if let json::Json::List(rows) = reply.get("holds") {
+                        let row = |r: &json::Json| {
+                            let n = |i: usize| r.list().get(i).map_or(0, json::Json::number);
+                            (n(0), n(1), n(2))
+                        };
+                        let rows: Vec<_> = rows.iter().map(row).collect();
+                        let hold = Duration::from_millis(reply.get("hold_ms").number());
+                        soon = keys.apply(&rows, sent + hold, count);
+                    }
+                }
             }
-            thread::sleep(self.config.heartbeat);
+            thread::sleep(if soon { SOON } else { self.config.heartbeat });
         }
     }
 }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,12 +4,14 @@
 mod http;
 mod instance;
 mod json;
+mod keys;
 mod mesh;
 mod record;
 mod store;
 
 mod crashing;
 mod crowd;
+mod restored;
 mod stale;
 
 use std::path::{Path, PathBuf};
@@ -46,6 +48,7 @@
     record.line(&format!("case {case}, disruption: {trouble}"));
     let verdict: Verdict = match case.as_str() {
         "crashing" => crashing::run(&root, &record, trouble),
+        "restored" => restored::run(&root, &record, trouble),
         "crowd" => crowd::run(&root, &record, trouble),
         "stale" => stale::run(&root, &record, trouble),
         _ => Err("no such case".to_owned()),
--- a/review/standin-2/mesh.rs
+++ b/review/standin-2/mesh.rs
@@ -16,13 +16,17 @@
 use crate::record::Record;
 use crate::store::Store;
 
-/// Signal that stops a process.
+/// Signals that stop a process: at once, and in an orderly way.
 pub const STOP: i32 = 19;
+const TERMINATE: i32 = 15;
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
+/// Port by which a run holds its loopback network.
+const LOCK_PORT: u16 = 9465;
+
 /// Descriptors of a process.
 const DESCRIPTORS: u64 = 4100;
 
@@ -49,6 +53,8 @@
     pub machines: &'a [(&'a str, &'a str)],
     /// Services whose instances are lost.
     pub lost: &'a [&'a str],
+    /// Services with keys.
+    pub keyed: &'a [&'a str],
     /// First configuration.
     pub config: &'a str,
     pub memory_mb: u64,
@@ -75,6 +81,7 @@
 pub struct Mesh {
     pub hosts: Vec<Host>,
     pub store: Store,
+    instances: BTreeMap<usize, Instance>,
     pub runs: Arc<Mutex<Vec<Run>>>,
     pub record: Record,
     ports: Ports,
@@ -83,6 +90,7 @@
     command: Vec<String>,
     template: String,
     memory_mb: u64,
+    _lock: TcpListener,
     next: AtomicU64,
 }
 
@@ -144,7 +152,14 @@
         let template = fs::read_to_string(root.join(template)).map_err(|e| e.to_string())?;
         let folder = std::env::temp_dir().join(format!("filbertflow-review-{}", std::process::id()));
         fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
-        let net = (std::process::id() % 200 + 20) as u8;
+        // Runs beside one another use different networks, since the port of the metrics is fixed.
+        let start = (std::process::id() % 200) as u8;
+        let own = |n: u8| {
+            let net = 20 + u8::try_from((u16::from(start) + u16::from(n)) % 200).unwrap_or(0);
+            let lock = TcpListener::bind((Ipv4Addr::new(127, net, 1, 250), LOCK_PORT)).ok()?;
+            Some((net, lock))
+        };
+        let (net, lock) = (0..50).find_map(own).ok_or("no loopback network is free")?;
         // Addresses tell the zone, as those of the bench do.
         let ip = |n: usize, zone: &str| {
             let part = zone.bytes().last().unwrap_or(b'a') - b'a' + 1;
@@ -172,6 +187,7 @@
         let mut mesh = Self {
             hosts: Vec::new(),
             store,
+            instances: BTreeMap::new(),
             runs,
             record: record.clone(),
             ports,
@@ -180,6 +196,7 @@
             command: command.split(' ').map(str::to_owned).collect(),
             template,
             memory_mb: deployment.memory_mb,
+            _lock: lock,
             next: AtomicU64::new(1),
         };
         for (machine, (service, zone)) in deployment.machines.iter().enumerate() {
@@ -193,18 +210,8 @@
             });
             let at = |port| SocketAddr::from((ip(machine, zone), port));
             mesh.store.serve(at(ports.store), machine);
-            let instance = Config {
-                machine,
-                service: (*service).to_owned(),
-                zone: (*zone).to_owned(),
-                address: at(ports.instance),
-                control: at(ports.control),
-                heartbeat: HEARTBEAT,
-                work: deployment.work,
-                restart: deployment.restart,
-            };
             if !deployment.lost.contains(service) {
-                Instance::start(instance, &mesh.runs, record);
+                mesh.start_instance(machine, deployment);
             }
         }
         for machine in 0..mesh.hosts.len() {
@@ -213,6 +220,45 @@
         Ok(mesh)
     }
 
+    /// Starts an instance of the service of a machine.
+    pub fn start_instance(&mut self, machine: usize, deployment: &Deployment<'_>) {
+        let host = &self.hosts[machine];
+        let at = |port| SocketAddr::from((host.ip, port));
+        let config = Config {
+            machine,
+            service: host.service.clone(),
+            zone: host.zone.clone(),
+            address: at(self.ports.instance),
+            control: at(self.ports.control),
+            heartbeat: HEARTBEAT,
+            keyed: deployment.keyed.contains(&host.service.as_str()),
+            work: deployment.work,
+            restart: deployment.restart,
+        };
+        let instance = Instance::start(config, &self.runs, &self.record);
+        self.instances.insert(machine, instance);
+    }
+
+    /// Removes a machine for good: its process and its instance end.
+    pub fn remove(&mut self, machine: usize) {
+        self.kill(machine);
+        if let Some(instance) = self.instances.remove(&machine) {
+            instance.end();
+        }
+        self.record.line(&format!("machine {machine} is removed"));
+    }
+
+    /// Stops the process of a machine with SIGTERM and starts it again.
+    pub fn restart(&mut self, machine: usize) -> Result<(), String> {
+        self.signal(machine, TERMINATE);
+        let end = Instant::now() + Duration::from_secs(6);
+        while Instant::now() < end && self.ended().is_none() {
+            thread::sleep(Duration::from_millis(20));
+        }
+        self.kill(machine);
+        self.start_process(machine)
+    }
+
     /// Starts the process of a machine with the command of the deploy file.
     pub fn start_process(&mut self, machine: usize) -> Result<(), String> {
         let host = &self.hosts[machine];
@@ -362,9 +408,11 @@
     record: &Record,
 ) -> Answer {
     let length = if method == "GET" { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    // The key of a request is the last part of its path.
+    let key = path.rsplit('/').next().and_then(|k| k.parse::<u16>().ok()).unwrap_or(0);
     let request = format!(
         "{method} {path} HTTP/1.1\r\nHost: review.example\r\nX-Request-Id: {id}\r\n\
-         X-Deadline-Ms: 2000\r\nConnection: close\r\n{length}\r\n{body}"
+         X-Deadline-Ms: 2000\r\nX-Shard-Key: {key}\r\nConnection: close\r\n{length}\r\n{body}"
     );
     record.line(&format!("client at machine {machine} sends {id} {method} {path}"));
     let answer = match http::call(to, &request, Duration::from_millis(2500)) {
--- a/review/standin-2/stale.rs
+++ b/review/standin-2/stale.rs
@@ -41,6 +41,7 @@
     let deployment = Deployment {
         machines: &MACHINES,
         lost: &[],
+        keyed: &[],
         config: OLD,
         memory_mb: 260,
         work: Duration::from_millis(30),
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -18,9 +18,14 @@
     lease: u64,
 }
 
-#[derive(Debug, Default)]
-struct State {
+/// Content of the store at one moment, and how it behaves.
+#[derive(Debug, Clone, Default)]
+pub struct State {
     revision: u64,
+    /// Number of times that it came back from a copy.
+    era: u64,
+    /// Whether it is away: calls get no answer and their connections are closed.
+    away: bool,
     items: BTreeMap<String, Item>,
     /// Revision, key and body of each event.
     events: Vec<(u64, String, String)>,
@@ -29,6 +34,9 @@
     watching: BTreeMap<usize, usize>,
 }
 
+/// Status of a call that gets no answer.
+const AWAY: u16 = 0;
+
 /// Running store; clones share its content.
 #[derive(Debug, Clone, Default)]
 pub struct Store(Arc<(Mutex<State>, Condvar)>);
@@ -170,6 +178,32 @@
         changed.notify_all();
     }
 
+    /// Returns a copy of the content.
+    pub fn copy(&self) -> State {
+        self.0.0.lock().unwrap().clone()
+    }
+
+    /// Makes the store go away.
+    pub fn leave(&self) {
+        self.0.0.lock().unwrap().away = true;
+        self.0.1.notify_all();
+    }
+
+    /// Brings the store back from a copy: what was written since is gone, and its leases start anew.
+    pub fn restore(&self, copy: &State) {
+        let mut state = self.0.0.lock().unwrap();
+        let (era, watching) = (state.era, std::mem::take(&mut state.watching));
+        *state = copy.clone();
+        state.era = era + 1;
+        state.away = false;
+        state.watching = watching;
+        for (end, time) in state.leases.values_mut() {
+            *end = Instant::now() + *time;
+        }
+        drop(state);
+        self.0.1.notify_all();
+    }
+
     /// Returns the machines whose watch of the operator's keys waits at the store now.
     pub fn watchers(&self) -> Vec<usize> {
         let state = self.0.0.lock().unwrap();
@@ -183,8 +217,12 @@
         let mut buffer = Vec::new();
         while let Ok(Some(request)) = http::read(&mut io, &mut buffer) {
             let (status, body) = self.handle(&request, machine);
-            let headers = "Content-Type: application/json\r\nStore-Era: 1\r\n";
-            if http::respond(&mut io, status, headers, body.as_bytes()).is_err() {
+            if status == AWAY {
+                return;
+            }
+            let era = self.0.0.lock().unwrap().era;
+            let headers = format!("Content-Type: application/json\r\nStore-Era: {era}\r\n");
+            if http::respond(&mut io, status, &headers, body.as_bytes()).is_err() {
                 return;
             }
         }
@@ -208,6 +246,9 @@
             );
         }
         let mut state = lock.lock().unwrap();
+        if state.away {
+            return (AWAY, String::new());
+        }
         let reply = match path {
             "/v1/kv-key" => match state.items.get(&field("key")) {
                 Some(item) => (200, describe(&field("key"), item)),
@@ -256,7 +297,20 @@
         if operator {
             *state.watching.entry(machine).or_default() += 1;
         }
+        let era = state.era;
         loop {
+            if state.away || state.era != era {
+                if operator {
+                    *state.watching.entry(machine).or_default() -= 1;
+                }
+                return (AWAY, String::new());
+            }
+            if after > state.revision {
+                if operator {
+                    *state.watching.entry(machine).or_default() -= 1;
+                }
+                return (410, String::new());
+            }
             let events = state.events.iter();
             let events = events.filter(|(r, k, _)| *r > after && k.starts_with(prefix));
             let events: Vec<String> = events.map(|(_, _, body)| body.clone()).collect();
