Log what is known of each node that holds up a confirmation

Cause: event 466 names the nodes whose claims are missing, but not why. Change: event 466 also has, for each node, the service that its entry names, whether it is connected, the revision of its entry and the one that its claim names.

--- a/src/coordination/sidecar/confirmation.rs
+++ b/src/coordination/sidecar/confirmation.rs
@@ -64,7 +64,20 @@
     /// Time since which the table is not confirmed.
     needed_since: Cell<Option<Instant>>,
     /// Nodes for which the last attempt waited.
-    awaited: RefCell<Vec<String>>,
+    awaited: RefCell<Vec<Unheard>>,
+}
+
+/// Node whose claim is missing, with what tells why.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Unheard {
+    node: String,
+    /// Service that its entry names, if its entry is known.
+    service: Option<String>,
+    connected: bool,
+    /// Revision of its entry in the store.
+    entry: Option<Revision>,
+    /// Revision of the entry that its last claim names.
+    claimed: Option<Revision>,
 }
 
 impl Confirmation {
@@ -124,13 +137,19 @@
         if unheard.is_empty() {
             self.confirm(service, era).await;
         } else if *self.awaited.borrow() != unheard {
-            tracing::info!(event = 466, service, era = era.0, nodes = ?unheard, "waiting for what nodes may hold before the table is confirmed");
+            let addresses: Vec<_> = unheard.iter().map(|u| &u.node).collect();
+            tracing::info!(event = 466, service, era = era.0, nodes = ?addresses, known = ?unheard, "waiting for what nodes may hold before the table is confirmed");
             *self.awaited.borrow_mut() = unheard;
         }
     }
 
     /// Returns the nodes whose claims are missing.
-    fn unheard(&self, service: &str, base: Option<&AssignmentTable>, now: Instant) -> Vec<String> {
+    fn unheard(
+        &self,
+        service: &str,
+        base: Option<&AssignmentTable>,
+        now: Instant,
+    ) -> Vec<Unheard> {
         let parts = &self.parts;
         let holders = base.map(AssignmentTable::holders).unwrap_or_default();
         let mut nodes: BTreeSet<String> = holders.into_iter().map(|h| h.node.clone()).collect();
@@ -138,13 +157,20 @@
         nodes.insert(parts.node.clone());
         let has_settled = now.since(parts.store.era_since()) >= OLD_LEASE_TIME;
         let claims = self.claims.borrow();
-        let is_missing = |node: &String| {
-            let entry = parts
-                .replicator
-                .item_revision(&Registration::entry_key(node));
-            is_missing(claims.get(node), entry, parts.store.era(), has_settled)
+        let unheard = |node: String| {
+            let key = Registration::entry_key(&node);
+            let entry = parts.replicator.item_revision(&key);
+            let claim = claims.get(&node);
+            let missing = is_missing(claim, entry, parts.store.era(), has_settled);
+            missing.then(|| Unheard {
+                service: parts.membership.service_of(&node),
+                connected: parts.membership.link(&node).is_some_and(|l| l.is_connected()),
+                entry,
+                claimed: claim.map(|c| Revision::new(c.era, c.entry)),
+                node,
+            })
         };
-        nodes.into_iter().filter(is_missing).collect()
+        nodes.into_iter().filter_map(unheard).collect()
     }
 
     async fn confirm(&self, service: &str, era: Era) {
--- a/src/coordination/sidecar/membership.rs
+++ b/src/coordination/sidecar/membership.rs
@@ -173,6 +173,13 @@
         nodes.map(|(address, _)| address.clone()).collect()
     }
 
+    /// Returns the service that the entry of a node names, if the node is known.
+    #[must_use]
+    pub fn service_of(&self, address: &str) -> Option<String> {
+        let peers = self.peers.borrow();
+        peers.get(address).map(|p| p.service.clone())
+    }
+
     /// Returns the failure domain of a node, if it is known.
     #[must_use]
     pub fn domain_of(&self, address: &str) -> Option<String> {
