Claims for every service: a reused address doesn't stop a confirmation

Cause: the nodes that are waited for come from the last table, but a node made claims for its own service only. The node of another service at a reused address was waited for as long as it lived. Change: each node makes claims for all keyed services whose tables aren't confirmed. Ranges that a backend server has reported count for its own service only. A claim goes to all three nodes that may confirm; it went to two before.

--- a/src/coordination/sidecar/confirmation.rs
+++ b/src/coordination/sidecar/confirmation.rs
@@ -6,6 +6,10 @@
 //! follows from all claims. A node counts as heard if it has written its entry in the new era, so that
 //! from then on the absence of an entry proves again that nothing is granted there. A node that makes no
 //! claim and has no entry is waited for until the leases of the earlier era have ended.
+//!
+//! The last table may name a node that belongs to another service by now, because the address of a lost
+//! host was reused or because the node has another backend server. Only that node can tell what is held
+//! there, so each node makes claims for all services whose tables are not confirmed.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
@@ -30,6 +34,10 @@
 /// one, with a margin for clock drift.
 const OLD_LEASE_TIME: Duration = LEASE.saturating_add(Duration::from_secs(1));
 
+/// Number of nodes of a service, the lowest-ranked ones, to which a claim is sent: all that may confirm the
+/// table. A node of the service is one of them itself if it ranks before the last.
+const CLAIM_RECEIVERS: usize = REPORT_RECEIVERS + 1;
+
 /// Parts of a node that a confirmation uses.
 #[derive(Debug)]
 pub struct Dependencies {
@@ -59,7 +67,7 @@
 #[derive(Debug)]
 pub struct Confirmation {
     parts: Dependencies,
-    /// Newest claim of each node.
+    /// Newest claim of each node for the service of this one.
     claims: RefCell<HashMap<String, Claim>>,
     /// Time since which the table is not confirmed.
     needed_since: Cell<Option<Instant>>,
@@ -92,17 +100,25 @@
         })
     }
 
-    /// Stores the claim of a node.
+    /// Stores the claim of a node, if it is for the service of this one.
     pub fn record(&self, claim: Claim) {
         self.parts.store.learn_era(claim.era);
+        if claim.service != self.service() {
+            return;
+        }
         self.claims.borrow_mut().insert(claim.node.clone(), claim);
     }
 
+    /// Returns the service of the local backend server, or of the host if there is none.
+    fn service(&self) -> String {
+        let backend = self.parts.dispatcher.backend();
+        backend.map_or_else(|| self.parts.service.clone(), |b| b.service)
+    }
+
     /// Returns the service of this node if it has keys and its table is not confirmed.
     #[must_use]
     pub fn pending_service(&self) -> Option<String> {
-        let backend = self.parts.dispatcher.backend();
-        let service = backend.map_or_else(|| self.parts.service.clone(), |b| b.service);
+        let service = self.service();
         let routes = self.parts.configuration.get()?;
         let keyed = routes.service(&service).is_some_and(|s| s.keyed);
         let pending = keyed && !self.parts.tables.is_confirmed(&service);
@@ -118,11 +134,8 @@
         let parts = &self.parts;
         let era = parts.store.era();
         let now = Instant::now();
-        let (loads, rank) = parts.membership.ranked_reports(service);
-        if let Some(claim) = parts.grant_manager.claim(service, era) {
-            for (link, _) in loads.iter().take(REPORT_RECEIVERS) {
-                link.send(Frame::Claim(Box::new(claim.clone())));
-            }
+        let (_, rank) = parts.membership.ranked_reports(service);
+        if let Some(claim) = self.send_claim(service) {
             self.record(claim);
         }
         let since = self.needed_since.get().unwrap_or(now);
@@ -143,13 +156,32 @@
         }
     }
 
+    /// Sends this node's claims for the services of other nodes whose tables are not confirmed.
+    pub fn send_other_claims(&self) {
+        let Some(routes) = self.parts.configuration.get() else {
+            return;
+        };
+        let own = self.service();
+        let keyed = routes.services().filter(|s| s.keyed && s.name != own);
+        for service in keyed.filter(|s| !self.parts.tables.is_confirmed(&s.name)) {
+            self.send_claim(&service.name);
+        }
+    }
+
+    /// Sends this node's claim for a service to the nodes that may confirm its table. Returns the claim, or
+    /// `None` if there is none yet.
+    fn send_claim(&self, service: &str) -> Option<Claim> {
+        let parts = &self.parts;
+        let claim = parts.grant_manager.claim(service, parts.store.era())?;
+        let (reports, _) = parts.membership.ranked_reports(service);
+        for (link, _) in reports.iter().take(CLAIM_RECEIVERS) {
+            link.send(Frame::Claim(Box::new(claim.clone())));
+        }
+        Some(claim)
+    }
+
     /// Returns the nodes whose claims are missing.
-    fn unheard(
-        &self,
-        service: &str,
-        base: Option<&AssignmentTable>,
-        now: Instant,
-    ) -> Vec<Unheard> {
+    fn unheard(&self, service: &str, base: Option<&AssignmentTable>, now: Instant) -> Vec<Unheard> {
         let parts = &self.parts;
         let holders = base.map(AssignmentTable::holders).unwrap_or_default();
         let mut nodes: BTreeSet<String> = holders.into_iter().map(|h| h.node.clone()).collect();
@@ -164,7 +196,10 @@
             let missing = is_missing(claim, entry, parts.store.era(), has_settled);
             missing.then(|| Unheard {
                 service: parts.membership.service_of(&node),
-                connected: parts.membership.link(&node).is_some_and(|l| l.is_connected()),
+                connected: parts
+                    .membership
+                    .link(&node)
+                    .is_some_and(|l| l.is_connected()),
                 entry,
                 claimed: claim.map(|c| Revision::new(c.era, c.entry)),
                 node,
--- a/src/coordination/sidecar/grant_manager.rs
+++ b/src/coordination/sidecar/grant_manager.rs
@@ -41,6 +41,14 @@
 /// Maximum number of ranges in a heartbeat's reply, which is limited to 4 KiB.
 const MAX_RANGES: usize = 90;
 
+/// Ranges that a backend server has reported as held.
+#[derive(Debug)]
+struct ReportedRanges {
+    /// Service of the backend server.
+    service: String,
+    ranges: (Holder, Vec<Hold>),
+}
+
 /// Manager of the grants to the local backend server.
 #[derive(Debug)]
 pub struct GrantManager {
@@ -64,7 +72,7 @@
     /// Nothing is granted by this table revision.
     unresolved: RefCell<Option<(String, Revision)>>,
     /// Ranges that the last heartbeat has reported as held.
-    reported: RefCell<Option<(Holder, Vec<Hold>)>>,
+    reported: RefCell<Option<ReportedRanges>>,
 }
 
 impl GrantManager {
@@ -144,8 +152,10 @@
         self.released
             .borrow_mut()
             .extend(released.map(|r| (backend.holder.clone(), r)));
-        let reported = (backend.holder.clone(), heartbeat.holds.clone());
-        *self.reported.borrow_mut() = Some(reported);
+        *self.reported.borrow_mut() = Some(ReportedRanges {
+            service: backend.service.clone(),
+            ranges: (backend.holder.clone(), heartbeat.holds.clone()),
+        });
         let reply = self.reply(heartbeat, backend);
         let (grants, next) = reply.unzip();
         let mut withheld = self.withheld.borrow_mut();
@@ -207,7 +217,7 @@
                 let slices = table.assignments.slices.iter().filter(local);
                 slices.cloned().collect()
             }
-            None => self.reported_slices()?,
+            None => self.reported_slices(service)?,
         };
         Some(Claim {
             era,
@@ -219,11 +229,13 @@
         })
     }
 
-    /// Returns the ranges that the backend server has reported as held, once it tells all that may be
-    /// held.
-    fn reported_slices(&self) -> Option<Vec<Slice>> {
+    /// Returns the ranges of a service that the backend server has reported as held, once it tells all that
+    /// may be held.
+    fn reported_slices(&self, service: &str) -> Option<Vec<Slice>> {
         let reported = self.reported.borrow();
-        reported_holds::claimed_slices(reported.as_ref(), self.is_expired(None))
+        let of_service = reported.as_ref().filter(|r| r.service == service);
+        let ranges = of_service.map(|r| &r.ranges);
+        reported_holds::claimed_slices(ranges, self.is_expired(None))
     }
 
     /// Records the ranges that the backend server has freed in the table.
--- a/src/coordination/sidecar/planner.rs
+++ b/src/coordination/sidecar/planner.rs
@@ -100,6 +100,7 @@
 
     /// Reports the local key rates, and makes the changes to the assignment table that are needed now.
     pub async fn tick(&self) {
+        self.confirmation.send_other_claims();
         if let Some(service) = self.confirmation.pending_service() {
             let known = Instant::now().since(self.started) >= STARTUP_DELAY;
             self.confirmation.tick(&service, known).await;
--- a/src/state/routes.rs
+++ b/src/state/routes.rs
@@ -139,6 +139,11 @@
         self.services.get(name)
     }
 
+    /// Returns all services, ordered by name.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values()
+    }
+
     /// Returns the route of a host whose prefix is the longest that matches a request target.
     #[must_use]
     pub fn find(&self, host: &str, target: &str) -> Option<&Rc<Route>> {
