Nodes that hear from no watcher watch the store themselves

Cause: the loss of the watchers was noticed when their connections were given up: 1.5 s without a byte, 0.9 s for the pong, checks every 0.2 s, and up to 0.3 s until a successor asked the store. Logs of the new test on the code before: 221 with silent_ms 2,522 to 2,679, and 361 within 0.2 s after it. So it is not the store, and not a request to a lost node (no 327), though that could add 0.7 s a node. Change: `watchers`: the nearest watcher is pinged after 0.4 s in which none was heard, all after 0.6 s, and after 1 s the node reads and watches the store itself until one is heard again. It doesn't act for others. A node that is asked for newer state is pinged with the request, and isn't waited for once it is silent. Connections are closed as before.

--- a/src/coordination/sidecar/catchup.rs
+++ b/src/coordination/sidecar/catchup.rs
@@ -2,7 +2,8 @@
 //!
 //! For each kind of state at most one request is outstanding: a response can use a slow link's whole
 //! bandwidth for a while, and a second copy would only delay the first. The node that it is sent to is
-//! picked at random, so that the first nodes with a new state don't serve the whole fleet.
+//! picked at random, so that the first nodes with a new state don't serve the whole fleet. One that has
+//! gone silent isn't waited for.
 
 use std::time::Duration;
 
@@ -25,6 +26,8 @@
     pub node: &'a str,
     /// Whether it is in the failure domain of this node.
     pub same_domain: bool,
+    /// Whether it isn't silent.
+    pub responsive: bool,
 }
 
 /// Next action of a catch-up.
@@ -94,9 +97,9 @@
         }
         let failed_node = match &self.request {
             Some(OutstandingRequest { node, sent_at, .. }) => {
-                let connected = sources.iter().any(|s| s.node == node);
+                let waits = sources.iter().any(|s| s.node == node && s.responsive);
                 let timeout = FIRST_TIMEOUT * (1 << self.failures.min(2));
-                if connected && now.since(*sent_at) < timeout.min(MAX_TIMEOUT) {
+                if waits && now.since(*sent_at) < timeout.min(MAX_TIMEOUT) {
                     return Action::Wait;
                 }
                 self.failures += 1;
@@ -104,11 +107,16 @@
             }
             None => None,
         };
-        if failed_node.is_some() && self.failures.is_multiple_of(FAILURES_BEFORE_READ) {
+        let all_silent = sources.iter().all(|s| !s.responsive);
+        let failed = failed_node.is_some() && self.failures.is_multiple_of(FAILURES_BEFORE_READ);
+        if all_silent || failed {
+            self.due = Some(now + FIRST_TIMEOUT);
             return Action::ReadStore;
         }
-        let other = |s: &&Source<'_>| Some(s.node) != failed_node.as_deref() || sources.len() == 1;
-        let mut candidates: Vec<_> = sources.iter().filter(other).collect();
+        let responsive = || sources.iter().filter(|s| s.responsive);
+        let is_only = responsive().count() == 1;
+        let other = |s: &&Source<'_>| Some(s.node) != failed_node.as_deref() || is_only;
+        let mut candidates: Vec<_> = responsive().filter(other).collect();
         if candidates.iter().any(|s| s.same_domain) {
             candidates.retain(|s| s.same_domain);
         }
--- a/src/coordination/sidecar/membership.rs
+++ b/src/coordination/sidecar/membership.rs
@@ -95,6 +95,23 @@
         rank(&self.hello.node, store_up, &others)
     }
 
+    /// Returns the connections to the first `count` of the other nodes by rank, those of this node's failure
+    /// domain first. `store_up` is whether the store responds to this node.
+    #[must_use]
+    pub fn preferred_links(&self, store_up: bool, count: usize) -> Vec<Rc<Link>> {
+        let own = (!store_up, self.hello.node.as_str());
+        let peers = self.peers.borrow();
+        let links = peers.values().map(|p| &p.link);
+        let reported = links.filter_map(|l| Some((!l.report()?.load.store_up, l)));
+        let mut before: Vec<_> = reported
+            .filter(|(down, l)| (*down, l.node.as_str()) < own)
+            .collect();
+        before.sort_by_key(|(down, l)| (*down, l.node.clone()));
+        before.truncate(count);
+        before.sort_by_key(|(_, l)| *l.domain.borrow() != self.hello.domain);
+        before.into_iter().map(|(_, l)| Rc::clone(l)).collect()
+    }
+
     /// Adds a node from its entry, or updates it.
     pub fn add(&self, entry: &NodeEntry) {
         if entry.address == self.hello.node {
--- a/src/coordination/sidecar/mod.rs
+++ b/src/coordination/sidecar/mod.rs
@@ -52,3 +52,4 @@
 pub mod targets;
 pub mod warmup;
 pub mod watch;
+pub mod watchers;
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -31,6 +31,7 @@
 use crate::coordination::sidecar::start::StartError;
 use crate::coordination::sidecar::tables::{self, Tables};
 use crate::coordination::sidecar::watch;
+use crate::coordination::sidecar::watchers;
 use crate::metrics::Metrics;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::mesh::{BackendInfo, Frame, Hello, Load};
@@ -280,6 +281,7 @@
         self.spawn(|node| async move { node.dispatcher.run_throttled().await });
         self.spawn(|node| async move { node.prober.run().await });
         self.spawn(|node| async move { node.check_links().await });
+        self.spawn(|node| async move { node.check_watchers().await });
         self.spawn(|node| async move { node.catch_up().await });
         self.spawn(|node| async move { node.forward_updates().await });
         self.spawn(|node| async move { node.plan().await });
@@ -387,7 +389,7 @@
             }
             let load = self.peer_handler.load();
             let (now, nodes) = (Instant::now(), self.membership.size());
-            let is_watcher = self.replicator.is_watcher();
+            let is_watcher = self.replicator.watchers.includes_self();
             self.peers.report_load(load, |last| {
                 reports::is_due(&load, last, is_watcher, nodes, now)
             });
@@ -430,7 +432,7 @@
                 () = time::sleep(CHECK_INTERVAL) => {}
             }
             self.dispatcher.refuse_evacuated();
-            let is_watcher = self.replicator.is_watcher();
+            let is_watcher = self.replicator.watchers.includes_self();
             self.evacuations
                 .notify_peers(&self.membership.links(), is_watcher, &mut sent);
         }
@@ -475,6 +477,13 @@
         }
     }
 
+    async fn check_watchers(&self) {
+        loop {
+            time::sleep(watchers::CHECK_INTERVAL).await;
+            self.replicator.watchers.check(Instant::now());
+        }
+    }
+
     /// Requests state from other nodes that have reported a newer one.
     async fn catch_up(&self) {
         let mut config = CatchUp::new(CONFIG_REQUEST_DELAY);
@@ -485,13 +494,17 @@
                 () = self.membership.report_changed.notified() => {}
                 () = time::sleep(CHECK_INTERVAL) => {}
             }
-            let links = self.membership.links();
+            let (links, now) = (self.membership.links(), Instant::now());
             let loads = links.iter().filter_map(|l| Some((l, l.report()?.load)));
             let loads: Vec<_> = loads.collect();
             let ahead = |is_ahead: &dyn Fn(&Load) -> bool| -> Vec<Ahead<'_>> {
                 let ahead = loads.iter().filter(|(_, load)| is_ahead(load));
                 ahead
-                    .map(|(link, _)| (*link, *link.domain.borrow() == self.settings.domain))
+                    .map(|(link, _)| Ahead {
+                        link,
+                        same_domain: *link.domain.borrow() == self.settings.domain,
+                        responsive: link.is_responsive(now),
+                    })
                     .collect()
             };
             let newest_era = loads.iter().map(|(_, load)| load.items.era).max();
@@ -656,8 +669,13 @@
     })
 }
 
-/// Connection to a node with newer state, and whether it is in this node's failure domain.
-type Ahead<'a> = (&'a Rc<Link>, bool);
+/// Connection to a node with newer state.
+struct Ahead<'a> {
+    link: &'a Rc<Link>,
+    /// Whether the node is in this node's failure domain.
+    same_domain: bool,
+    responsive: bool,
+}
 
 /// Performs the next action of a catch-up: sends `request` to one of the nodes that are ahead, or
 /// triggers a read of the store.
@@ -668,16 +686,19 @@
     request: Frame,
     reread: &Notify,
 ) {
-    let sources = ahead.iter().map(|(link, same_domain)| Source {
-        node: &link.node,
-        same_domain: *same_domain,
+    let sources = ahead.iter().map(|a| Source {
+        node: &a.link.node,
+        same_domain: a.same_domain,
+        responsive: a.responsive,
     });
-    let sources: Vec<_> = sources.collect();
-    match catch_up.next_action(known, &sources, Instant::now(), rand::random()) {
+    let (sources, now) = (sources.collect::<Vec<_>>(), Instant::now());
+    match catch_up.next_action(known, &sources, now, rand::random()) {
         Action::Wait => {}
         Action::Request(node) => {
-            if let Some((link, _)) = ahead.iter().find(|(link, _)| link.node == node) {
-                link.send(request);
+            if let Some(a) = ahead.iter().find(|a| a.link.node == node) {
+                a.link.send(request);
+                // The response may take long; a missing pong tells that there will be none.
+                a.link.ping(now);
             }
         }
         Action::ReadStore => {
--- a/src/coordination/sidecar/replication.rs
+++ b/src/coordination/sidecar/replication.rs
@@ -2,7 +2,7 @@
 //!
 //! Few nodes watch the store; the others request changes from a node that has reported a newer
 //! revision. A copy is complete up to its revision, so the changes since the requester's revision are
-//! all that it needs. A node that is connected to no watcher watches the store itself.
+//! all that it needs. A node that hears from no watcher watches the store itself (`watchers`).
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -15,15 +15,13 @@
 use crate::coordination::sidecar::replica::{Change, Replica};
 use crate::coordination::sidecar::tables::{self, Tables};
 use crate::coordination::sidecar::watch::WatchHandler;
+use crate::coordination::sidecar::watchers::Watchers;
 use crate::protocol::adapter::{Event, Item};
 use crate::protocol::mesh::Items;
 use crate::protocol::ownership;
 use crate::state::store_revision::{Era, Revision};
 use crate::transport::sidecar::store::StoreClient;
 
-/// Number of nodes that watch the store.
-const WATCHERS: usize = 3;
-
 /// Update that this node has yet to forward.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PendingUpdate {
@@ -38,6 +36,8 @@
 pub struct Replicator {
     store: Rc<StoreClient>,
     membership: Rc<MembershipView>,
+    /// Watchers of the store.
+    pub watchers: Watchers,
     tables: Rc<Tables>,
     configuration: Rc<Configuration>,
     replica: RefCell<Replica>,
@@ -60,9 +60,11 @@
         configuration: Rc<Configuration>,
         domain: &str,
     ) -> Rc<Self> {
+        let watchers = Watchers::new(Rc::clone(&store), Rc::clone(&membership));
         Rc::new(Self {
             store,
             membership,
+            watchers,
             tables,
             configuration,
             replica: RefCell::default(),
@@ -115,12 +117,6 @@
         self.update_ready.notify_one();
     }
 
-    /// Returns whether this node is among those that watch the store.
-    #[must_use]
-    pub fn is_watcher(&self) -> bool {
-        self.membership.rank(self.store.is_reachable()) < WATCHERS
-    }
-
     /// Returns the changes since a revision.
     #[must_use]
     pub fn changes_since(&self, revision: Revision) -> Items {
@@ -191,15 +187,17 @@
         let since = self.revision();
         let changes = self.replica.borrow_mut().apply_events(events, era);
         self.apply_changes(changes);
-        self.queue_update(since, true);
+        if self.watchers.includes_self() {
+            self.queue_update(since, true);
+        }
     }
 
     fn revision(&self) -> Option<Revision> {
         Some(Self::revision(self))
     }
 
-    fn is_watcher(&self) -> bool {
-        Self::is_watcher(self)
+    fn watchers(&self) -> &Watchers {
+        &self.watchers
     }
 }
 
@@ -233,7 +231,7 @@
         None
     }
 
-    fn is_watcher(&self) -> bool {
-        self.replicator.is_watcher()
+    fn watchers(&self) -> &Watchers {
+        &self.replicator.watchers
     }
 }
--- a/src/coordination/sidecar/watch.rs
+++ b/src/coordination/sidecar/watch.rs
@@ -9,6 +9,7 @@
 use tokio::time;
 
 use crate::coordination::sidecar::backoff::Backoff;
+use crate::coordination::sidecar::watchers::Watchers;
 use crate::protocol::adapter::{Event, Item, StoreCall, StoreReply};
 use crate::state::clock::Instant;
 use crate::state::store_revision::{Era, Revision};
@@ -41,8 +42,8 @@
     /// other nodes too.
     fn revision(&self) -> Option<Revision>;
 
-    /// Returns whether this node is currently a watcher of the store.
-    fn is_watcher(&self) -> bool;
+    /// Returns the watchers of the store, which tell whether this node is one.
+    fn watchers(&self) -> &Watchers;
 }
 
 /// Keeps a handler up to date until the task is dropped; `reread` requests a new read of all items.
@@ -63,9 +64,11 @@
                 tracing::warn!(event = 337, prefix, error = %e, "can't read items from the store");
                 backoff.wait(&store).await;
                 // Another node may be the watcher by now and forward the changes.
-                while known && !handler.is_watcher() {
+                let watchers = handler.watchers();
+                while known && !watchers.is_watching() {
                     tokio::select! {
                         () = time::sleep(ROLE_POLL_INTERVAL) => {}
+                        () = watchers.taken_over.notified() => {}
                         () = reread.notified() => break,
                     }
                 }
@@ -83,13 +86,20 @@
             "read all items from the store"
         );
         handler.apply_snapshot(&items, as_of);
+        let mut current_at = Instant::now();
         loop {
-            if !handler.is_watcher() || Instant::now().since(start) < STARTUP_DELAY {
+            let watchers = handler.watchers();
+            if !watchers.is_watching() || Instant::now().since(start) < STARTUP_DELAY {
                 tokio::select! {
                     () = time::sleep(ROLE_POLL_INTERVAL) => continue,
+                    () = watchers.taken_over.notified() => continue,
                     () = reread.notified() => break,
                 }
             }
+            if Instant::now().since(current_at) > MAX_WATCH_WAIT * 2 {
+                // The store may have compacted the changes since then.
+                break;
+            }
             let after = handler.revision().unwrap_or_default().max(as_of);
             if after.era < store.era() {
                 break;
@@ -112,6 +122,7 @@
                     era,
                 }) => {
                     compactions.reset();
+                    current_at = Instant::now();
                     handler.apply_events(&events, era);
                     as_of = Revision::new(era, to).max(as_of);
                     if !events.is_empty() {
@@ -133,7 +144,7 @@
                 Err(e) => {
                     tracing::info!(event = 326, prefix, as_of = after.number, error = %e, "a watch call failed");
                     backoff.wait(&store).await;
-                    if handler.is_watcher() {
+                    if handler.watchers().is_watching() {
                         break;
                     }
                 }
--- a/src/transport/sidecar/links.rs
+++ b/src/transport/sidecar/links.rs
@@ -52,6 +52,9 @@
 /// Maximum wait for a pong; it allows for a slow host, not only for network latency.
 const PONG_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Wait for a pong after which other nodes are asked first.
+const PROMPT_PONG: Duration = Duration::from_millis(400);
+
 /// Time for which an idempotent call waits for a reconnection before it is retried elsewhere.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -292,6 +295,36 @@
         self.connections.get()
     }
 
+    /// Returns the time since the node last showed that it is reachable, if the link is connected.
+    #[must_use]
+    pub fn silence(&self, now: Instant) -> Option<Duration> {
+        let connection = self.connection.borrow();
+        connection.as_ref().map(|c| now.since(c.activity.last()))
+    }
+
+    /// Returns whether the link is connected and the last ping isn't overdue.
+    #[must_use]
+    pub fn is_responsive(&self, now: Instant) -> bool {
+        let Some(silence) = self.silence(now) else {
+            return false;
+        };
+        let waited = self.pinged_at.get().map(|at| now.since(at));
+        // A later sign of the node answers the ping.
+        waited.is_none_or(|waited| waited > silence || waited < PROMPT_PONG)
+    }
+
+    /// Pings the node, unless an earlier ping is unanswered.
+    pub fn ping(&self, now: Instant) {
+        let Some(silence) = self.silence(now) else {
+            return;
+        };
+        let pinged_at = self.pinged_at.get();
+        if pinged_at.is_none_or(|at| now.since(at) > silence) {
+            self.pinged_at.set(Some(now));
+            self.send(Frame::Ping);
+        }
+    }
+
     /// Pings a silent node and closes the connection if there is no sign of it afterwards; to be called
     /// every [`SILENCE_CHECK_INTERVAL`].
     pub fn check_silence(&self, now: Instant) {
@@ -313,8 +346,7 @@
             BUSY_PING_AFTER
         };
         if now.since(active) > ping_after {
-            self.pinged_at.set(Some(now));
-            self.send(Frame::Ping);
+            self.ping(now);
         }
     }
 
--- a/tests/sidecar/catchup.rs
+++ b/tests/sidecar/catchup.rs
@@ -6,7 +6,11 @@
 use filbertflow::state::clock::Instant;
 
 fn sources<'a>(nodes: &[(&'a str, bool)]) -> Vec<Source<'a>> {
-    let source = |&(node, same_domain)| Source { node, same_domain };
+    let source = |&(node, same_domain)| Source {
+        node,
+        same_domain,
+        responsive: true,
+    };
     nodes.iter().map(source).collect()
 }
 
@@ -72,6 +76,35 @@
     );
 }
 
+/// Guards against the wait for a response of a node that lost power after it had reported newer state.
+#[test]
+fn silent_node_is_replaced_at_once() {
+    let start = Instant::now();
+    let mut catch_up = CatchUp::new(Duration::ZERO);
+    let mut nodes = sources(&[("a", false), ("b", false)]);
+    let first = catch_up.next_action(7, &nodes, start, 0.0);
+    assert_eq!(first, Action::Request("a"));
+    nodes[0].responsive = false;
+    let next = catch_up.next_action(7, &nodes, start + ms(20), 0.0);
+    assert_eq!(next, Action::Request("b"));
+}
+
+/// All nodes that have reported newer state are silent. Guards against a request to one of them, and against
+/// more than one read of the store in the time that a read takes.
+#[test]
+fn silence_of_all_sources_leads_to_the_store_once() {
+    let start = Instant::now();
+    let mut nodes = sources(&[("a", false), ("b", true)]);
+    for node in &mut nodes {
+        node.responsive = false;
+    }
+    let mut catch_up = CatchUp::new(Duration::ZERO);
+    let steps = (0..30).map(|n| catch_up.next_action(7, &nodes, start + ms(20 * n), 0.0));
+    let steps: Vec<_> = steps.collect();
+    assert_eq!(steps[0], Action::ReadStore);
+    assert!(steps[1..].iter().all(|s| *s == Action::Wait), "{steps:?}");
+}
+
 /// Guards against a node that stays out of date because no connected node responds.
 #[test]
 fn silent_nodes_lead_to_the_store() {
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -42,3 +42,4 @@
 mod signals;
 mod speed;
 mod warmup;
+mod watchers;
