Records of crashing requests in the store

Each crash ends what else the server runs. Cause: what is known of such requests was in the memory of processes only. Change: the arbiter of a suspected request keeps a record of it in the store, below the replicated prefix, and removes it once the request is answered or forgotten. A process applies the records with its first copy of the items; the first heartbeat waits for that copy now beside services without keys too, for at most 1.5 s as before.

--- a/src/coordination/sidecar/heartbeats.rs
+++ b/src/coordination/sidecar/heartbeats.rs
@@ -39,7 +39,7 @@
 const MAX_CLOCK_SKEW: Duration = Duration::from_hours(24);
 
 /// Interval at which a first heartbeat checks whether the tables are read.
-const TABLES_POLL_INTERVAL: Duration = Duration::from_millis(20);
+const ITEMS_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Order of a heartbeat relative to the last one that was applied.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -101,7 +101,7 @@
         match self.adapter.decode_notice(head, body) {
             Ok(Notice::Heartbeat(heartbeat)) => {
                 if self.dispatcher.backend().is_none() {
-                    self.wait_until_read(&heartbeat.service).await;
+                    self.wait_until_read().await;
                 }
                 self.heartbeat(&heartbeat)
             }
@@ -113,20 +113,20 @@
         }
     }
 
-    /// Waits until the departure record and the tables of a service with keys are read, or the wait has
-    /// timed out.
-    async fn wait_until_read(&self, service: &str) {
+    /// Waits until the departure record and the replicated items are read, or the wait has timed out. The
+    /// items have the assignment tables, and the records of requests that crash backend servers.
+    async fn wait_until_read(&self) {
         let wait = self.departures.load_wait();
-        let tables = async {
-            while self.is_keyed(service) && self.replicator.revision().is_none() {
-                time::sleep(TABLES_POLL_INTERVAL).await;
+        let items = async {
+            while self.replicator.revision().is_none() {
+                time::sleep(ITEMS_POLL_INTERVAL).await;
             }
         };
-        let ((), read) = tokio::join!(self.departures.wait_loaded(), time::timeout(wait, tables));
+        let ((), read) = tokio::join!(self.departures.wait_loaded(), time::timeout(wait, items));
         if read.is_err() {
             tracing::warn!(
                 event = 384,
-                "accepted a heartbeat before the assignment tables were read"
+                "accepted a heartbeat before the replicated items were read"
             );
         }
     }
--- a/src/coordination/sidecar/isolation.rs
+++ b/src/coordination/sidecar/isolation.rs
@@ -19,11 +19,12 @@
 
 use crate::coordination::sidecar::local_backend::Backend;
 use crate::coordination::sidecar::membership::MembershipView;
-use crate::coordination::sidecar::quarantine::{Quarantine, Verdict};
+use crate::coordination::sidecar::quarantine::{Quarantine, Recordable, Verdict};
 use crate::protocol::mesh::{
     Call, Cause, CrashReport, Failure, Frame, Permission, PermitRequest, Response,
 };
 use crate::state::clock::{self, Instant};
+use crate::state::crash_evidence::CrashEvidence;
 use crate::state::fingerprint::Fingerprint;
 use crate::transport::sidecar::backend::SendError;
 use crate::transport::sidecar::links::Link;
@@ -64,6 +65,8 @@
     running: RefCell<HashMap<u64, (Rc<Call>, Instant)>>,
     /// Notified when a report to other nodes is due.
     report_due: Notify,
+    /// Notified when the crashes under a request that are known may have changed.
+    pub evidence_changed: Notify,
     /// Notified when a suspected request may have become ready.
     changed: Notify,
     /// Permits one suspected request at a time at the local backend server, so that no two are blamed for
@@ -79,6 +82,7 @@
             sent: RefCell::default(),
             running: RefCell::default(),
             report_due: Notify::new(),
+            evidence_changed: Notify::new(),
             changed: Notify::new(),
             lane: Semaphore::new(1),
         }
@@ -159,6 +163,7 @@
     fn update<T>(&self, change: impl FnOnce(&mut Quarantine) -> T) -> T {
         let result = change(&mut self.quarantine.borrow_mut());
         self.report_due.notify_one();
+        self.evidence_changed.notify_one();
         self.changed.notify_waiters();
         result
     }
@@ -409,9 +414,37 @@
         drop(quarantine);
         self.report_running(&suspected);
         self.report_due.notify_one();
+        self.evidence_changed.notify_one();
         self.changed.notify_waiters();
     }
 
+    /// Adds the evidence of earlier processes against a request.
+    pub fn restore(&self, request: Fingerprint, evidence: &CrashEvidence) {
+        let known = self.quarantine.borrow().contains(request);
+        self.update(|q| q.restore(request, evidence, Instant::now()));
+        if !known {
+            self.report_running(&[request]);
+        }
+    }
+
+    /// Returns whether no request is suspected.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.quarantine.borrow().is_empty()
+    }
+
+    /// Returns the suspects of which a life is known.
+    #[must_use]
+    pub fn recordable(&self, now: Instant) -> Vec<Recordable> {
+        self.quarantine.borrow().recordable(now)
+    }
+
+    /// Returns whether this node is the arbiter of a request.
+    #[must_use]
+    pub fn is_arbiter(&self, request: Fingerprint) -> bool {
+        self.membership.borrow().is_some() && self.arbiter(request).is_none()
+    }
+
     /// Sends reports to other nodes as soon as there are any.
     pub async fn run(&self, membership: Rc<MembershipView>) {
         *self.membership.borrow_mut() = Some(Rc::clone(&membership));
--- a/src/coordination/sidecar/mod.rs
+++ b/src/coordination/sidecar/mod.rs
@@ -15,6 +15,7 @@
 pub mod catchup;
 pub mod configuration;
 pub mod confirmation;
+pub mod crash_records;
 pub mod departures;
 pub mod dispatcher;
 pub mod evacuation;
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -13,6 +13,7 @@
 use crate::coordination::sidecar::catchup::{Action, CatchUp, Source};
 use crate::coordination::sidecar::configuration::Configuration;
 use crate::coordination::sidecar::confirmation::{self, Confirmation};
+use crate::coordination::sidecar::crash_records::CrashRecords;
 use crate::coordination::sidecar::departures::{Departed, Departures};
 use crate::coordination::sidecar::dispatcher::Dispatcher;
 use crate::coordination::sidecar::evacuation::{Evacuations, SentStates};
@@ -98,6 +99,7 @@
     dispatcher: Rc<Dispatcher>,
     evacuations: Rc<Evacuations>,
     registration: Rc<Registration>,
+    crash_records: Rc<CrashRecords>,
     departures: Rc<Departures>,
     planner: Rc<Planner>,
     prober: Prober,
@@ -141,6 +143,8 @@
         );
         apply_remote_items(&membership, &replicator);
         let dispatcher = create_dispatcher(settings, adapter, &state_changed, metrics);
+        let crash_records =
+            CrashRecords::new(Rc::clone(&store), &replicator, Rc::clone(&dispatcher));
         let departures = Departures::new(&address, Rc::clone(&store));
         let registration = Registration::new(Rc::clone(&store), Rc::clone(&replicator), entry);
         let grant_manager = GrantManager::new(
@@ -203,6 +207,7 @@
             evacuations: Rc::clone(&dispatcher.evacuations),
             dispatcher,
             registration,
+            crash_records,
             departures,
             planner,
             grant_manager,
@@ -277,6 +282,7 @@
             let membership = Rc::clone(&node.membership);
             node.dispatcher.isolation.run(membership).await;
         });
+        self.spawn(|node| async move { node.crash_records.run().await });
         self.spawn(|node| async move { node.record_departures().await });
         self.spawn(|node| async move { node.dispatcher.run_throttled().await });
         self.spawn(|node| async move { node.prober.run().await });
--- a/src/coordination/sidecar/quarantine.rs
+++ b/src/coordination/sidecar/quarantine.rs
@@ -15,6 +15,7 @@
 
 use crate::protocol::mesh::{CrashReport, Finding, Permission};
 use crate::state::clock::{self, Instant};
+use crate::state::crash_evidence::CrashEvidence;
 use crate::state::fingerprint::Fingerprint;
 
 /// Number of lives of backend servers under which a request must have broken off to be refused.
@@ -31,6 +32,9 @@
 /// backend server arrives within it.
 const SUSPICION: Duration = Duration::from_secs(10);
 
+/// Time in which evidence that was written to the store may come back from there.
+const RESTORE_DELAY: Duration = Duration::from_secs(5);
+
 /// Maximum number of requests that are remembered.
 const MAX_REQUESTS: usize = 4096;
 
@@ -123,6 +127,13 @@
         now.since(self.seen) <= memory
     }
 
+    fn evidence(&self) -> CrashEvidence {
+        CrashEvidence {
+            lives: self.lives.clone(),
+            strikes: self.strikes,
+        }
+    }
+
     fn is_quarantined(&self) -> bool {
         self.lives.len() >= MAX_CRASHES
     }
@@ -185,6 +196,17 @@
     }
 }
 
+/// Suspect of which a backend server's life is known.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Recordable {
+    /// Fingerprint of the request.
+    pub request: Fingerprint,
+    /// Crashes under it.
+    pub evidence: CrashEvidence,
+    /// Time since the last crash.
+    pub age: Duration,
+}
+
 /// Requests under which backend servers have broken off.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -197,6 +219,8 @@
     life_reports: Option<LifeReports>,
     /// Latest suspicions because of own retries.
     suspicions: Option<LifeReports>,
+    /// Requests that were answered a short time ago.
+    cleared: HashMap<Fingerprint, Instant>,
 }
 
 impl Quarantine {
@@ -333,7 +357,9 @@
         let request = report.request;
         match report.finding {
             Finding::Answered => {
-                self.suspects.remove(&request);
+                if self.suspects.remove(&request).is_some() {
+                    self.cleared.insert(request, now);
+                }
             }
             Finding::Crashed(life) => {
                 let suspect = self.suspect(request, now);
@@ -384,6 +410,37 @@
         }
     }
 
+    /// Adds evidence of earlier processes. A trial waits for its whole delay again, since the time of the last
+    /// crash isn't known. Evidence against a request that has just been answered is from before the answer.
+    pub fn restore(&mut self, request: Fingerprint, evidence: &CrashEvidence, now: Instant) {
+        let is_late = |at: &Instant| now.since(*at) < RESTORE_DELAY;
+        if self.cleared.get(&request).is_some_and(is_late) {
+            return;
+        }
+        let suspect = self.suspect(request, now);
+        let known = suspect.evidence();
+        for life in &evidence.lives {
+            suspect.add_life(*life);
+        }
+        suspect.strikes = suspect.strikes.max(evidence.strikes);
+        if suspect.evidence() != known {
+            suspect.delay(true, now);
+        }
+    }
+
+    /// Returns the suspects of which a life is known.
+    #[must_use]
+    pub fn recordable(&self, now: Instant) -> Vec<Recordable> {
+        let current = self.suspects.iter().filter(|(_, s)| s.is_current(now));
+        let with_life = current.filter(|(_, s)| !s.lives.is_empty());
+        let recordable = with_life.map(|(&request, s)| Recordable {
+            request,
+            evidence: s.evidence(),
+            age: now.since(s.seen),
+        });
+        recordable.collect()
+    }
+
     fn suspect(&mut self, request: Fingerprint, now: Instant) -> &mut Suspect {
         if !self.suspects.contains_key(&request) {
             self.make_room(now);
@@ -414,6 +471,7 @@
     /// Forgets requests that haven't crashed a backend server for long.
     pub fn prune(&mut self, now: Instant) {
         self.suspects.retain(|_, s| s.is_current(now));
+        self.cleared.retain(|_, at| now.since(*at) < RESTORE_DELAY);
     }
 
     /// Returns the number of reports of this node so far.
--- a/src/coordination/sidecar/replication.rs
+++ b/src/coordination/sidecar/replication.rs
@@ -17,6 +17,7 @@
 use crate::coordination::sidecar::watch::WatchHandler;
 use crate::coordination::sidecar::watchers::Watchers;
 use crate::protocol::adapter::{Event, Item};
+use crate::protocol::crash_record;
 use crate::protocol::mesh::Items;
 use crate::protocol::ownership;
 use crate::state::store_revision::{Era, Revision};
@@ -31,6 +32,18 @@
     pub from_store: bool,
 }
 
+/// Function that gets the key of a record, the item unless it was removed, and the era.
+pub type ApplyRecord = Box<dyn Fn(&str, Option<&Item>, Era)>;
+
+/// Receiver of crash records.
+struct RecordHandler(ApplyRecord);
+
+impl std::fmt::Debug for RecordHandler {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("RecordHandler").finish_non_exhaustive()
+    }
+}
+
 /// Replicated items below the product's prefix, applied to the parts that use them.
 #[derive(Debug)]
 pub struct Replicator {
@@ -44,6 +57,7 @@
     /// Failure domain of this node.
     domain: String,
     pending: Cell<Option<PendingUpdate>>,
+    record_handler: RefCell<RecordHandler>,
     /// Notified when there is an update to forward.
     pub update_ready: Notify,
     /// Notified when the entry of this node was written or removed.
@@ -70,11 +84,17 @@
             replica: RefCell::default(),
             domain: domain.to_owned(),
             pending: Cell::new(None),
+            record_handler: RefCell::new(RecordHandler(Box::new(|_, _, _| ()))),
             update_ready: Notify::new(),
             own_entry_changed: Notify::new(),
         })
     }
 
+    /// Sets the handler of crash records; to be called before any item is known.
+    pub fn set_record_handler(&self, handler: ApplyRecord) {
+        *self.record_handler.borrow_mut() = RecordHandler(handler);
+    }
+
     /// Returns the revision up to which all changes are known.
     #[must_use]
     pub fn revision(&self) -> Revision {
@@ -151,6 +171,14 @@
             if *key == own {
                 self.own_entry_changed.notify_one();
             }
+            if key.starts_with(crash_record::PREFIX) {
+                let item = match &change {
+                    Change::Put(item) => Some(item),
+                    Change::Removed(_) => None,
+                };
+                (self.record_handler.borrow().0)(key, item, era);
+                continue;
+            }
             match change {
                 Change::Put(item) => match item.key.strip_prefix(tables::NODES) {
                     Some(address) => self.add_node(address, &item),
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -9,6 +9,7 @@
 pub mod caller;
 pub mod compression;
 pub mod config;
+pub mod crash_record;
 pub mod diff;
 pub mod document;
 pub mod edit;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -3,6 +3,7 @@
 //! Nothing here does input or output; upper layers decide when state changes.
 
 pub mod clock;
+pub mod crash_evidence;
 pub mod decayed_average;
 pub mod document;
 pub mod error;
--- a/tests/sidecar/quarantine.rs
+++ b/tests/sidecar/quarantine.rs
@@ -8,6 +8,7 @@
 use filbertflow::coordination::sidecar::isolation::Isolation;
 use filbertflow::coordination::sidecar::quarantine::{MAX_CRASHES, Quarantine, Verdict};
 use filbertflow::state::clock::Instant;
+use filbertflow::state::crash_evidence::CrashEvidence;
 use filbertflow::state::fingerprint::Fingerprint;
 use filbertflow::state::routes::Repeat;
 
@@ -80,6 +81,42 @@
     }
 }
 
+/// All processes are killed after a trial. Guards against a count that begins anew, and against a trial that
+/// comes sooner than the former process would have allowed it.
+#[test]
+fn restored_evidence_refuses_until_the_next_trial() {
+    let now = Instant::now();
+    let evidence = CrashEvidence {
+        lives: vec![1, 2, 3],
+        strikes: 1,
+    };
+    let mut node = Quarantine::default();
+    node.restore(POISON, &evidence, now);
+    assert!(refuses(&node, POISON, now + secs(14)));
+    assert_eq!(node.check(POISON, now + secs(15)), Verdict::Ready);
+    let recordable = node.recordable(now);
+    assert_eq!(recordable[0].evidence, evidence);
+    // The same record, written again, doesn't postpone the trial.
+    node.restore(POISON, &evidence, now + secs(10));
+    assert_eq!(node.check(POISON, now + secs(15)), Verdict::Ready);
+}
+
+/// The record of a request reaches a node after the answer that clears it. Guards against a request that is
+/// suspected for good because of it.
+#[test]
+fn late_evidence_does_not_bring_a_cleared_request_back() {
+    let now = Instant::now();
+    let mut node = Quarantine::default();
+    node.record_crash(OTHER, 1, false, SLOTS, now);
+    let evidence = node.recordable(now)[0].evidence.clone();
+    node.record_answer(OTHER, now);
+    node.restore(OTHER, &evidence, now + secs(1));
+    assert!(node.is_empty());
+    // A process that starts later has the record only.
+    node.restore(OTHER, &evidence, now + secs(60));
+    assert!(node.contains(OTHER));
+}
+
 /// Guards against a request that is refused because one life of a backend server lost its answers.
 #[test]
 fn one_life_counts_once() {
