Limit on responses that the node and the commands read

Reported: a faulty server sent a body without end, and the machine that had called it ran out of memory. Cause: the clients of the platform's store, of admin addresses and of grants read the whole text of a response, bounded by their time limits only (0.2 to 2 s, a watch longer).

--- a/src/transport/admin_client.rs
+++ b/src/transport/admin_client.rs
@@ -5,7 +5,7 @@
 use serde::de;
 
 use crate::protocol::{admin, error as protocol};
-use crate::transport::error;
+use crate::transport::{error, limited_text};
 
 /// Timeout of one call.
 const CALL_TIMEOUT: time::Duration = time::Duration::from_secs(2);
@@ -74,10 +74,8 @@
         .timeout(CALL_TIMEOUT)
         .send()
         .map_err(|e| error::Error::Unreachable(e.to_string()))?;
-    let status = response.status();
-    let text = response
-        .text()
-        .map_err(|e| error::Error::Unreachable(e.to_string()))?;
+    let (status, text) =
+        limited_text::read(response).map_err(|e| error::Error::Unreachable(e.to_string()))?;
     if status.is_success() {
         return Ok(text);
     }
--- a/src/transport/grant.rs
+++ b/src/transport/grant.rs
@@ -3,7 +3,7 @@
 use std::{net, time};
 
 use crate::protocol::backend;
-use crate::transport::error;
+use crate::transport::{error, limited_text};
 
 /// Timeout of one delivery. Failures are not retried, because the next renewal sends a newer grant.
 const DELIVERY_TIMEOUT: time::Duration = time::Duration::from_millis(200);
@@ -33,8 +33,9 @@
     if status.is_success() {
         return Ok(());
     }
+    let text = limited_text::read(response).map_or_else(|e| e.to_string(), |(_, text)| text);
     Err(error::Error::Rejected {
         status: status.as_u16(),
-        text: response.text().unwrap_or_default(),
+        text,
     })
 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -8,6 +8,7 @@
 pub mod counted;
 pub mod error;
 pub mod grant;
+mod limited_text;
 pub mod peer_server;
 pub mod peers;
 pub mod platform;
--- a/src/transport/platform.rs
+++ b/src/transport/platform.rs
@@ -9,7 +9,7 @@
 
 use crate::protocol::{error as protocol, platform};
 use crate::state::ids;
-use crate::transport::error;
+use crate::transport::{error, limited_text};
 
 /// Timeout of a read or a write.
 const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(800);
@@ -145,8 +145,8 @@
         .timeout(timeout)
         .send()
         .map_err(|e| classify(&e))?;
-    let status = response.status();
-    let text = response.text().map_err(|e| classify(&e))?;
+    let (status, text) =
+        limited_text::read(response).map_err(|e| error::Error::Ambiguous(e.to_string()))?;
     if status.is_success() {
         Ok(serde_json::from_str(&text).map_err(protocol::Error::from)?)
     } else if status.is_server_error() {
--- a/tests/listener.rs
+++ b/tests/listener.rs
@@ -69,6 +69,34 @@
     idle_connections_do_not_hold_up_operators: start_admin;
 }
 
+/// Bytes of a head after which a listener must have closed the connection, with those in the buffers of the
+/// system.
+const MAX_HEAD_SENT: usize = 64 << 20;
+
+/// Sends a head without end; returns whether the connection was closed before too much was sent.
+fn closes_endless_head(addr: SocketAddr) -> bool {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.set_write_timeout(Some(TIMEOUT)).unwrap();
+    stream.write_all(b"GET /a HTTP/1.1\r\nx: ").unwrap();
+    let piece = [b'a'; 8 * 1024];
+    (0..MAX_HEAD_SENT / piece.len()).any(|_| stream.write_all(&piece).is_err())
+}
+
+macro_rules! endless_heads {
+    ($($name:ident: $start:expr;)*) => {$(
+        /// Guards against memory for a head without end.
+        #[test]
+        fn $name() {
+            assert!(closes_endless_head($start(60)));
+        }
+    )*};
+}
+
+endless_heads! {
+    endless_head_to_callers_listener: start_entry;
+    endless_head_to_admin_listener: start_admin;
+}
+
 const ID: &str = "01a2412d-b746-70a0-a0de-2491973393af";
 
 /// Sends a request with an identifier and more header lines; returns the response.
