Bound all bytes that are read and not kept

Reported: trailer lines without end behind a chunked body were read until the deadline, 1.1 GiB in 20 s on. Cause: limits were on what is kept, or on each read, line or frame. Trailer lines and chunk extensions, requests to the listeners for heartbeats, probes and metrics, the first frame between nodes, frames in the wrong direction and bytes behind a refused request counted towards no limit in all. Change: 16 KiB of chunk extensions and trailer lines a body on all HTTP connections; 5 s for a request to the small listeners; 8 KiB for a first frame; a frame in the wrong direction ends its connection; after a refusal a caller's connection is read for as many bytes as a request may have.

--- a/src/protocol/body_reader.rs
+++ b/src/protocol/body_reader.rs
@@ -11,6 +11,13 @@
 /// Maximum length of a chunk-size or trailer line, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 
+/// Length of a chunk-size line without an extension, in bytes: up to eight digits and the line's end.
+const PLAIN_SIZE_LINE: usize = 10;
+
+/// Maximum size of all chunk extensions and trailer lines of a body, in bytes; equal to the usual limit on
+/// a head. They count towards no other limit, since they are skipped.
+const MAX_SKIPPED_BYTES: usize = 16 * 1024;
+
 /// Incremental reader of one body from the buffer of its connection.
 #[derive(Debug)]
 pub struct BodyReader {
@@ -18,6 +25,8 @@
     state: ChunkState,
     limit: usize,
     content: Buffer,
+    /// Number of bytes of extensions and trailer lines so far.
+    skipped: usize,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,6 +46,7 @@
             state: ChunkState::Size,
             limit,
             content: Buffer::default(),
+            skipped: 0,
         }
     }
 
@@ -44,7 +54,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the body is malformed or too large.
+    /// Returns an error if the body is malformed or too large, or has too many bytes besides its content.
     pub fn feed(&mut self, buffer: &mut BytesMut) -> Result<bool, ParseError> {
         match self.body {
             BodyLength::Length(length) if length > self.limit => Err(ParseError::BodyTooLarge),
@@ -70,12 +80,22 @@
         Ok(())
     }
 
+    /// Counts bytes that are not content.
+    fn skip(&mut self, bytes: usize) -> Result<(), ParseError> {
+        self.skipped += bytes;
+        if self.skipped > MAX_SKIPPED_BYTES {
+            return Err(ParseError::Framing);
+        }
+        Ok(())
+    }
+
     fn feed_chunks(&mut self, buffer: &mut BytesMut) -> Result<bool, ParseError> {
         loop {
             match self.state {
                 ChunkState::Size => match httparse::parse_chunk_size(buffer) {
                     Ok(httparse::Status::Complete((size, length))) => {
                         buffer.advance(size);
+                        self.skip(size.saturating_sub(PLAIN_SIZE_LINE))?;
                         let length = usize::try_from(length).map_err(|_| ParseError::Framing)?;
                         if length > self.limit - self.content.len() {
                             return Err(ParseError::BodyTooLarge);
@@ -120,6 +140,7 @@
                     if end == 0 {
                         return Ok(true);
                     }
+                    self.skip(end + 2)?;
                 }
             }
         }
--- a/src/transport/sidecar/frames.rs
+++ b/src/transport/sidecar/frames.rs
@@ -24,7 +24,7 @@
 use crate::protocol::body::Body;
 use crate::protocol::buffer::{self, Buffer};
 use crate::protocol::http;
-use crate::protocol::mesh::{Cause, Failure, Frame, MAX_FRAME, Outcome, Seq};
+use crate::protocol::mesh::{Cause, Failure, Frame, Hello, MAX_FRAME, Outcome, Seq};
 use crate::state::clock::Instant;
 use crate::state::reservation::{Footprint, Reservation};
 use crate::transport::sidecar::byte_budget::{ByteBudget, Purpose};
@@ -179,9 +179,30 @@
     buffer: BytesMut,
     large: Option<LargeFrame>,
     budget: Rc<ByteBudget>,
+    /// Maximum size of a frame, in bytes.
+    limit: usize,
 }
 
 impl FrameReader {
+    /// Reads the first frame, which introduces the other node. A longer one is refused before it is read, since
+    /// what sends it isn't a node.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection ends or fails, or if its first bytes are no such frame.
+    pub async fn hello(&mut self) -> io::Result<Hello> {
+        self.limit = SMALL_FRAME;
+        let first = self.next().await;
+        self.limit = MAX_FRAME;
+        let first = first.ok_or(io::ErrorKind::UnexpectedEof)??;
+        match decode(&first)? {
+            Frame::Hello(hello) => Ok(hello),
+            other => Err(io::Error::other(format!(
+                "expected a hello frame, got {other:?}"
+            ))),
+        }
+    }
+
     /// Sets the budget for frames, if there is one.
     pub fn set_budget(&mut self, budget: Option<Rc<ByteBudget>>) {
         if let Some(budget) = budget {
@@ -233,7 +254,7 @@
                 return Ok(None);
             };
             let length = usize::try_from(u32::from_be_bytes(*prefix)).map_err(io::Error::other)?;
-            if length > MAX_FRAME {
+            if length > self.limit {
                 return Err(io::ErrorKind::InvalidData.into());
             }
             if length <= SMALL_FRAME {
@@ -324,6 +345,7 @@
         buffer: BytesMut::with_capacity(INITIAL_BUFFER_SIZE),
         large: None,
         budget: ByteBudget::unlimited(),
+        limit: MAX_FRAME,
     };
     let writer = FrameWriter {
         io,
--- a/src/transport/sidecar/http_server.rs
+++ b/src/transport/sidecar/http_server.rs
@@ -12,6 +12,7 @@
 
 use crate::protocol::body_reader::BodyReader;
 use crate::protocol::http;
+use crate::state::clock::Instant;
 use crate::transport::sidecar::writing;
 
 /// Maximum size of a request head, in bytes.
@@ -21,9 +22,13 @@
 /// a few KiB.
 const MAX_BODY: usize = 256 * 1024;
 
-/// Maximum time without received bytes, or without room for a response, before a connection is closed.
+/// Maximum time between two requests, or without room for a response, before a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Maximum time between the first and the last byte of a request; a backend server gives up its heartbeat
+/// after a second.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Delay before the next accept after a failed one.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
@@ -89,13 +94,17 @@
     io: &mut TcpStream,
     buffer: &mut BytesMut,
 ) -> std::io::Result<Option<ParseResult>> {
+    if buffer.is_empty() && !read_more(io, buffer, IDLE_TIMEOUT).await? {
+        return Ok(None);
+    }
+    let end = Instant::now() + REQUEST_TIMEOUT;
     let head = loop {
         match http::RequestHead::parse(buffer, MAX_HEAD) {
             Ok(Some(head)) => break head,
             Ok(None) => {}
             Err(e) => return Ok(Some(Err(e))),
         }
-        if !read_more(io, buffer).await? {
+        if !read_more(io, buffer, end.left()).await? {
             return Ok(None);
         }
     };
@@ -106,14 +115,19 @@
             Ok(false) => {}
             Err(e) => return Ok(Some(Err(e))),
         }
-        if !read_more(io, buffer).await? {
+        if !read_more(io, buffer, end.left()).await? {
             return Ok(None);
         }
     }
 }
 
-async fn read_more(io: &mut TcpStream, buffer: &mut BytesMut) -> std::io::Result<bool> {
-    match time::timeout(IDLE_TIMEOUT, io.read_buf(buffer)).await {
+/// Reads some bytes; returns whether there were any within the limit.
+async fn read_more(
+    io: &mut TcpStream,
+    buffer: &mut BytesMut,
+    limit: Duration,
+) -> std::io::Result<bool> {
+    match time::timeout(limit, io.read_buf(buffer)).await {
         Ok(read) => Ok(read? > 0),
         Err(_) => Ok(false),
     }
--- a/src/transport/sidecar/links.rs
+++ b/src/transport/sidecar/links.rs
@@ -387,7 +387,8 @@
         self.end_call(seq, outcome);
     }
 
-    fn receive(&self, frame: Frame) {
+    /// Processes a frame; an error ends the connection.
+    fn receive(&self, frame: Frame) -> std::io::Result<()> {
         match frame {
             Frame::Reply(seq, outcome) => self.complete(seq, *outcome),
             Frame::Load(load) => {
@@ -425,8 +426,10 @@
             Frame::Pong => {}
             other => {
                 tracing::warn!(event = 222, node = %self.node, frame = ?other, "received a frame that is not allowed in this direction");
+                return Err(std::io::ErrorKind::InvalidData.into());
             }
         }
+        Ok(())
     }
 
     /// Marks a call as written; returns whether the frame should be sent. A call is not sent if its
@@ -523,14 +526,8 @@
         read.set_budget(link.budget.borrow().clone());
         write.add(&Frame::Hello(link.hello.clone()))?;
         write.flush().await?;
-        let first = read.next().await;
-        let first = first.ok_or(std::io::ErrorKind::UnexpectedEof)??;
-        match frames::decode(&first)? {
-            Frame::Hello(hello) => Ok(((read, write), hello)),
-            other => Err(std::io::Error::other(format!(
-                "expected a hello frame, got {other:?}"
-            ))),
-        }
+        let hello = read.hello().await?;
+        Ok::<_, std::io::Error>(((read, write), hello))
     };
     let opened = time::timeout(CONNECT_TIMEOUT, opened).await;
     let (io, hello) = opened.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
@@ -569,7 +566,7 @@
         loop {
             let bytes = read.next().await;
             let bytes = bytes.ok_or(std::io::ErrorKind::UnexpectedEof)??;
-            link.receive(frames::decode(&bytes)?);
+            link.receive(frames::decode(&bytes)?)?;
         }
     };
     let writing = async {
--- a/src/transport/sidecar/peer_server.rs
+++ b/src/transport/sidecar/peer_server.rs
@@ -444,7 +444,7 @@
                     return Ok(());
                 }
                 match frames::receive(&bytes)? {
-                    Received::Frame(frame) => self.receive(&session, frame),
+                    Received::Frame(frame) => self.receive(&session, frame)?,
                     Received::RefusedCall(seq) => {
                         let failure = Failure::before_send(Cause::Full, SHORTAGE_RETRY_MS);
                         let outcome = Outcome::NotRun(failure);
@@ -486,17 +486,14 @@
         read: &mut FrameReader,
         write: &mut FrameWriter,
     ) -> std::io::Result<Hello> {
-        let first = read.next().await;
-        let first = first.ok_or(std::io::ErrorKind::UnexpectedEof)??;
-        let Frame::Hello(hello) = frames::decode(&first)? else {
-            return Err(std::io::Error::other("expected a hello frame"));
-        };
+        let hello = read.hello().await?;
         write.add(&Frame::Hello(self.hello.clone()))?;
         write.flush().await?;
         Ok(hello)
     }
 
-    fn receive(&self, session: &SharedSession, frame: Frame) {
+    /// Processes a frame; an error ends the connection.
+    fn receive(&self, session: &SharedSession, frame: Frame) -> std::io::Result<()> {
         match frame {
             Frame::Call(seq, mut call) => {
                 let now = Instant::now();
@@ -510,7 +507,7 @@
                     tracing::info!(event = 234, id = %call.id, late_ms = delay_ms, left_ms = call.left_ms, "call expired before it arrived");
                     let outcome = Outcome::NotRun(Failure::before_send(Cause::Expired, 0));
                     session.borrow_mut().finish(seq, call.repeat, outcome);
-                    return;
+                    return Ok(());
                 }
                 call.left_ms -= delay_ms;
                 call.aim_ms = call.aim_ms.saturating_sub(delay_ms);
@@ -567,8 +564,10 @@
             }
             other => {
                 tracing::warn!(event = 233, frame = ?other, "received a frame that is not allowed in this direction");
+                return Err(std::io::ErrorKind::InvalidData.into());
             }
         }
+        Ok(())
     }
 }
 
--- a/src/transport/sidecar/request_reader.rs
+++ b/src/transport/sidecar/request_reader.rs
@@ -137,15 +137,18 @@
         self.since = Instant::now();
     }
 
-    /// Reads and discards bytes until the caller closes the connection.
+    /// Reads and discards bytes until the caller closes the connection, at most as many as the rest of one
+    /// request can have.
     pub async fn drain(&mut self) {
-        loop {
+        let mut left = self
+            .limits
+            .head_bytes
+            .saturating_add(self.limits.body_bytes);
+        while left > 0 {
             self.buffer.bytes.clear();
-            if matches!(
-                self.io.read_buf(&mut self.buffer.bytes).await,
-                Ok(0) | Err(_)
-            ) {
-                return;
+            match self.io.read_buf(&mut self.buffer.bytes).await {
+                Ok(0) | Err(_) => return,
+                Ok(read) => left = left.saturating_sub(read),
             }
         }
     }
--- a/tests/sidecar/caller.rs
+++ b/tests/sidecar/caller.rs
@@ -182,6 +182,8 @@
     )*};
 }
 
+const CHUNKED: &str = "POST /0 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 rejects! {
     nonsense: "nonsense\r\n\r\n" => "400";
     two_lengths: "POST /0 HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab" => "400";
@@ -189,6 +191,24 @@
     large_body: "POST /0 HTTP/1.1\r\nContent-Length: 11\r\n\r\n" => "413";
     large_chunks: "POST /0 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nff\r\naaaaaaaaaaaaa" => "413";
     slow_head: "GET /0 HTT" => "408";
+    endless_trailers: format!("{CHUNKED}0\r\n{}", "x: aaaaaaaa\r\n".repeat(2000)) => "400";
+}
+
+/// Guards against a caller that keeps a connection busy after its request was refused.
+#[test]
+fn endless_bytes_behind_a_refused_request_end_the_connection() {
+    run(|fixture| async move {
+        let mut io = fixture.connect().await;
+        let start = time::Instant::now();
+        let mut sent = io.write_all(b"nonsense\r\n\r\n").await;
+        while sent.is_ok() {
+            task::yield_now().await;
+            sent = io.write_all(&[b'a'; 4096]).await;
+        }
+        // Shorter than the time in which a caller may read the response.
+        let took = start.elapsed();
+        assert!(took < Duration::from_millis(400), "{took:?}");
+    });
 }
 
 /// Guards against idle connections that are never closed.
--- a/tests/sidecar/endless.rs
+++ b/tests/sidecar/endless.rs
@@ -108,6 +108,10 @@
 }
 
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nid: 7\r\nsig: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+const LAST_CHUNK: &str =
+    "HTTP/1.1 200 OK\r\nid: 7\r\nsig: s\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n";
+const EXTENDED_CHUNK: &str =
+    "1;x=aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\na\r\n";
 const UNTIL_CLOSE: &str = "HTTP/1.1 200 OK\r\nid: 7\r\nsig: s\r\n\r\n";
 const LONG: &str = "HTTP/1.1 200 OK\r\nid: 7\r\nsig: s\r\nContent-Length: 99999999999\r\n\r\n";
 const OTHERS: &str = "HTTP/1.1 200 OK\r\nid: 6\r\nsig: s\r\nContent-Length: 2\r\n\r\nno";
@@ -129,6 +133,12 @@
     chunk_size: CHUNKED, then "00000000", 512 every 1 ms => Garbled;
     /// Guards against unbounded memory use by a chunk with a huge stated size.
     chunk: CHUNKED, then "fffffff\r\n", 512 every 1 ms => Garbled;
+    /// Guards against an endless number of trailer lines behind a body.
+    trailers: LAST_CHUNK, then "x: aaaaaaaa\r\n", 512 every 1 ms => Garbled;
+    /// Guards against an endless trailer line.
+    line_of_a_trailer: LAST_CHUNK, then "aaaaaaaa", 512 every 1 ms => Garbled;
+    /// Guards against chunks that consist of little but extensions.
+    chunk_extensions: CHUNKED, then EXTENDED_CHUNK, 64 every 1 ms => Garbled;
     /// Guards against an endless series of slow chunks.
     slow_chunks: CHUNKED, then "1\r\na\r\n", 1 every 5 ms => Endless;
     /// Guards against unbounded memory use by an endless body that is delimited by the connection's
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -15,6 +15,7 @@
 mod cut_heads;
 mod decayed_average;
 mod endless;
+mod endless_bytes;
 mod evacuation;
 mod failure_rate;
 mod forwarders;
