Claims count for their own service

Found by reading the diff: a node whose backend server changes its service keeps the claims for the former one, and took them for claims on the table of the new one. Change: a claim counts as heard for the service that it names.

--- a/src/coordination/sidecar/confirmation.rs
+++ b/src/coordination/sidecar/confirmation.rs
@@ -192,7 +192,7 @@
         let unheard = |node: String| {
             let key = Registration::entry_key(&node);
             let entry = parts.replicator.item_revision(&key);
-            let claim = claims.get(&node);
+            let claim = claims.get(&node).filter(|c| c.service == service);
             let missing = is_missing(claim, entry, parts.store.era(), has_settled);
             missing.then(|| Unheard {
                 service: parts.membership.service_of(&node),
