--- a/src/coordination/sidecar/crash_records.rs
+++ b/src/coordination/sidecar/crash_records.rs
@@ -11,7 +11,7 @@
 //! revision, so that it doesn't bring back a request that was cleared meanwhile.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,12 +20,12 @@
 
 use crate::coordination::sidecar::backoff::Backoff;
 use crate::coordination::sidecar::dispatcher::Dispatcher;
-use crate::coordination::sidecar::quarantine::{MAX_CRASHES, Recordable};
+use crate::coordination::sidecar::quarantine::MAX_CRASHES;
 use crate::coordination::sidecar::replication::Replicator;
 use crate::protocol::adapter::{Commit, Item, StoreCall, StoreReply};
 use crate::protocol::crash_record;
 use crate::state::clock::Instant;
-use crate::state::crash_evidence::CrashEvidence;
+use crate::state::crash_evidence::{CrashEvidence, Recordable};
 use crate::state::fingerprint::Fingerprint;
 use crate::state::store_revision::{Era, Revision};
 use crate::transport::sidecar::store::{self, StoreClient};
@@ -37,6 +37,9 @@
 /// Interval at which records are compared while there are any.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Pause between two comparisons.
+const PAUSE: Duration = Duration::from_millis(20);
+
 /// Maximum number of records in one transaction; each takes two of the store's 32 entries.
 const MAX_BATCH: usize = 16;
 
@@ -148,6 +151,8 @@
                     }
                 }
             }
+            // Further crashes accumulate meanwhile.
+            time::sleep(PAUSE).await;
         }
     }
 
@@ -165,9 +170,9 @@
             let change = put(r, present.get(&r.request), present.len())?;
             isolation.is_arbiter(r.request).then_some(change)
         });
-        let suspected = |request: Fingerprint| suspects.iter().any(|r| r.request == request);
+        let suspected: BTreeSet<_> = suspects.iter().map(|r| r.request).collect();
         let removals = present.iter().filter_map(|(&request, record)| {
-            let outdated = record.evidence.is_some() && !suspected(request);
+            let outdated = record.evidence.is_some() && !suspected.contains(&request);
             (outdated && isolation.is_arbiter(request)).then_some(Change {
                 request,
                 expected: record.revision.number,
--- a/src/coordination/sidecar/grant_manager.rs
+++ b/src/coordination/sidecar/grant_manager.rs
@@ -14,7 +14,7 @@
 use crate::coordination::sidecar::dispatcher::Dispatcher;
 use crate::coordination::sidecar::local_backend::Backend;
 use crate::coordination::sidecar::registration::Registration;
-use crate::coordination::sidecar::reported_holds;
+use crate::coordination::sidecar::reported_holds::{self, ReportedRanges};
 use crate::coordination::sidecar::tables::{Table, Tables};
 use crate::protocol::adapter::{GrantSet, Heartbeat, Hold, RangeGrant, Released};
 use crate::protocol::mesh::Claim;
@@ -41,14 +41,6 @@
 /// Maximum number of ranges in a heartbeat's reply, which is limited to 4 KiB.
 const MAX_RANGES: usize = 90;
 
-/// Ranges that a backend server has reported as held.
-#[derive(Debug)]
-struct ReportedRanges {
-    /// Service of the backend server.
-    service: String,
-    ranges: (Holder, Vec<Hold>),
-}
-
 /// Manager of the grants to the local backend server.
 #[derive(Debug)]
 pub struct GrantManager {
@@ -211,13 +203,15 @@
             remaining.is_some()
         };
         let table = self.tables.get(service).filter(leased);
-        let slices = match &table {
-            Some(table) => {
-                let local = |s: &&Slice| s.holder.as_ref().is_some_and(|h| h.node == self.node);
-                let slices = table.assignments.slices.iter().filter(local);
-                slices.cloned().collect()
-            }
-            None => self.reported_slices(service)?,
+        let slices = if let Some(table) = &table {
+            let local = |s: &&Slice| s.holder.as_ref().is_some_and(|h| h.node == self.node);
+            let slices = table.assignments.slices.iter().filter(local);
+            slices.cloned().collect()
+        } else {
+            let reported = self.reported.borrow();
+            let of_service = reported.as_ref().filter(|r| r.service == service);
+            let ranges = of_service.map(|r| &r.ranges);
+            reported_holds::claimed_slices(ranges, self.is_expired(None))?
         };
         Some(Claim {
             era,
@@ -229,15 +223,6 @@
         })
     }
 
-    /// Returns the ranges of a service that the backend server has reported as held, once it tells all that
-    /// may be held.
-    fn reported_slices(&self, service: &str) -> Option<Vec<Slice>> {
-        let reported = self.reported.borrow();
-        let of_service = reported.as_ref().filter(|r| r.service == service);
-        let ranges = of_service.map(|r| &r.ranges);
-        reported_holds::claimed_slices(ranges, self.is_expired(None))
-    }
-
     /// Records the ranges that the backend server has freed in the table.
     pub async fn record_release(&self, free: FreeRanges, backend: &Backend) {
         if free.is_empty() || self.updating.replace(true) {
--- a/src/coordination/sidecar/isolation.rs
+++ b/src/coordination/sidecar/isolation.rs
@@ -7,24 +7,28 @@
 //! node, on the same connection. Without an answer in time the copy is refused. `quarantine` has the state
 //! and the rules.
 
+mod lease;
+
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::mem;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::{Notify, Semaphore, SemaphorePermit};
+use tokio::sync::{Notify, Semaphore};
 use tokio::time;
 use xxhash_rust::xxh3;
 
+pub use crate::coordination::sidecar::isolation::lease::Lease;
+use crate::coordination::sidecar::isolation::lease::Stage;
 use crate::coordination::sidecar::local_backend::Backend;
 use crate::coordination::sidecar::membership::MembershipView;
-use crate::coordination::sidecar::quarantine::{Quarantine, Recordable, Verdict};
+use crate::coordination::sidecar::quarantine::{Quarantine, Verdict};
 use crate::protocol::mesh::{
     Call, Cause, CrashReport, Failure, Frame, Permission, PermitRequest, Response,
 };
 use crate::state::clock::{self, Instant};
-use crate::state::crash_evidence::CrashEvidence;
+use crate::state::crash_evidence::{CrashEvidence, Recordable};
 use crate::state::fingerprint::Fingerprint;
 use crate::transport::sidecar::backend::SendError;
 use crate::transport::sidecar::links::Link;
@@ -45,9 +49,6 @@
 /// Time after a request's deadline at which its run has ended.
 const RUN_GRACE: Duration = Duration::from_millis(100);
 
-/// Time for which a run that was cancelled holds its permit, since the backend server may still run it.
-const CANCELLED_HOLD: Duration = Duration::from_secs(3);
-
 /// Interval at which new connections and old entries are looked for while a request is suspected.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -109,55 +110,6 @@
     }
 }
 
-/// Permit for one run, returned when dropped.
-#[derive(Debug)]
-pub struct Lease<'a> {
-    isolation: &'a Isolation,
-    _lane: SemaphorePermit<'a>,
-    request: Fingerprint,
-    run: u64,
-    stage: Stage,
-}
-
-/// Stage of the run of a permit.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Stage {
-    /// It has not begun, or has ended without a crash or an answer.
-    Open,
-    /// The backend server may have begun to run it.
-    Sent,
-    /// The permit was denied, or other nodes know how the run has ended.
-    Settled,
-}
-
-impl Lease<'_> {
-    /// Marks the run as started, unless it may no longer start; returns whether it may.
-    #[must_use]
-    pub fn start(&mut self) -> bool {
-        let quarantine = self.isolation.quarantine.borrow();
-        let may_start = quarantine.may_start(self.request, self.run, Instant::now());
-        if may_start {
-            self.stage = Stage::Sent;
-        }
-        may_start
-    }
-}
-
-impl Drop for Lease<'_> {
-    fn drop(&mut self) {
-        let (request, run, now) = (self.request, self.run, Instant::now());
-        match self.stage {
-            Stage::Open => self.isolation.update(|q| q.record_end(request, run, now)),
-            Stage::Sent => {
-                let hold = CANCELLED_HOLD;
-                self.isolation
-                    .update(|q| q.record_run(request, run, hold, now));
-            }
-            Stage::Settled => {}
-        }
-    }
-}
-
 impl Isolation {
     /// Changes what is known, and wakes those that wait for it or report it.
     fn update<T>(&self, change: impl FnOnce(&mut Quarantine) -> T) -> T {
--- a/src/coordination/sidecar/mod.rs
+++ b/src/coordination/sidecar/mod.rs
@@ -13,6 +13,7 @@
 pub mod admission;
 pub mod backoff;
 pub mod catchup;
+pub mod catchup_requests;
 pub mod configuration;
 pub mod confirmation;
 pub mod crash_records;
@@ -26,6 +27,7 @@
 pub mod heartbeats;
 pub mod ingress;
 pub mod isolation;
+pub mod life_reports;
 pub mod load_balancing;
 pub mod local_backend;
 pub mod membership;
--- a/src/coordination/sidecar/node.rs
+++ b/src/coordination/sidecar/node.rs
@@ -10,7 +10,8 @@
 use tokio::{task, time};
 
 use crate::coordination::sidecar::backoff::Backoff;
-use crate::coordination::sidecar::catchup::{Action, CatchUp, Source};
+use crate::coordination::sidecar::catchup::CatchUp;
+use crate::coordination::sidecar::catchup_requests::{self, Ahead};
 use crate::coordination::sidecar::configuration::Configuration;
 use crate::coordination::sidecar::confirmation::{self, Confirmation};
 use crate::coordination::sidecar::crash_records::CrashRecords;
@@ -518,11 +519,11 @@
             let (version, known) = (self.configuration.version(), self.replicator.revision());
             let newer = ahead(&|load| load.config > version);
             let (request, reread) = (Frame::WantConfig, &self.reread_config);
-            request_newer(&mut config, version, &newer, request, reread);
+            catchup_requests::send(&mut config, version, &newer, request, reread);
             let newer = ahead(&|load| load.items > known);
             let request = Frame::Want(self.replicator.request_revision());
             let reread = &self.reread_items;
-            request_newer(&mut items, known, &newer, request, reread);
+            catchup_requests::send(&mut items, known, &newer, request, reread);
             if self.evacuations.is_enabled() {
                 let sent = links.iter().filter_map(|l| l.take_evacuations());
                 sent.for_each(|set| self.evacuations.apply_remote(set));
@@ -530,7 +531,7 @@
                 let newer = ahead(&|load| self.evacuations.is_behind(load.evacuations));
                 let request = Frame::WantEvacuations;
                 let reread = &self.reread_config;
-                request_newer(&mut evacuations, known, &newer, request, reread);
+                catchup_requests::send(&mut evacuations, known, &newer, request, reread);
             }
             time::sleep(REQUEST_PAUSE).await;
         }
@@ -674,42 +675,3 @@
         Box::pin(async move { link.relay(request, membership::RELAY_TIMEOUT).await })
     })
 }
-
-/// Connection to a node with newer state.
-struct Ahead<'a> {
-    link: &'a Rc<Link>,
-    /// Whether the node is in this node's failure domain.
-    same_domain: bool,
-    responsive: bool,
-}
-
-/// Performs the next action of a catch-up: sends `request` to one of the nodes that are ahead, or
-/// triggers a read of the store.
-fn request_newer<V: Copy + Ord>(
-    catch_up: &mut CatchUp<V>,
-    known: V,
-    ahead: &[Ahead<'_>],
-    request: Frame,
-    reread: &Notify,
-) {
-    let sources = ahead.iter().map(|a| Source {
-        node: &a.link.node,
-        same_domain: a.same_domain,
-        responsive: a.responsive,
-    });
-    let (sources, now) = (sources.collect::<Vec<_>>(), Instant::now());
-    match catch_up.next_action(known, &sources, now, rand::random()) {
-        Action::Wait => {}
-        Action::Request(node) => {
-            if let Some(a) = ahead.iter().find(|a| a.link.node == node) {
-                a.link.send(request);
-                // The response may take long; a missing pong tells that there will be none.
-                a.link.ping(now);
-            }
-        }
-        Action::ReadStore => {
-            tracing::info!(event = 327, frame = ?request, nodes = ahead.len(), "still behind other nodes; reading the store");
-            reread.notify_one();
-        }
-    }
-}
--- a/src/coordination/sidecar/quarantine.rs
+++ b/src/coordination/sidecar/quarantine.rs
@@ -13,9 +13,10 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+use crate::coordination::sidecar::life_reports::LifeReports;
 use crate::protocol::mesh::{CrashReport, Finding, Permission};
 use crate::state::clock::{self, Instant};
-use crate::state::crash_evidence::CrashEvidence;
+use crate::state::crash_evidence::{CrashEvidence, Recordable};
 use crate::state::fingerprint::Fingerprint;
 
 /// Number of lives of backend servers under which a request must have broken off to be refused.
@@ -59,10 +60,7 @@
     Duration::from_mins(10),
 ];
 
-/// Time in which one life of a backend server makes no more new suspects than it has slots.
-const REPORT_WINDOW: Duration = Duration::from_secs(10);
-
-/// Maximum number of new suspects in this time that only this node's own retries make, as many as a
+/// Maximum number of new suspects in the window of [`LifeReports`] that only this node's own retries make, as many as a
 /// backend server of the known deployments has slots.
 const MAX_SUSPICIONS: usize = 9;
 
@@ -172,41 +170,6 @@
     }
 }
 
-/// New suspects of the life of a backend server.
-#[derive(Debug, Clone, Copy)]
-struct LifeReports {
-    life: u64,
-    since: Instant,
-    count: usize,
-}
-
-impl LifeReports {
-    /// Counts a new suspect; returns whether there is room for it.
-    fn add(current: &mut Option<Self>, life: u64, limit: usize, now: Instant) -> bool {
-        let is_current = |r: &Self| r.life == life && now.since(r.since) < REPORT_WINDOW;
-        let reports = current.take().filter(is_current);
-        let mut reports = reports.unwrap_or(Self {
-            life,
-            since: now,
-            count: 0,
-        });
-        reports.count += 1;
-        *current = Some(reports);
-        reports.count <= limit
-    }
-}
-
-/// Suspect of which a backend server's life is known.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Recordable {
-    /// Fingerprint of the request.
-    pub request: Fingerprint,
-    /// Crashes under it.
-    pub evidence: CrashEvidence,
-    /// Time since the last crash.
-    pub age: Duration,
-}
-
 /// Requests under which backend servers have broken off.
 #[derive(Debug, Default)]
 pub struct Quarantine {
--- a/src/coordination/sidecar/reported_holds.rs
+++ b/src/coordination/sidecar/reported_holds.rs
@@ -6,6 +6,15 @@
 use crate::protocol::adapter::{Hold, Released};
 use crate::state::keyspace::{Holder, Slice};
 
+/// Ranges that a backend server has reported as held.
+#[derive(Debug)]
+pub struct ReportedRanges {
+    /// Service of the backend server.
+    pub service: String,
+    /// Backend server and its ranges.
+    pub ranges: (Holder, Vec<Hold>),
+}
+
 /// Returns what a backend server holds, as it has reported itself. Returns `None` as long as grants of an
 /// earlier process may be in force: a first heartbeat may be a late one of an earlier incarnation, and
 /// then doesn't tell what the later one holds.
--- a/src/state/crash_evidence.rs
+++ b/src/state/crash_evidence.rs
@@ -1,5 +1,9 @@
 //! Evidence that a request crashes the backend servers that run it.
 
+use std::time::Duration;
+
+use crate::state::fingerprint::Fingerprint;
+
 /// Crashes of backend servers under one request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct CrashEvidence {
@@ -16,3 +20,14 @@
         self.strikes >= other.strikes && other.lives.iter().all(|l| self.lives.contains(l))
     }
 }
+
+/// Request with evidence, which may be recorded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Recordable {
+    /// Fingerprint of the request.
+    pub request: Fingerprint,
+    /// Crashes under it.
+    pub evidence: CrashEvidence,
+    /// Time since the last crash.
+    pub age: Duration,
+}
--- a/src/transport/sidecar/frames.rs
+++ b/src/transport/sidecar/frames.rs
@@ -9,24 +9,21 @@
 //! copied: it is written from where it is, behind the encoded rest of its frame, and read into a buffer of
 //! exactly the frame's size, to which the decoded body then refers.
 
-use std::cell::Cell;
 use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
-use tokio::io::{AsyncRead, AsyncReadExt, ReadBuf};
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::OwnedWriteHalf;
 
 use crate::protocol::body::Body;
 use crate::protocol::buffer::{self, Buffer};
 use crate::protocol::http;
 use crate::protocol::mesh::{Cause, Failure, Frame, Hello, MAX_FRAME, Outcome, Seq};
-use crate::state::clock::Instant;
 use crate::state::reservation::{Footprint, Reservation};
+use crate::transport::sidecar::activity::{ActiveRead, Activity};
 use crate::transport::sidecar::byte_budget::{ByteBudget, Purpose};
 use crate::transport::sidecar::{message_cost, writing};
 
@@ -48,49 +45,6 @@
 /// without any sign of the other node earlier, so this limit serves the other side.
 const STALL_LIMIT: Duration = Duration::from_secs(5);
 
-/// Time of the last sign that the other host is reachable, shared by both halves of a connection.
-#[derive(Debug, Clone)]
-pub struct Activity(Rc<Cell<Instant>>);
-
-impl Activity {
-    fn start() -> Self {
-        Self(Rc::new(Cell::new(Instant::now())))
-    }
-
-    fn record(&self) {
-        self.0.set(Instant::now());
-    }
-
-    /// Returns when bytes were last received, or room last became free in a full send buffer.
-    #[must_use]
-    pub fn last(&self) -> Instant {
-        self.0.get()
-    }
-}
-
-/// Byte stream of a connection's read half, which records its activity.
-#[derive(Debug)]
-pub struct ActiveRead {
-    io: OwnedReadHalf,
-    activity: Activity,
-}
-
-impl AsyncRead for ActiveRead {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let this = self.get_mut();
-        let before = buffer.filled().len();
-        let read = Pin::new(&mut this.io).poll_read(cx, buffer);
-        if buffer.filled().len() > before {
-            this.activity.record();
-        }
-        read
-    }
-}
-
 /// Size of the length before each frame, in bytes.
 const PREFIX: usize = 4;
 
@@ -336,10 +290,7 @@
     io.set_nodelay(true)?;
     let (read, io) = io.into_split();
     let activity = Activity::start();
-    let read = ActiveRead {
-        io: read,
-        activity: activity.clone(),
-    };
+    let read = ActiveRead::new(read, activity.clone());
     let frames = FrameReader {
         io: read,
         buffer: BytesMut::with_capacity(INITIAL_BUFFER_SIZE),
--- a/src/transport/sidecar/mod.rs
+++ b/src/transport/sidecar/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! All connections run on one thread, with one task per connection.
 
+pub mod activity;
 pub mod backend;
 pub mod backend_memory;
 pub mod byte_budget;
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -12,6 +12,7 @@
 mod catchup;
 mod compression;
 mod confirmation;
+mod crash_records;
 mod cut_heads;
 mod decayed_average;
 mod endless;
