Restarts don't put off the trial of a quarantined request

Cause: the record doesn't have the time of the last crash, and an assumed time was reported like a known one. Change: a time that is assumed isn't reported, and gives way to one that another node knows. Measured: quarantine::restarts_do_not_postpone_a_trial failed before (14 s too late) and passes.

--- a/src/coordination/sidecar/isolation.rs
+++ b/src/coordination/sidecar/isolation.rs
@@ -464,3 +464,14 @@
 fn refusal(cause: Cause, wait: Duration) -> Failure {
     Failure::before_send(cause, clock::millis(wait))
 }
+
+impl From<Verdict> for Permission {
+    fn from(verdict: Verdict) -> Self {
+        match verdict {
+            Verdict::Clear | Verdict::Ready => Self::Granted,
+            Verdict::Busy(wait) | Verdict::Refused(wait) => Self::Denied {
+                wait_ms: clock::millis(wait),
+            },
+        }
+    }
+}
--- a/src/coordination/sidecar/quarantine.rs
+++ b/src/coordination/sidecar/quarantine.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use crate::coordination::sidecar::life_reports::LifeReports;
-use crate::protocol::mesh::{CrashReport, Finding, Permission};
+use crate::protocol::mesh::{CrashReport, Finding};
 use crate::state::clock::{self, Instant};
 use crate::state::crash_evidence::{CrashEvidence, Recordable};
 use crate::state::fingerprint::Fingerprint;
@@ -80,17 +80,6 @@
     Refused(Duration),
 }
 
-impl From<Verdict> for Permission {
-    fn from(verdict: Verdict) -> Self {
-        match verdict {
-            Verdict::Clear | Verdict::Ready => Self::Granted,
-            Verdict::Busy(wait) | Verdict::Refused(wait) => Self::Denied {
-                wait_ms: clock::millis(wait),
-            },
-        }
-    }
-}
-
 /// Copy of a suspected request that may be running.
 #[derive(Debug, Clone, Copy)]
 struct Run {
@@ -109,6 +98,8 @@
     seen: Instant,
     /// Time before which no copy may start.
     ready_at: Instant,
+    /// Whether that time is assumed, because the time of the last crash isn't known.
+    is_assumed: bool,
     /// Copy with the permit.
     run: Option<Run>,
     /// Copies that were started before the request was suspected.
@@ -155,6 +146,7 @@
             (false, false) => SETTLE_PAUSE,
         };
         self.ready_at = self.ready_at.max(now + delay);
+        self.is_assumed = false;
     }
 
     fn verdict(&self, now: Instant) -> Verdict {
@@ -341,7 +333,12 @@
                 if let Some(suspect) = self.suspects.get_mut(&request) {
                     let ready_at = now + Duration::from_millis(wait_ms.into());
                     suspect.strikes = suspect.strikes.max(strikes);
-                    suspect.ready_at = suspect.ready_at.max(ready_at);
+                    suspect.ready_at = if suspect.is_assumed {
+                        ready_at
+                    } else {
+                        suspect.ready_at.max(ready_at)
+                    };
+                    suspect.is_assumed = false;
                 }
             }
             Finding::Started { run, left_ms } => {
@@ -373,8 +370,9 @@
         }
     }
 
-    /// Adds evidence of earlier processes. A trial waits for its whole delay again, since the time of the last
-    /// crash isn't known. Evidence against a request that has just been answered is from before the answer.
+    /// Adds evidence of earlier processes. The next trial waits for its whole delay, until a node that knows
+    /// the time of the last crash tells the rest of it. Evidence against a request that has just been answered
+    /// is from before the answer.
     pub fn restore(&mut self, request: Fingerprint, evidence: &CrashEvidence, now: Instant) {
         let is_late = |at: &Instant| now.since(*at) < RESTORE_DELAY;
         if self.cleared.get(&request).is_some_and(is_late) {
@@ -388,6 +386,7 @@
         suspect.strikes = suspect.strikes.max(evidence.strikes);
         if suspect.evidence() != known {
             suspect.delay(true, now);
+            suspect.is_assumed = true;
         }
     }
 
@@ -413,6 +412,7 @@
             strikes: 0,
             seen: now,
             ready_at: now + SETTLE_PAUSE,
+            is_assumed: false,
             run: None,
             running: Vec::new(),
         })
@@ -464,7 +464,8 @@
             strikes: suspect.strikes,
             wait_ms: clock::millis(suspect.ready_at.since(now)),
         };
-        let findings = suspicion.into_iter().chain(lives).chain([state]);
+        let state = (!suspect.is_assumed).then_some(state);
+        let findings = suspicion.into_iter().chain(lives).chain(state);
         let reports = findings.map(|finding| CrashReport { request, finding });
         reports.collect()
     }
--- a/tests/sidecar/quarantine.rs
+++ b/tests/sidecar/quarantine.rs
@@ -101,6 +101,57 @@
     assert_eq!(node.check(POISON, now + secs(15)), Verdict::Ready);
 }
 
+/// One node after the other is restarted and reads the record. Guards against a trial that each restart puts off
+/// by its whole delay, at all nodes.
+#[test]
+fn restarts_do_not_postpone_a_trial() {
+    let now = Instant::now();
+    let mut nodes: [Quarantine; 2] = Default::default();
+    for life in 0..MAX_CRASHES as u64 {
+        nodes[0].record_crash(POISON, life, life > 1, SLOTS, now);
+    }
+    let evidence = nodes[0].recordable(now)[0].evidence.clone();
+    for seconds in [5, 10, 14] {
+        let now = now + secs(seconds);
+        nodes[1] = Quarantine::default();
+        nodes[1].restore(POISON, &evidence, now);
+        // Each node tells the other one all that it knows, over new connections.
+        let reports = [nodes[0].all_reports(now), nodes[1].all_reports(now)];
+        for report in &reports[0] {
+            nodes[1].apply(*report, now);
+        }
+        for report in &reports[1] {
+            nodes[0].apply(*report, now);
+        }
+        nodes.reverse();
+    }
+    for node in &nodes {
+        assert!(refuses(node, POISON, now + secs(14)));
+        assert_eq!(node.check(POISON, now + secs(15)), Verdict::Ready);
+    }
+}
+
+/// All processes are killed, so that none knows the time of the next trial. Guards against a trial that is
+/// allowed because of what they tell each other.
+#[test]
+fn restored_nodes_wait_for_the_whole_delay() {
+    let now = Instant::now();
+    let evidence = CrashEvidence {
+        lives: vec![1, 2, 3],
+        strikes: 1,
+    };
+    let mut nodes: [Quarantine; 2] = Default::default();
+    for node in &mut nodes {
+        node.restore(POISON, &evidence, now);
+    }
+    let reports = nodes[0].all_reports(now);
+    for report in reports {
+        nodes[1].apply(report, now);
+    }
+    assert!(refuses(&nodes[1], POISON, now + secs(14)));
+    assert_eq!(nodes[1].check(POISON, now + secs(15)), Verdict::Ready);
+}
+
 /// The record of a request reaches a node after the answer that clears it. Guards against a request that is
 /// suspected for good because of it.
 #[test]
