Rank the watchers once a check, and share a test's runner

The check of the watchers, ten times a second, ranked all nodes twice and copied each address to sort them; two comments named the former state; endless_bytes had a copy of the runner of endless. Change: a node is a watcher exactly if fewer than three rank before it, which the list of those tells; addresses are compared in place; the runner stands once. No behaviour changes.

--- a/src/coordination/sidecar/heartbeats.rs
+++ b/src/coordination/sidecar/heartbeats.rs
@@ -38,7 +38,7 @@
 /// Maximum difference between the clocks of a backend server and its node.
 const MAX_CLOCK_SKEW: Duration = Duration::from_hours(24);
 
-/// Interval at which a first heartbeat checks whether the tables are read.
+/// Interval at which a first heartbeat checks whether the replicated items are read.
 const ITEMS_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Order of a heartbeat relative to the last one that was applied.
--- a/src/coordination/sidecar/membership.rs
+++ b/src/coordination/sidecar/membership.rs
@@ -95,8 +95,8 @@
         rank(&self.hello.node, store_up, &others)
     }
 
-    /// Returns the connections to the first `count` of the other nodes by rank, those of this node's failure
-    /// domain first. `store_up` is whether the store responds to this node.
+    /// Returns the connections to the first `count` of the nodes that rank before this one, those of this node's
+    /// failure domain first. `store_up` is whether the store responds to this node.
     #[must_use]
     pub fn preferred_links(&self, store_up: bool, count: usize) -> Vec<Rc<Link>> {
         let own = (!store_up, self.hello.node.as_str());
@@ -106,7 +106,7 @@
         let mut before: Vec<_> = reported
             .filter(|(down, l)| (*down, l.node.as_str()) < own)
             .collect();
-        before.sort_by_key(|(down, l)| (*down, l.node.clone()));
+        before.sort_by(|(a_down, a), (b_down, b)| (a_down, &a.node).cmp(&(b_down, &b.node)));
         before.truncate(count);
         before.sort_by_key(|(_, l)| *l.domain.borrow() != self.hello.domain);
         before.into_iter().map(|(_, l)| Rc::clone(l)).collect()
--- a/src/coordination/sidecar/quarantine.rs
+++ b/src/coordination/sidecar/quarantine.rs
@@ -60,8 +60,8 @@
     Duration::from_mins(10),
 ];
 
-/// Maximum number of new suspects in the window of [`LifeReports`] that only this node's own retries make, as many as a
-/// backend server of the known deployments has slots.
+/// Maximum number of new suspects in the window of [`LifeReports`] that only this node's own retries make, as
+/// many as a backend server of the known deployments has slots.
 const MAX_SUSPICIONS: usize = 9;
 
 /// Longest wait that is suggested while another copy runs.
--- a/src/coordination/sidecar/watchers.rs
+++ b/src/coordination/sidecar/watchers.rs
@@ -108,8 +108,8 @@
             .preferred_links(self.store.is_reachable(), WATCHERS);
         let silence = watchers.iter().filter_map(|link| link.silence(now)).min();
         let reaction = match silence {
-            Some(silence) if !self.includes_self() => Reaction::from(silence),
-            // This node is one of them, or the only one.
+            Some(silence) if watchers.len() == WATCHERS => Reaction::from(silence),
+            // Fewer others rank before this node, so it is one of them itself.
             _ => Reaction::Rely,
         };
         match reaction {
--- a/tests/sidecar/endless.rs
+++ b/tests/sidecar/endless.rs
@@ -65,7 +65,7 @@
     (address, closings)
 }
 
-fn run<F: Future<Output = ()>>(test: F) {
+pub fn run<F: Future<Output = ()>>(test: F) {
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/tests/sidecar/endless_bytes.rs
+++ b/tests/sidecar/endless_bytes.rs
@@ -16,8 +16,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::{runtime, task, time};
+use tokio::{task, time};
 
+use crate::endless::run;
 use crate::links::{DelayHandler, hello};
 
 /// Time within which a connection must be closed that gets bytes as fast as it reads them. All time limits
@@ -32,14 +33,6 @@
 const CHUNKS: &str =
     "1;x=aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\na\r\n";
 
-fn run<F: Future<Output = ()>>(test: F) {
-    let runtime = runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    task::LocalSet::new().block_on(&runtime, test);
-}
-
 /// Sends a prefix and then a part again and again until the connection is closed.
 async fn flood(io: &mut TcpStream, first: &str, again: &str, pause: Duration) {
     let again = again.repeat(if pause.is_zero() { 512 } else { 1 });
